--- /dev/null
+++ b/src/document/mod.ts
@@ -0,0 +1,5 @@
+/** The environment document: types, parsing, checks, diff and promotion. */
+
+export type * from "./environment_document.ts";
+export { formatFinding } from "./finding.ts";
+export type { Finding } from "./finding.ts";
--- /dev/null
+++ b/src/metrics/mod.ts
@@ -0,0 +1,8 @@
+/** Counters, latency distributions and their Prometheus text form. */
+
+export { createCounter } from "./counter.ts";
+export type { Counter, Labels, Sample } from "./counter.ts";
+export { createLatency } from "./latency.ts";
+export type { Latency } from "./latency.ts";
+export { createRegistry } from "./registry.ts";
+export type { GaugeValue, Registry } from "./registry.ts";
--- /dev/null
+++ b/src/node/mod.ts
@@ -0,0 +1,3 @@
+/** The parts of a process that the entry and the agent share. */
+
+export type { Node, NodeIdentity } from "./node.ts";
--- /dev/null
+++ b/src/weights/weights.ts
@@ -0,0 +1,47 @@
+/**
+ * Weight transfer of one agent: which version it is getting, what it holds,
+ * and what its peers hold.
+ */
+
+import type { Phase } from "../wire/mod.ts";
+
+export interface WantedVersion {
+  readonly manifestDigest: string;
+  readonly sizeBytes: number;
+}
+
+export interface TransferProgress {
+  readonly manifestDigest: string;
+  readonly chunksHeld: number;
+  /** 0 until the manifest is known. */
+  readonly chunkCount: number;
+  readonly bytesHeld: number;
+  readonly isComplete: boolean;
+}
+
+/** What another agent last said of itself. */
+export interface WeightPeer {
+  readonly host: string;
+  readonly dataCentre: string;
+  readonly service: string;
+  readonly servingDigest?: string;
+  readonly phase: Phase;
+  readonly wantedDigest: string;
+  readonly chunksHeld: number;
+  readonly chunkCount: number;
+}
+
+export interface Weights {
+  /** Starts or continues this transfer; a transfer of another version ends. */
+  want(version: WantedVersion | undefined): void;
+  progress(manifestDigest: string): TransferProgress;
+  /** Runs once for each version that has become whole and verified. */
+  onComplete(handler: (manifestDigest: string) => void): void;
+  /** What this agent tells its peers about its endpoint. */
+  setServing(servingDigest: string | undefined, phase: Phase): void;
+  peers(): readonly WeightPeer[];
+  readManifest(manifestDigest: string): Uint8Array | undefined;
+  /** The verified chunks in order; undefined unless all are held. */
+  readChunks(manifestDigest: string): readonly Uint8Array[] | undefined;
+  close(): Promise<void>;
+}
--- /dev/null
+++ b/src/wire/frame.ts
@@ -0,0 +1,123 @@
+/**
+ * Frames on a peer connection: a 4-byte big-endian length and one CBOR value.
+ */
+
+import { Encoder } from "cbor-x";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+
+export const MAX_FRAME_BYTES = 256 * 1024;
+const LENGTH_BYTES = 4;
+
+export type Frame =
+  | { readonly type: "hello"; readonly hello: unknown }
+  | { readonly type: "open"; readonly streamId: number; readonly head: unknown }
+  | {
+      readonly type: "message";
+      readonly streamId: number;
+      readonly body: unknown;
+    }
+  | {
+      readonly type: "data";
+      readonly streamId: number;
+      readonly bytes: Uint8Array;
+    }
+  | {
+      readonly type: "end";
+      readonly streamId: number;
+      readonly trailer: unknown;
+    }
+  | {
+      readonly type: "reset";
+      readonly streamId: number;
+      readonly reason: string;
+    }
+  | {
+      readonly type: "credit";
+      readonly streamId: number;
+      readonly bytes: number;
+    }
+  | { readonly type: "notice"; readonly notice: unknown }
+  | { readonly type: "ping"; readonly nonce: number }
+  | { readonly type: "pong"; readonly nonce: number };
+
+export type FrameError = "frame_too_large" | "malformed_frame";
+
+const codec = new Encoder({ useRecords: false, tagUint8Array: false });
+
+const STREAM_FRAMES: ReadonlySet<string> = new Set([
+  "open",
+  "message",
+  "data",
+  "end",
+  "reset",
+  "credit",
+]);
+const OTHER_FRAMES: ReadonlySet<string> = new Set([
+  "hello",
+  "notice",
+  "ping",
+  "pong",
+]);
+
+export function encodeFrame(frame: Frame): Buffer {
+  const body = codec.encode(frame);
+  const out = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
+  out.writeUInt32BE(body.length, 0);
+  body.copy(out, LENGTH_BYTES);
+  return out;
+}
+
+export interface FrameDecoder {
+  /** Returns the frames completed by these bytes, or the first error. */
+  push(bytes: Buffer): Result<readonly Frame[], FrameError>;
+}
+
+/** Holds at most one incomplete frame, so at most MAX_FRAME_BYTES and 4. */
+export function createFrameDecoder(): FrameDecoder {
+  let pending: Buffer = Buffer.alloc(0);
+
+  return {
+    push(bytes) {
+      let rest = pending.length === 0 ? bytes : Buffer.concat([pending, bytes]);
+      const frames: Frame[] = [];
+      while (rest.length >= LENGTH_BYTES) {
+        const length = rest.readUInt32BE(0);
+        if (length > MAX_FRAME_BYTES) return err("frame_too_large");
+        if (rest.length < LENGTH_BYTES + length) break;
+        const frame = decodeBody(
+          rest.subarray(LENGTH_BYTES, LENGTH_BYTES + length),
+        );
+        if (frame === undefined) return err("malformed_frame");
+        frames.push(frame);
+        rest = rest.subarray(LENGTH_BYTES + length);
+      }
+      pending = rest;
+      return ok(frames);
+    },
+  };
+}
+
+function decodeBody(body: Buffer): Frame | undefined {
+  try {
+    const value: unknown = codec.decode(body);
+    return isFrame(value) ? value : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+function isFrame(value: unknown): value is Frame {
+  if (typeof value !== "object" || value === null) return false;
+  const { type, streamId, bytes } = value as Record<string, unknown>;
+  if (typeof type !== "string") return false;
+  if (type === "data" && !(bytes instanceof Uint8Array)) return false;
+  if (type === "credit" && !isCount(bytes)) return false;
+  return (
+    OTHER_FRAMES.has(type) || (STREAM_FRAMES.has(type) && isCount(streamId))
+  );
+}
+
+function isCount(value: unknown): boolean {
+  return Number.isSafeInteger(value) && (value as number) >= 0;
+}
--- /dev/null
+++ b/src/wire/mod.ts
@@ -0,0 +1,20 @@
+/**
+ * Peer connections between the system's processes: frames, streams with flow
+ * control, notices. docs/design.md section 5 describes the protocol.
+ */
+
+export { createFrameDecoder, encodeFrame, MAX_FRAME_BYTES } from "./frame.ts";
+export type { Frame, FrameDecoder, FrameError } from "./frame.ts";
+export * from "./messages.ts";
+export type { Peer, PeerHandlers } from "./peer.ts";
+export { INITIAL_CREDIT_BYTES } from "./stream.ts";
+export type { Stream, StreamEvent, StreamLost } from "./stream.ts";
+export { connectPeer, listenForPeers } from "./transport.ts";
+export type {
+  DialOptions,
+  ListenOptions,
+  PeerListener,
+  TransportOptions,
+} from "./transport.ts";
+export { createWireCounters } from "./wire_counters.ts";
+export type { WireCounters } from "./wire_counters.ts";
--- /dev/null
+++ b/src/wire/peer.ts
@@ -0,0 +1,193 @@
+/**
+ * One long-lived connection to another process of the system. A task reads
+ * frames and hands each to its stream; writes of one event-loop turn leave in
+ * one segment.
+ */
+
+import type { Socket } from "node:net";
+import { createFrameDecoder, encodeFrame } from "./frame.ts";
+import type { Frame } from "./frame.ts";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import { parseHello, parseOpenHead } from "./messages.ts";
+import type { Hello, Notice, OpenHead } from "./messages.ts";
+import { createStream } from "./stream.ts";
+import type { Stream, StreamLost, StreamPort } from "./stream.ts";
+import type { WireCounters } from "./wire_counters.ts";
+
+const PING_INTERVAL_MS = 2_000;
+const SILENCE_LIMIT_MS = 6_000;
+const HELLO_TIMEOUT_MS = 2_000;
+const MAX_STREAMS = 4_096;
+
+export interface PeerHandlers {
+  /** Called for each stream that the other side opens. */
+  readonly onStream: (peer: Peer, stream: Stream) => void;
+  readonly onNotice: (peer: Peer, notice: Notice) => void;
+}
+
+export interface Peer {
+  readonly hello: Hello;
+  readonly remoteAddress: string;
+  /** Fails only if the connection is closed, and then nothing was sent. */
+  openStream(head: OpenHead): Result<Stream, StreamLost>;
+  sendNotice(notice: Notice): void;
+  isClosed(): boolean;
+  /** Resolves with the reason when the connection has closed. */
+  readonly closed: Promise<string>;
+  /** Closes at once; open streams are lost on both sides. */
+  close(reason: string): void;
+}
+
+export interface PeerOptions {
+  readonly isDialler: boolean;
+  readonly hello: () => Hello;
+  readonly handlers: PeerHandlers;
+  readonly counters: WireCounters;
+}
+
+/** Exchanges hellos; resolves with the peer or the reason it failed. */
+export function createPeer(
+  socket: Socket,
+  options: PeerOptions,
+): Promise<Result<Peer, string>> {
+  const { handlers, counters } = options;
+  const decoder = createFrameDecoder();
+  const ports = new Map<number, StreamPort>();
+  let nextStreamId = options.isDialler ? 1 : 2;
+  let lastRemoteStreamId = 0;
+  let lastHeardMs = performance.now();
+  let closeReason: string | undefined;
+  let peer: Peer | undefined;
+  let corked = false;
+  let resolveClosed: (reason: string) => void;
+  let resolvePeer: (result: Result<Peer, string>) => void;
+  const closed = new Promise<string>((resolve) => (resolveClosed = resolve));
+  const ready = new Promise<Result<Peer, string>>(
+    (resolve) => (resolvePeer = resolve),
+  );
+
+  function sendFrame(frame: Frame) {
+    if (closeReason !== undefined) return;
+    if (!corked) {
+      corked = true;
+      socket.cork();
+      setImmediate(() => {
+        corked = false;
+        socket.uncork();
+      });
+    }
+    const bytes = encodeFrame(frame);
+    counters.bytesSent.increment({ frame: frame.type }, bytes.length);
+    socket.write(bytes);
+  }
+
+  function close(reason: string) {
+    if (closeReason !== undefined) return;
+    closeReason = reason;
+    clearInterval(pingTimer);
+    clearTimeout(helloTimer);
+    socket.destroy();
+    counters.connectionsClosed.increment({ reason });
+    [...ports.values()].forEach((port) => port.lose(reason));
+    ports.clear();
+    resolvePeer(err(reason));
+    resolveClosed(reason);
+  }
+
+  function addStream(streamId: number, head: OpenHead): StreamPort {
+    const port = createStream(streamId, head, {
+      sendFrame,
+      onFinished: () => ports.delete(streamId),
+    });
+    ports.set(streamId, port);
+    return port;
+  }
+
+  function onOpen(streamId: number, rawHead: unknown) {
+    const head = parseOpenHead(rawHead);
+    const isRemoteId = streamId % 2 === (options.isDialler ? 0 : 1);
+    if (!isRemoteId || streamId <= lastRemoteStreamId) {
+      return close("protocol_error");
+    }
+    lastRemoteStreamId = streamId;
+    if (head === undefined || ports.size >= MAX_STREAMS) {
+      const reason = head === undefined ? "malformed_head" : "too_many_streams";
+      counters.framesDropped.increment({ reason });
+      return sendFrame({ type: "reset", streamId, reason });
+    }
+    const { stream } = addStream(streamId, head);
+    handlers.onStream(peer!, stream);
+  }
+
+  function onFrame(frame: Frame) {
+    if (peer === undefined) return onHello(frame);
+    switch (frame.type) {
+      case "hello":
+        return close("protocol_error");
+      case "open":
+        return onOpen(frame.streamId, frame.head);
+      case "notice":
+        return handlers.onNotice(peer, frame.notice as Notice);
+      case "ping":
+        return sendFrame({ type: "pong", nonce: frame.nonce });
+      case "pong":
+        return;
+      default: {
+        const port = ports.get(frame.streamId);
+        if (port === undefined) {
+          // Late frames of a finished stream; they must reach no other one.
+          return counters.framesDropped.increment({ reason: "no_stream" });
+        }
+        if (port.onFrame(frame) === "flow_violation") close("flow_violation");
+      }
+    }
+  }
+
+  function onHello(frame: Frame) {
+    const hello = frame.type === "hello" ? parseHello(frame.hello) : undefined;
+    if (hello === undefined) return close("protocol_error");
+    clearTimeout(helloTimer);
+    peer = {
+      hello,
+      remoteAddress: `${socket.remoteAddress}:${socket.remotePort}`,
+      closed,
+      close,
+      isClosed: () => closeReason !== undefined,
+      openStream(head) {
+        if (closeReason !== undefined) {
+          return err({ type: "stream_lost", reason: closeReason });
+        }
+        const streamId = nextStreamId;
+        nextStreamId += 2;
+        const port = addStream(streamId, head);
+        sendFrame({ type: "open", streamId, head });
+        return ok(port.stream);
+      },
+      sendNotice: (notice) => sendFrame({ type: "notice", notice }),
+    };
+    resolvePeer(ok(peer));
+  }
+
+  const helloTimer = setTimeout(() => close("hello_timeout"), HELLO_TIMEOUT_MS);
+  const pingTimer = setInterval(() => {
+    const silentMs = performance.now() - lastHeardMs;
+    if (silentMs > SILENCE_LIMIT_MS) return close("silent");
+    sendFrame({ type: "ping", nonce: 0 });
+  }, PING_INTERVAL_MS);
+  pingTimer.unref();
+
+  socket.setNoDelay(true);
+  socket.on("error", () => close("socket_error"));
+  socket.on("close", () => close("closed_by_peer"));
+  socket.on("data", (bytes: Buffer) => {
+    lastHeardMs = performance.now();
+    counters.bytesReceived.increment({}, bytes.length);
+    decoder.push(bytes).match(
+      (frames) => frames.forEach(onFrame),
+      (error) => close(error),
+    );
+  });
+  sendFrame({ type: "hello", hello: options.hello() });
+  return ready;
+}
--- /dev/null
+++ b/src/wire/transport_test.ts
@@ -0,0 +1,139 @@
+import { afterEach, describe, expect, test } from "@jest/globals";
+import { createRegistry } from "../metrics/mod.ts";
+import { connectPeer, createWireCounters, listenForPeers } from "./mod.ts";
+import type { Hello, Peer, PeerListener, RequestHead, Stream } from "./mod.ts";
+
+const HEAD: RequestHead = {
+  kind: "request",
+  requestId: "r1",
+  service: "assistant",
+  clientAccount: "a",
+  priority: 0,
+  method: "POST",
+  path: "/v1/completions",
+  headers: {},
+  configVersion: 1,
+  remainingMs: 1000,
+  repeatable: true,
+  fingerprint: "f",
+};
+
+const closers: (() => unknown)[] = [];
+afterEach(async () => {
+  await Promise.all(closers.splice(0).map((close) => close()));
+});
+
+function createHello(host: string): Hello {
+  return {
+    protocolVersion: 1,
+    role: "agent",
+    host,
+    dataCentre: "d1",
+    incarnation: "i",
+    configVersion: 1,
+  };
+}
+
+async function connectPair(onStream: (peer: Peer, stream: Stream) => void) {
+  const counters = createWireCounters(createRegistry());
+  const listener: PeerListener = await listenForPeers("127.0.0.1:0", {
+    hello: () => createHello("server"),
+    handlers: { onStream, onNotice: () => undefined },
+    counters,
+    onPeer: () => undefined,
+  });
+  const dialled = await connectPeer(listener.address, {
+    hello: () => createHello("client"),
+    handlers: { onStream: () => undefined, onNotice: () => undefined },
+    counters,
+  });
+  const peer = dialled._unsafeUnwrap();
+  closers.push(() => listener.close());
+  closers.push(() => peer.close("test_over"));
+  return { peer, counters };
+}
+
+async function echo(stream: Stream) {
+  for (;;) {
+    const event = await stream.read();
+    if (event.type === "data") await stream.write(event.bytes);
+    else if (event.type === "end") {
+      return stream.end({ outcome: "answered" });
+    } else if (event.type === "lost") return;
+  }
+}
+
+describe("transport", () => {
+  // Guards against loss or reordering across credit refills.
+  test("carries more data than one credit window both ways", async () => {
+    const { peer } = await connectPair((_, stream) => void echo(stream));
+    const stream = peer.openStream(HEAD)._unsafeUnwrap();
+    const sent = Buffer.alloc(1_000_000, "abcdefg");
+    const writing = stream
+      .write(sent)
+      .then(() => stream.end({ outcome: "answered" }));
+    const received: Uint8Array[] = [];
+    for (;;) {
+      const event = await stream.read();
+      if (event.type !== "data") {
+        expect(event).toEqual({
+          type: "end",
+          trailer: { outcome: "answered" },
+        });
+        break;
+      }
+      received.push(event.bytes);
+    }
+    await writing;
+    expect(Buffer.concat(received).equals(sent)).toBe(true);
+  });
+
+  // Guards against one slow reader holding up every stream of a connection.
+  test("serves a second stream while the first is not read", async () => {
+    const { peer } = await connectPair((_, stream) => {
+      if (stream.id === 1) void stream.write(Buffer.alloc(2_000_000));
+      else void echo(stream);
+    });
+    peer.openStream(HEAD)._unsafeUnwrap();
+    const second = peer.openStream(HEAD)._unsafeUnwrap();
+    await second.write(Buffer.from("hi"));
+    const event = await second.read();
+    expect(event.type).toBe("data");
+  });
+
+  // Guards against a broken connection being taken for a whole answer.
+  test("reports lost, not end, when the connection breaks", async () => {
+    const { peer } = await connectPair((serverPeer, stream) => {
+      void stream.write(Buffer.from("part")).then(async () => {
+        await stream.read();
+        serverPeer.close("killed");
+      });
+    });
+    const stream = peer.openStream(HEAD)._unsafeUnwrap();
+    expect((await stream.read()).type).toBe("data");
+    await stream.write(Buffer.from("go"));
+    expect((await stream.read()).type).toBe("lost");
+    expect(peer.openStream(HEAD).isErr()).toBe(true);
+  });
+
+  // Guards against late frames of a reset stream reaching its caller.
+  test("drops frames that arrive for a reset stream", async () => {
+    let serverStream: Stream | undefined;
+    const { peer, counters } = await connectPair((_, stream) => {
+      serverStream ??= stream;
+      if (stream !== serverStream) void echo(stream);
+    });
+    const stream = peer.openStream(HEAD)._unsafeUnwrap();
+    const second = peer.openStream(HEAD)._unsafeUnwrap();
+    await second.write(Buffer.from("x"));
+    await second.read();
+    // The server has the stream but has not seen the reset when it writes.
+    const late = serverStream!.write(Buffer.from("late"));
+    stream.reset("caller_left");
+    await late;
+    await second.write(Buffer.from("y"));
+    await second.read();
+    expect((await stream.read()).type).toBe("lost");
+    expect(counters.framesDropped.read({ reason: "no_stream" })).toBe(1);
+  });
+});
