--- /dev/null
+++ b/bench/call.ts
@@ -0,0 +1,186 @@
+/** Calls as a caller of the system makes them, each with a checked result. */
+
+import { Agent, request } from "undici";
+import type { Dispatcher } from "undici";
+import { createAnswerText } from "../stand_ins/answer_text.ts";
+import { MODEL } from "./fleet_plan.ts";
+import type { BenchAccount } from "./fleet_plan.ts";
+
+export type CallOutcome =
+  "answered_whole" | "not_run" | "unknown" | "wrong" | "cut";
+
+export interface CallResult {
+  readonly outcome: CallOutcome;
+  /** Error code of the body, or what was wrong with the answer. */
+  readonly detail: string;
+  readonly sentAtMs: number;
+  readonly totalMs: number;
+  readonly firstTokenMs?: number;
+  readonly gapsMs: readonly number[];
+  readonly idempotencyKey?: string;
+}
+
+export interface CompletionCall {
+  readonly baseUrl: string;
+  readonly account: BenchAccount;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  /** Digest to expect when the answer names none (a call at an engine). */
+  readonly defaultDigest?: string;
+}
+
+const REQUEST_TIMEOUT_MS = 60_000;
+const dispatcher = new Agent({
+  connections: 2_048,
+  headersTimeout: REQUEST_TIMEOUT_MS,
+  bodyTimeout: REQUEST_TIMEOUT_MS,
+});
+
+export async function sendCompletion(
+  call: CompletionCall,
+): Promise<CallResult> {
+  const startMs = performance.now();
+  const sentAtMs = Date.now();
+  const gapsMs: number[] = [];
+  let firstTokenMs: number | undefined;
+  let lastMs = 0;
+
+  function finish(outcome: CallOutcome, detail: string): CallResult {
+    const totalMs = performance.now() - startMs;
+    const base = { outcome, detail, sentAtMs, totalMs, gapsMs };
+    return firstTokenMs === undefined ? base : { ...base, firstTokenMs };
+  }
+
+  let text = "";
+  let rest = "";
+  let isDone = false;
+  let errorEvent: ErrorBody | undefined;
+  function onEvent(event: string) {
+    const data = /^data: (.*)$/m.exec(event)?.[1] ?? "";
+    if (/^event: error$/m.test(event)) {
+      errorEvent = JSON.parse(data) as ErrorBody;
+    } else if (data === "[DONE]") isDone = true;
+    else if (data !== "") {
+      const chunk = JSON.parse(data) as { choices: [{ text: string }] };
+      text += chunk.choices[0].text;
+    }
+  }
+
+  try {
+    const response = await post(call, {
+      model: MODEL,
+      prompt: call.prompt,
+      max_tokens: call.maxTokens,
+      stream: true,
+    });
+    if (response.statusCode !== 200) {
+      const error = await readError(response);
+      return finish(classifyError(error, response), error.code);
+    }
+    const named = response.headers["zinniaspur-model-digest"];
+    const versionDigest = named ?? call.defaultDigest;
+    for await (const bytes of response.body) {
+      const nowMs = performance.now();
+      if (firstTokenMs === undefined) firstTokenMs = nowMs - startMs;
+      else gapsMs.push(nowMs - lastMs);
+      lastMs = nowMs;
+      const events = (rest + String(bytes)).split("\n\n");
+      rest = events.pop() ?? "";
+      events.forEach(onEvent);
+    }
+    if (errorEvent !== undefined) {
+      const { outcome, code } = errorEvent.error;
+      return finish(outcome === "unknown" ? "unknown" : "wrong", code);
+    }
+    if (!isDone) return finish("cut", "no end mark");
+    const expected = createAnswerText(
+      { prompt: call.prompt, versionDigest: String(versionDigest) },
+      call.maxTokens,
+    );
+    return text === expected
+      ? finish("answered_whole", "")
+      : finish("wrong", describeDifference(text, expected));
+  } catch (error) {
+    return finish("cut", String(error));
+  }
+}
+
+export interface BookingCall {
+  readonly baseUrl: string;
+  readonly account: BenchAccount;
+  readonly idempotencyKey: string;
+}
+
+export async function sendBooking(call: BookingCall): Promise<CallResult> {
+  const startMs = performance.now();
+  const sentAtMs = Date.now();
+  const { idempotencyKey } = call;
+
+  function finish(outcome: CallOutcome, detail: string): CallResult {
+    const totalMs = performance.now() - startMs;
+    return { outcome, detail, sentAtMs, totalMs, gapsMs: [], idempotencyKey };
+  }
+
+  try {
+    const response = await request(`${call.baseUrl}/services/ledger/bookings`, {
+      method: "POST",
+      dispatcher,
+      headers: {
+        authorization: `Bearer ${call.account.apiKey}`,
+        "content-type": "application/json",
+        "idempotency-key": idempotencyKey,
+      },
+      body: JSON.stringify({ order: idempotencyKey }),
+    });
+    if (response.statusCode !== 200) {
+      const error = await readError(response);
+      return finish(classifyError(error, response), error.code);
+    }
+    const body = (await response.body.json()) as {
+      booked: { order: string };
+    };
+    return body.booked.order === idempotencyKey
+      ? finish("answered_whole", "")
+      : finish("wrong", "answer of another booking");
+  } catch (error) {
+    return finish("cut", String(error));
+  }
+}
+
+interface ErrorBody {
+  readonly error: { readonly code: string; readonly outcome: string };
+}
+
+function post(call: CompletionCall, body: unknown) {
+  return request(`${call.baseUrl}/v1/completions`, {
+    method: "POST",
+    dispatcher,
+    headers: {
+      authorization: `Bearer ${call.account.apiKey}`,
+      "content-type": "application/json",
+    },
+    body: JSON.stringify(body),
+  });
+}
+
+async function readError(response: Dispatcher.ResponseData) {
+  const body = (await response.body.json()) as ErrorBody;
+  return body.error;
+}
+
+/** A refusal under load must say when to come back. */
+function classifyError(
+  error: ErrorBody["error"],
+  response: Dispatcher.ResponseData,
+): CallOutcome {
+  if (error.outcome === "unknown") return "unknown";
+  if (error.outcome !== "not_run") return "wrong";
+  const isRefusal = [429, 503].includes(response.statusCode);
+  const hasRetryAfter = response.headers["retry-after"] !== undefined;
+  return isRefusal && !hasRetryAfter ? "wrong" : "not_run";
+}
+
+function describeDifference(text: string, expected: string): string {
+  const at = [...expected].findIndex((letter, index) => letter !== text[index]);
+  return `differs at ${at} of ${expected.length}, got ${text.length}`;
+}
--- /dev/null
+++ b/bench/fleet.ts
@@ -0,0 +1,210 @@
+/**
+ * Starts a small fleet of separate processes on loopback: platform, weight
+ * store, entries, agents and their endpoints. Used by the demo and measures.
+ */
+
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { dirname, join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { request } from "undici";
+import { stringify } from "yaml";
+import type { EngineOptions } from "../stand_ins/engine.ts";
+import type { StoreProcessOptions } from "../stand_ins/main.ts";
+import {
+  ENDPOINT_PORT,
+  endpointUrl,
+  HTTP_PORT,
+  LANGUAGE_SERVICE,
+  PEER_PORT,
+  processUrl,
+} from "./fleet_hosts.ts";
+import { MODEL, VERSIONS } from "./fleet_plan.ts";
+import type { DocumentChoices, FleetPlan, PlannedHost } from "./fleet_plan.ts";
+import { startProcess } from "./process_handle.ts";
+import type { ProcessHandle } from "./process_handle.ts";
+
+const POLL_MS = 25;
+
+export type EngineProfile = Omit<EngineOptions, "address">;
+
+export interface FleetOptions {
+  readonly plan: FleetPlan;
+  readonly engine: EngineProfile;
+  readonly storeMbitPerS: number;
+  readonly weightsPolicy: "swarm" | "store";
+  readonly weightsMemoryBytes: number;
+  readonly hostsLagMs: number;
+  readonly ledgerWorkMs: number;
+}
+
+export interface Fleet {
+  readonly plan: FleetPlan;
+  readonly platformUrl: string;
+  readonly storeUrl: string;
+  processes(): ReadonlyMap<string, ProcessHandle>;
+  /** Publishes a document; returns when the platform has it. */
+  publish(choices: DocumentChoices): Promise<void>;
+  /** Publishes the host list, with these hosts left out. */
+  publishHosts(gone?: readonly string[]): Promise<void>;
+  startAgent(hostName: string): void;
+  startEndpoint(hostName: string): Promise<void>;
+  /** Waits until each of these hosts answers `/readyz` with 200. */
+  waitUntilReady(
+    hostNames: readonly string[],
+    timeoutMs: number,
+  ): Promise<void>;
+  close(): Promise<void>;
+}
+
+export async function startFleet(options: FleetOptions): Promise<Fleet> {
+  const { plan } = options;
+  const root = join(dirname(fileURLToPath(import.meta.url)), "..");
+  const folder = mkdtempSync(join(tmpdir(), "zinniaspur-"));
+  const processes = new Map<string, ProcessHandle>();
+
+  function startStandIn(name: string, [kind, json]: readonly unknown[]) {
+    const handle = startProcess(name, [
+      join(root, "stand_ins", "main.js"),
+      String(kind),
+      JSON.stringify(json),
+    ]);
+    processes.set(name, handle);
+    return handle.firstLine.then(
+      (line) => `http://${(JSON.parse(line) as { address: string }).address}`,
+    );
+  }
+
+  const [platformUrl, storeUrl] = await Promise.all([
+    startStandIn("platform", ["platform", { hostsLagMs: options.hostsLagMs }]),
+    startStandIn("weight-store", [
+      "weight_store",
+      {
+        mbitPerS: options.storeMbitPerS,
+        model: MODEL,
+        versions: VERSIONS,
+        files: plan.files,
+      } satisfies StoreProcessOptions,
+    ]),
+  ]);
+
+  function findHost(name: string): PlannedHost {
+    const found = plan.hosts.find((host) => host.name === name);
+    if (found === undefined) throw new Error(`Unknown host "${name}"`);
+    return found;
+  }
+
+  function startBinary(host: PlannedHost, extra: Record<string, unknown>) {
+    const file = join(folder, `${host.name}.yaml`);
+    writeFileSync(
+      file,
+      stringify({
+        host: host.name,
+        data_centre: host.dataCentre,
+        http_address: `${host.ip}:${HTTP_PORT}`,
+        peer_address: `${host.ip}:${PEER_PORT}`,
+        platform_url: platformUrl,
+        ...extra,
+      }),
+    );
+    const program = host.role === "entry" ? "entry.js" : "agent.js";
+    processes.set(
+      host.name,
+      startProcess(host.name, [join(root, "bin", program), "--settings", file]),
+    );
+  }
+
+  function startAgent(hostName: string) {
+    const host = findHost(hostName);
+    startBinary(host, {
+      service: host.service,
+      endpoint_url: endpointUrl(host),
+      weight_store_url: storeUrl,
+      weights_memory_bytes: options.weightsMemoryBytes,
+      weights_policy: options.weightsPolicy,
+    });
+  }
+
+  async function startEndpoint(hostName: string) {
+    const host = findHost(hostName);
+    const address = `${host.ip}:${ENDPOINT_PORT}`;
+    const isEngine = host.service === LANGUAGE_SERVICE;
+    await startStandIn(
+      `endpoint-${hostName}`,
+      isEngine
+        ? ["engine", { ...options.engine, address }]
+        : ["plain_service", { workMs: options.ledgerWorkMs, address }],
+    );
+  }
+
+  async function publish(choices: DocumentChoices) {
+    await put(`${platformUrl}/admin/config`, plan.createDocument(choices));
+  }
+
+  async function publishHosts(gone: readonly string[] = []) {
+    const hosts = plan.hosts
+      .filter((host) => !gone.includes(host.name))
+      .map((host) => ({
+        name: host.name,
+        role: host.role,
+        service: host.service,
+        data_centre: host.dataCentre,
+        peer_address: `${host.ip}:${PEER_PORT}`,
+        state: "live",
+      }));
+    await put(`${platformUrl}/admin/hosts`, JSON.stringify(hosts));
+  }
+
+  const endpoints = plan.hosts.filter((host) => host.role === "endpoint");
+  await publishHosts();
+  await Promise.all(endpoints.map((host) => startEndpoint(host.name)));
+  endpoints.forEach((host) => startAgent(host.name));
+  plan.hosts
+    .filter((host) => host.role === "entry")
+    .forEach((host) => startBinary(host, {}));
+
+  return {
+    plan,
+    platformUrl,
+    storeUrl,
+    processes: () => processes,
+    publish,
+    publishHosts,
+    startAgent,
+    startEndpoint,
+    async waitUntilReady(hostNames, timeoutMs) {
+      const deadlineMs = performance.now() + timeoutMs;
+      await Promise.all(
+        hostNames.map((name) => waitForReady(findHost(name), deadlineMs)),
+      );
+    },
+    async close() {
+      await Promise.all([...processes.values()].map((p) => p.stop()));
+      rmSync(folder, { recursive: true, force: true });
+    },
+  };
+}
+
+async function waitForReady(host: PlannedHost, deadlineMs: number) {
+  while (!(await isReady(host))) {
+    if (performance.now() > deadlineMs) {
+      throw new Error(`${host.name} was not ready in time`);
+    }
+    await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+  }
+}
+
+async function isReady(host: PlannedHost): Promise<boolean> {
+  try {
+    const { statusCode, body } = await request(`${processUrl(host)}/readyz`);
+    await body.dump();
+    return statusCode === 200;
+  } catch {
+    return false;
+  }
+}
+
+async function put(url: string, body: string) {
+  const response = await request(url, { method: "PUT", body });
+  await response.body.dump();
+}
--- /dev/null
+++ b/bench/fleet_status.ts
@@ -0,0 +1,60 @@
+/** Reads `/status` of every agent of a bench fleet. */
+
+import { request } from "undici";
+import { processUrl, LANGUAGE_SERVICE } from "./fleet_hosts.ts";
+import type { FleetPlan, PlannedHost } from "./fleet_plan.ts";
+
+export interface AgentStatus {
+  readonly host: string;
+  readonly phase: string;
+  readonly servingDigest?: string;
+  readonly configVersion?: number;
+  readonly bytesHeld: number;
+  readonly sizeBytes: number;
+}
+
+export async function readAgentStatus(
+  host: PlannedHost,
+  digest: string,
+): Promise<AgentStatus | undefined> {
+  try {
+    const { body } = await request(`${processUrl(host)}/status`, {
+      headersTimeout: 1_000,
+      bodyTimeout: 1_000,
+    });
+    const status = (await body.json()) as RawStatus;
+    const transfer = status.transfers?.find((t) => t.manifestDigest === digest);
+    return {
+      host: host.name,
+      phase: status.phase ?? "unknown",
+      ...(status.servingDigest && { servingDigest: status.servingDigest }),
+      bytesHeld: transfer?.bytesHeld ?? 0,
+      sizeBytes: transfer?.sizeBytes ?? 0,
+    };
+  } catch {
+    return undefined;
+  }
+}
+
+export async function readLanguageStatus(plan: FleetPlan, digest: string) {
+  const hosts = plan.hosts.filter((h) => h.service === LANGUAGE_SERVICE);
+  const statuses = await Promise.all(
+    hosts.map((host) => readAgentStatus(host, digest)),
+  );
+  return statuses.filter((status) => status !== undefined);
+}
+
+export function isServing(status: AgentStatus, digest: string): boolean {
+  const isUp = status.phase === "cold" || status.phase === "warm";
+  return isUp && status.servingDigest === digest;
+}
+
+interface RawStatus {
+  readonly phase?: string;
+  readonly servingDigest?: string;
+  readonly transfers?: readonly {
+    readonly manifestDigest: string;
+    readonly bytesHeld: number;
+    readonly sizeBytes: number;
+  }[];
+}
