--- /dev/null
+++ b/bench/measure_data_centre.ts
@@ -0,0 +1,207 @@
+/**
+ * A data centre leaves and returns under steady load. One JSON line tells what
+ * callers saw and when the last new request reached the data centre.
+ */
+
+import { Command } from "commander";
+import { request } from "undici";
+import { auditBookings } from "./booking_audit.ts";
+import { sendBooking, sendCompletion } from "./call.ts";
+import type { CallResult } from "./call.ts";
+import { startFleet } from "./fleet.ts";
+import { endpointUrl, LANGUAGE_SERVICE, processUrl } from "./fleet_hosts.ts";
+import { LEDGER_SERVICE } from "./fleet_hosts.ts";
+import { ACCOUNTS, planFleet } from "./fleet_plan.ts";
+import type { PlannedHost } from "./fleet_plan.ts";
+import { isServing, readLanguageStatus } from "./fleet_status.ts";
+import { startLoad } from "./load.ts";
+import {
+  COLD_CONCURRENCY,
+  ENGINE_PROFILE,
+  WARM_CONCURRENCY,
+} from "./profiles.ts";
+import { createRandom, pickOne } from "./random.ts";
+import { computePercentiles, countDetails, countOutcomes } from "./tally.ts";
+import { createUuidV7 } from "./uuid_v7.ts";
+
+const STREAMS_PER_S = 30;
+const BOOKINGS_PER_S = 10;
+const MODEL_BYTES = 1024 * 1024;
+const READY_LIMIT_MS = 30_000;
+const POLL_MS = 20;
+const OUT = "siliguri";
+
+const options = new Command()
+  .option("--seed <n>", "seed of the load", "1")
+  .option("--seconds <n>", "length of each of the three phases", "8")
+  .option("--json", "print one JSON line")
+  .parse()
+  .opts<{ seed: string; seconds: string; json?: boolean }>();
+
+const plan = planFleet({
+  dataCentres: ["kolkata", OUT, "bardhaman"].map((name) => ({
+    name,
+    region: "bengal",
+    entries: 1,
+    languageEndpoints: 3,
+    ledgerEndpoints: 1,
+  })),
+  files: { sizeBytes: MODEL_BYTES, chunkBytes: 64 * 1024 },
+  hostMbitPerS: 100,
+  storeMbitPerS: 200,
+  regionMbitPerS: 100,
+  coldConcurrency: COLD_CONCURRENCY,
+  warmConcurrency: WARM_CONCURRENCY,
+  requestsPerS: 1_000,
+});
+
+function delay(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+async function waitUntilServing() {
+  const digest = plan.digestOf("v1");
+  const deadlineMs = performance.now() + READY_LIMIT_MS;
+  for (;;) {
+    const statuses = await readLanguageStatus(plan, digest);
+    const serving = statuses.filter((s) => isServing(s, digest)).length;
+    if (statuses.length > 0 && serving === statuses.length) return;
+    if (performance.now() > deadlineMs) throw new Error("Fleet not ready");
+    await delay(100);
+  }
+}
+
+/** Requests that the endpoints of a data centre have started so far. */
+async function countStarted(hosts: readonly PlannedHost[]): Promise<number> {
+  const counts = await Promise.all(
+    hosts.map(async (host) => {
+      const isEngine = host.service === LANGUAGE_SERVICE;
+      const path = isEngine ? "/admin/counters" : "/admin/runs";
+      const { body } = await request(`${endpointUrl(host)}${path}`);
+      const json = (await body.json()) as Record<string, number>;
+      return isEngine
+        ? json["started"]!
+        : Object.values(json).reduce((sum, runs) => sum + runs, 0);
+    }),
+  );
+  return counts.reduce((sum, count) => sum + count, 0);
+}
+
+/** Follows a data centre's endpoints; tells when one last started work. */
+function watchDispatches(hosts: readonly PlannedHost[], fromMs: number) {
+  let lastAtMs = 0;
+  let isOn = true;
+  const task = (async () => {
+    let before = await countStarted(hosts);
+    while (isOn) {
+      await delay(POLL_MS);
+      const now = await countStarted(hosts);
+      if (now !== before) lastAtMs = performance.now() - fromMs;
+      before = now;
+    }
+  })();
+  return async () => {
+    isOn = false;
+    await task;
+    return lastAtMs;
+  };
+}
+
+const fleet = await startFleet({
+  plan,
+  engine: ENGINE_PROFILE,
+  storeMbitPerS: 200,
+  weightsPolicy: "swarm",
+  weightsMemoryBytes: 4 * MODEL_BYTES,
+  hostsLagMs: 1_000,
+  ledgerWorkMs: 20,
+});
+try {
+  await fleet.publish({ servingVersion: "v1", outDataCentres: [] });
+  const entries = plan.hosts.filter((host) => host.role === "entry");
+  const leaving = plan.hosts.filter(
+    (host) => host.dataCentre === OUT && host.role === "endpoint",
+  );
+  const ledgers = plan.hosts.filter((h) => h.service === LEDGER_SERVICE);
+  await fleet.waitUntilReady(
+    entries.map((host) => host.name),
+    READY_LIMIT_MS,
+  );
+  await waitUntilServing();
+
+  const random = createRandom(Number(options.seed));
+  const pickUrl = () => processUrl(pickOne(random, entries));
+  const streams = startLoad({
+    ratePerS: STREAMS_PER_S,
+    random,
+    send: () =>
+      sendCompletion({
+        baseUrl: pickUrl(),
+        account: pickOne(random, ACCOUNTS),
+        prompt: `Quotation ${Math.floor(random() * 200)}`,
+        maxTokens: 10 + Math.floor(random() * 60),
+      }),
+  });
+  const bookings = startLoad({
+    ratePerS: BOOKINGS_PER_S,
+    random,
+    send: () =>
+      sendBooking({
+        baseUrl: pickUrl(),
+        account: pickOne(random, ACCOUNTS),
+        idempotencyKey: createUuidV7(),
+      }),
+  });
+  const phaseMs = Number(options.seconds) * 1000;
+  // The endpoints warm up under the load before anything is measured.
+  await delay(6_000);
+  const measuredFromMs = Date.now();
+  await delay(phaseMs);
+
+  const outAtMs = Date.now();
+  const stopWatch = watchDispatches(leaving, performance.now());
+  await fleet.publish({ servingVersion: "v1", outDataCentres: [OUT] });
+  await delay(phaseMs);
+  const lastNewDispatchMs = await stopWatch();
+
+  const backAtMs = Date.now();
+  const backFromMs = performance.now();
+  const startedBefore = await countStarted(leaving);
+  await fleet.publish({ servingVersion: "v1", outDataCentres: [] });
+  while ((await countStarted(leaving)) === startedBefore) await delay(POLL_MS);
+  const recoveredMs = performance.now() - backFromMs;
+  await delay(phaseMs);
+
+  const all = await streams.stop();
+  const booked = await bookings.stop();
+  const audit = await auditBookings(ledgers.map(endpointUrl), booked);
+  const within = (fromMs: number, toMs: number) =>
+    computePercentiles(
+      all.flatMap((result: CallResult) =>
+        result.firstTokenMs !== undefined &&
+        result.sentAtMs >= fromMs &&
+        result.sentAtMs < toMs
+          ? [result.firstTokenMs]
+          : [],
+      ),
+    );
+  const outcomes = countOutcomes([...all, ...booked]);
+  const report = {
+    seed: Number(options.seed),
+    sent: all.length + booked.length,
+    ...outcomes,
+    duplicate_runs: audit.duplicateRuns,
+    false_not_run: audit.falseNotRun,
+    missing_runs: audit.missing,
+    last_new_dispatch_ms: lastNewDispatchMs,
+    first_token_before_ms: within(measuredFromMs, outAtMs),
+    first_token_during_ms: within(outAtMs, backAtMs),
+    first_token_after_ms: within(backAtMs, Infinity),
+    recovered_ms: recoveredMs,
+    reasons: countDetails([...all, ...booked]),
+  };
+  console.log(JSON.stringify(report, null, options.json ? 0 : 2));
+} finally {
+  await fleet.close();
+}
+process.exit(0);
--- a/bench/measure_path.ts
+++ b/bench/measure_path.ts
@@ -7,7 +7,6 @@
 import { sendCompletion } from "./call.ts";
 import type { CallResult } from "./call.ts";
 import { startFleet } from "./fleet.ts";
-import type { Fleet } from "./fleet.ts";
 import { endpointUrl, LANGUAGE_SERVICE, processUrl } from "./fleet_hosts.ts";
 import { ACCOUNTS, planFleet } from "./fleet_plan.ts";
 import { isServing, readLanguageStatus } from "./fleet_status.ts";
@@ -62,7 +61,7 @@
   requestsPerS: 10_000,
 });
 
-async function waitUntilServing(fleet: Fleet) {
+async function waitUntilServing() {
   const digest = plan.digestOf("v1");
   const deadlineMs = performance.now() + READY_LIMIT_MS;
   for (;;) {
@@ -119,7 +118,7 @@
 });
 try {
   await fleet.publish({ servingVersion: "v1", outDataCentres: [] });
-  await waitUntilServing(fleet);
+  await waitUntilServing();
   const random = createRandom(Number(options.seed));
   const entryUrls = plan.hosts
     .filter((host) => host.role === "entry")
