--- /dev/null
+++ b/src/status/mod.ts
@@ -0,0 +1,8 @@
+/** The status that each process reports to operators. */
+
+export type {
+  ConfigStatus,
+  RejectedDocument,
+  StatusReport,
+  TransferStatus,
+} from "./status_report.ts";
--- /dev/null
+++ b/src/status/status_report.ts
@@ -0,0 +1,51 @@
+/**
+ * What an entry or an agent answers to `GET /status` over HTTP, as JSON with
+ * these keys. A field whose value is unknown is left out.
+ */
+
+import type { Finding } from "../document/mod.ts";
+import type { Phase } from "../wire/mod.ts";
+
+/** Transfer of one version's weights to this agent. */
+export interface TransferStatus {
+  readonly manifestDigest: string;
+  readonly bytesHeld: number;
+  readonly sizeBytes: number;
+  readonly chunksHeld: number;
+  /** 0 until the manifest is known. */
+  readonly chunkCount: number;
+  /** Average over the last seconds; 0 while nothing arrives. */
+  readonly bytesPerS: number;
+}
+
+export interface ConfigStatus {
+  /** The platform's number of the version in force. */
+  readonly version: number;
+  /** Time since the version was last known to be current. */
+  readonly confirmedAgeMs: number;
+}
+
+/** A document that was published but is not in force because it is invalid. */
+export interface RejectedDocument {
+  readonly version: number;
+  readonly findings: readonly Finding[];
+}
+
+export interface StatusReport {
+  readonly host: string;
+  readonly incarnation: string;
+  readonly role: "entry" | "agent";
+  readonly dataCentre: string;
+  /** Service of the endpoint beside an agent. */
+  readonly service?: string;
+  /** Absent until a first configuration has been accepted. */
+  readonly config?: ConfigStatus;
+  /** Phase of the endpoint beside an agent. */
+  readonly phase?: Phase;
+  /** Manifest digest that the endpoint serves. */
+  readonly servingDigest?: string;
+  readonly transfers: readonly TransferStatus[];
+  /** Requests in progress through this process. */
+  readonly inFlight: number;
+  readonly rejected?: RejectedDocument;
+}
