Parse the environment document and process settings

Both report every finding at once with line, column, path and fix. Unknown keys are errors with a suggestion.

--- a/src/document/mod.ts
+++ b/src/document/mod.ts
@@ -1,5 +1,12 @@
 /** The environment document: types, parsing, checks, diff and promotion. */
 
+export { toCamelCaseKeys } from "./camel_case.ts";
+export type { CamelCaseKeys } from "./camel_case.ts";
 export type * from "./environment_document.ts";
 export { formatFinding } from "./finding.ts";
 export type { Finding } from "./finding.ts";
+export type { Issue } from "./issue.ts";
+export { parseDocument } from "./parse_document.ts";
+export type { ParseDocumentOptions } from "./parse_document.ts";
+export { parseYaml } from "./parse_yaml.ts";
+export type { ParseYamlOptions } from "./parse_yaml.ts";
--- /dev/null
+++ b/src/settings/agent_settings.ts
@@ -0,0 +1,71 @@
+/** Settings of one agent process. */
+
+import type { Result } from "neverthrow";
+import { z } from "zod";
+import { parseYaml, toCamelCaseKeys } from "../document/mod.ts";
+import type { Finding } from "../document/mod.ts";
+import { checkAddresses } from "./check_addresses.ts";
+import {
+  bytesField,
+  listenAddressField,
+  nameField,
+  peerAddressField,
+  rateField,
+  urlField,
+} from "./fields.ts";
+
+export interface AgentSettings {
+  /** Name of this host in the host list. */
+  readonly host: string;
+  readonly dataCentre: string;
+  /** Service in the environment document that the endpoint belongs to. */
+  readonly service: string;
+  /** "IP:port" for the engine's weights, health checks, metrics and status. */
+  readonly httpAddress: string;
+  /** "IP:port" for the system's other processes. */
+  readonly peerAddress: string;
+  readonly platformUrl: string;
+  /** "IP:port" of peers to ask while the platform does not answer. */
+  readonly seedPeers: readonly string[];
+  /** URL of the engine or plain service beside this agent. */
+  readonly endpointUrl: string;
+  readonly weightStoreUrl: string;
+  /** Memory for chunks, outside the JavaScript heap. */
+  readonly weightsMemoryBytes: number;
+  /** `store` downloads every chunk from the weight store. */
+  readonly weightsPolicy: "swarm" | "store";
+  /** Used where lower than the document's host rate. */
+  readonly hostUpMbitPerS?: number | undefined;
+  readonly hostDownMbitPerS?: number | undefined;
+  /** Longest wait for requests in progress during a shutdown. */
+  readonly drainTimeoutMs: number;
+}
+
+const agentSchema = z.strictObject({
+  host: nameField,
+  data_centre: nameField,
+  service: nameField,
+  http_address: listenAddressField,
+  peer_address: listenAddressField,
+  platform_url: urlField,
+  seed_peers: z.array(peerAddressField).default([]),
+  endpoint_url: urlField,
+  weight_store_url: urlField,
+  weights_memory_bytes: bytesField.default(1_073_741_824),
+  weights_policy: z.enum(["swarm", "store"]).default("swarm"),
+  host_up_mbit_per_s: rateField.optional(),
+  host_down_mbit_per_s: rateField.optional(),
+  // Longer than the entry's request timeout, so that a shutdown cuts off none.
+  drain_timeout_ms: z.int().gt(0).max(86_400_000).default(150_000),
+});
+
+export function parseAgentSettings(
+  text: string,
+  { file }: { readonly file: string },
+): Result<AgentSettings, readonly Finding[]> {
+  return parseYaml(text, {
+    file,
+    schema: agentSchema,
+    check: checkAddresses,
+  }).map(toCamelCaseKeys);
+}
--- /dev/null
+++ b/src/settings/mod.ts
@@ -0,0 +1,8 @@
+/** Settings of the entry and agent processes. */
+
+export { parseAgentSettings } from "./agent_settings.ts";
+export type { AgentSettings } from "./agent_settings.ts";
+export { parseEntrySettings } from "./entry_settings.ts";
+export type { EntrySettings } from "./entry_settings.ts";
+export { loadSettings } from "./load_settings.ts";
+export type { ParseSettings } from "./load_settings.ts";
