--- /dev/null
+++ b/src/entry/caller_response.ts
@@ -0,0 +1,170 @@
+/**
+ * The answer to one caller, written on the Node.js response directly, because
+ * its backpressure must reach the agent's stream.
+ */
+
+import type { ServerResponse } from "node:http";
+import type { Outcome } from "../wire/mod.ts";
+import { createErrorBody, jitterRetryAfterMs, readStatus } from "./refusal.ts";
+import type { Refusal } from "./refusal.ts";
+
+export interface AnswerHead {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly versionDigest?: string | undefined;
+}
+
+export interface CallerResponse {
+  isStarted(): boolean;
+  /** True if a stream of events has been started. */
+  isEventStream(): boolean;
+  /** True once the caller has closed its connection. */
+  isGone(): boolean;
+  /** True while the caller has not read what was written. */
+  isStalled(): boolean;
+  /** Runs once if the caller leaves before its answer is complete. */
+  onGone(handler: () => void): void;
+  /** Sends the head; the body follows in pieces. */
+  start(head: AnswerHead): void;
+  /**
+   * Undefined if more can be written at once, otherwise resolves when the
+   * caller has read enough or has left.
+   */
+  write(bytes: Uint8Array): Promise<void> | undefined;
+  end(bytes?: Uint8Array): void;
+  sendWhole(head: AnswerHead, body: Uint8Array): void;
+  refuse(refusal: Refusal): void;
+  /** Ends a started event stream with an `error` event. */
+  endWithError(refusal: Refusal): void;
+  /** Closes the connection, so that a started answer is seen as cut off. */
+  abort(): void;
+}
+
+export interface CallerResponseOptions {
+  readonly random: () => number;
+  /** True while the entry wants callers to open new connections elsewhere. */
+  readonly isDraining: () => boolean;
+}
+
+/** Headers of one hop, and those that the entry sets itself. */
+const OWN_HEADERS: ReadonlySet<string> = new Set([
+  "connection",
+  "content-length",
+  "date",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "zinniaspur-model-digest",
+  "zinniaspur-outcome",
+]);
+
+const EVENT_STREAM = "text/event-stream";
+
+export function createCallerResponse(
+  outgoing: ServerResponse,
+  options: CallerResponseOptions,
+): CallerResponse {
+  const { random, isDraining } = options;
+
+  function isGone(): boolean {
+    return outgoing.destroyed || outgoing.socket?.destroyed === true;
+  }
+
+  function writeHead(
+    status: number,
+    headers: Readonly<Record<string, string | number>>,
+    outcome: Outcome,
+  ) {
+    outgoing.writeHead(status, {
+      ...headers,
+      "zinniaspur-outcome": outcome,
+      ...(isDraining() && { connection: "close" }),
+    });
+  }
+
+  function pickHeaders({ headers, versionDigest }: AnswerHead) {
+    const kept = Object.entries(headers).filter(
+      ([name]) => !OWN_HEADERS.has(name.toLowerCase()),
+    );
+    return {
+      ...Object.fromEntries(kept),
+      ...(versionDigest !== undefined && {
+        "zinniaspur-model-digest": versionDigest,
+      }),
+    };
+  }
+
+  return {
+    isGone,
+    isStalled: () => outgoing.writableNeedDrain,
+    isEventStream: () =>
+      outgoing.headersSent &&
+      String(outgoing.getHeader("content-type")).startsWith(EVENT_STREAM),
+    isStarted: () => outgoing.headersSent,
+    onGone(handler) {
+      outgoing.once("close", () => {
+        if (!outgoing.writableFinished) handler();
+      });
+    },
+    start(head) {
+      // Headers given to writeHead alone cannot be read back later.
+      Object.entries(pickHeaders(head)).forEach(([name, value]) =>
+        outgoing.setHeader(name, value),
+      );
+      writeHead(head.status, {}, "answered");
+    },
+    write(bytes) {
+      if (isGone() || outgoing.write(bytes)) return undefined;
+      return waitForDrain(outgoing);
+    },
+    end(bytes) {
+      outgoing.end(bytes);
+    },
+    sendWhole(head, body) {
+      const headers = { ...pickHeaders(head), "content-length": body.length };
+      writeHead(head.status, headers, "answered");
+      outgoing.end(body);
+    },
+    refuse(refusal) {
+      const retryAfterMs = jitterRetryAfterMs(refusal, random);
+      const body = Buffer.from(createErrorBody(refusal, retryAfterMs));
+      const headers = {
+        "content-type": "application/json",
+        "content-length": body.length,
+        ...(retryAfterMs !== undefined && {
+          "retry-after": Math.ceil(retryAfterMs / 1000),
+        }),
+        ...(refusal.suggestedKey !== undefined && {
+          "zinniaspur-suggested-key": refusal.suggestedKey,
+        }),
+        // The rest of the request was not read.
+        ...(!outgoing.req.complete && { connection: "close" }),
+      };
+      writeHead(readStatus(refusal), headers, refusal.outcome);
+      outgoing.end(body);
+    },
+    endWithError(refusal) {
+      const body = createErrorBody(refusal, undefined);
+      outgoing.end(`event: error\ndata: ${body}\n\n`);
+    },
+    abort() {
+      outgoing.destroy();
+    },
+  };
+}
+
+function waitForDrain(outgoing: ServerResponse): Promise<void> {
+  return new Promise((resolve) => {
+    function settle() {
+      outgoing.off("drain", settle);
+      outgoing.off("close", settle);
+      resolve();
+    }
+    outgoing.on("drain", settle);
+    outgoing.on("close", settle);
+  });
+}
--- /dev/null
+++ b/src/entry/entry.ts
@@ -0,0 +1,172 @@
+/**
+ * The entry: takes requests over HTTP and has them answered by endpoints.
+ */
+
+import type { Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { createAdaptorServer } from "@hono/node-server";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import { createAccountLimits, createRetryBudget } from "../limits/mod.ts";
+import type { Logger } from "../logging/mod.ts";
+import type { Registry } from "../metrics/mod.ts";
+import type { Node } from "../node/mod.ts";
+import {
+  chooseByPrefixAndLoad,
+  choosePeers,
+  createLoadHints,
+} from "../routing/mod.ts";
+import type { ChoicePolicy } from "../routing/mod.ts";
+import type { CrashNotice, LoadNotice } from "../wire/mod.ts";
+import { createApp } from "./create_app.ts";
+import { createCrashBook } from "./crash_book.ts";
+import type { EntryContext } from "./entry_context.ts";
+import { createEntryMetrics } from "./entry_metrics.ts";
+import type { EntrySettings } from "./entry_settings.ts";
+import { createUncertainKeys } from "./uncertain_keys.ts";
+
+/** How often slow senders of headers are looked for. */
+const HEADER_CHECK_INTERVAL_MS = 500;
+
+export interface Entry {
+  /** Resolves with the "IP:port" that callers reach, or the error code. */
+  listen(): Promise<Result<string, string>>;
+  /**
+   * Leaves gracefully: not ready at once, refusing new work after the notice
+   * time, and closed when the requests in progress are answered.
+   */
+  shutDown(): Promise<void>;
+  /** Closes at once; requests in progress are cut off. */
+  close(): Promise<void>;
+}
+
+export interface EntryOptions {
+  readonly node: Node;
+  readonly settings: EntrySettings;
+  readonly registry: Registry;
+  readonly logger: Logger;
+  readonly choose?: ChoicePolicy;
+  /** Uniform in [0, 1). */
+  readonly random?: () => number;
+  /** Monotonic clock. */
+  readonly nowMs?: () => number;
+}
+
+export function createEntry(options: EntryOptions): Entry {
+  const { node, settings, registry, logger } = options;
+  const nowMs = options.nowMs ?? (() => performance.now());
+  const metrics = createEntryMetrics(registry);
+  const hints = createLoadHints();
+  const crashBook = createCrashBook(() => Date.now());
+  const context: EntryContext = {
+    node,
+    settings,
+    metrics,
+    hints,
+    crashBook,
+    budget: createRetryBudget(nowMs),
+    uncertainKeys: createUncertainKeys(),
+    choose: options.choose ?? chooseByPrefixAndLoad,
+    random: options.random ?? Math.random,
+    nowMs,
+  };
+  let isDraining = false;
+  let isRefusing = false;
+  let inFlight = 0;
+  let onIdle: () => void = () => undefined;
+
+  function addInFlight() {
+    inFlight += 1;
+    return () => {
+      inFlight -= 1;
+      if (inFlight === 0) onIdle();
+    };
+  }
+
+  const app = createApp(context, {
+    limits: createAccountLimits({ view: node.view, nowMs }),
+    registry,
+    isDraining: () => isDraining,
+    isRefusing: () => isRefusing,
+    readInFlight: () => inFlight,
+    addInFlight,
+  });
+  const server = createAdaptorServer({
+    fetch: app.fetch,
+    overrideGlobalObjects: false,
+    autoCleanupIncoming: false,
+    serverOptions: {
+      headersTimeout: settings.bodyTimeoutMs,
+      requestTimeout: 0,
+      connectionsCheckingInterval: HEADER_CHECK_INTERVAL_MS,
+    },
+  }) as Server;
+
+  registry.gauge(
+    "requests_in_flight",
+    "Requests of callers that are being answered",
+    () => inFlight,
+  );
+  node.addPeerChooser((view) =>
+    choosePeers(view, {
+      entry: node.identity.host,
+      isInUse: (hostName) => {
+        const peer = node.findPeer(hostName);
+        return peer !== undefined && hints.read(peer).inFlight > 0;
+      },
+    }),
+  );
+  node.onNotice("load", (peer, notice) =>
+    hints.onReport(peer, notice as LoadNotice),
+  );
+  node.onNotice("crash", (from, notice) => {
+    // Only news is passed on, so a notice crosses each connection once.
+    if (!crashBook.add(notice as CrashNotice)) return;
+    metrics.crashNotices.increment();
+    node
+      .peers()
+      .filter((peer) => peer !== from)
+      .forEach((peer) => peer.sendNotice(notice));
+  });
+
+  async function close() {
+    isDraining = true;
+    isRefusing = true;
+    const closed = new Promise((resolve) => server.close(resolve));
+    server.closeAllConnections();
+    await closed;
+  }
+
+  return {
+    listen() {
+      const at = settings.httpAddress.lastIndexOf(":");
+      const host = settings.httpAddress.slice(0, at);
+      const port = Number(settings.httpAddress.slice(at + 1));
+      return new Promise((resolve) => {
+        server.once("error", (error: NodeJS.ErrnoException) =>
+          resolve(err(error.code ?? error.message)),
+        );
+        server.listen(port, host, () => {
+          const bound = server.address() as AddressInfo;
+          resolve(ok(`${bound.address}:${bound.port}`));
+        });
+      });
+    },
+    async shutDown() {
+      if (isDraining) return;
+      isDraining = true;
+      logger.info({ inFlight }, "Shutting down: not ready from now on");
+      await new Promise((resolve) =>
+        setTimeout(resolve, settings.drainNoticeMs),
+      );
+      isRefusing = true;
+      logger.info({ inFlight }, "Refusing new requests");
+      if (inFlight > 0) {
+        await new Promise<void>((resolve) => (onIdle = resolve));
+      }
+      await close();
+      logger.info("Closed");
+    },
+    close,
+  };
+}
--- /dev/null
+++ b/src/entry/entry_context.ts
@@ -0,0 +1,24 @@
+/** What all requests of one entry share. */
+
+import type { RetryBudget } from "../limits/mod.ts";
+import type { Node } from "../node/mod.ts";
+import type { ChoicePolicy, LoadHints } from "../routing/mod.ts";
+import type { CrashBook } from "./crash_book.ts";
+import type { EntryMetrics } from "./entry_metrics.ts";
+import type { EntrySettings } from "./entry_settings.ts";
+import type { UncertainKeys } from "./uncertain_keys.ts";
+
+export interface EntryContext {
+  readonly node: Node;
+  readonly settings: EntrySettings;
+  readonly metrics: EntryMetrics;
+  readonly hints: LoadHints;
+  readonly budget: RetryBudget;
+  readonly crashBook: CrashBook;
+  readonly uncertainKeys: UncertainKeys;
+  readonly choose: ChoicePolicy;
+  /** Uniform in [0, 1). */
+  readonly random: () => number;
+  /** Monotonic clock. */
+  readonly nowMs: () => number;
+}
--- /dev/null
+++ b/src/entry/event_stream.ts
@@ -0,0 +1,144 @@
+/**
+ * Server-sent events of a language answer: cutting a byte stream at event
+ * boundaries, and reading from the events that reached a caller how far its
+ * answer got.
+ */
+
+export const DONE_EVENT = Buffer.from("data: [DONE]\n\n");
+const LF = 10;
+const CR = 13;
+
+/** Length of the part that consists of whole events. */
+export function findWholeEvents(bytes: Buffer): number {
+  const last = bytes.length - 1;
+  if (isEventEnd(bytes, last)) return bytes.length;
+  for (let at = last - 1; at > 0; at--) {
+    if (isEventEnd(bytes, at)) return at + 1;
+  }
+  return 0;
+}
+
+function isEventEnd(bytes: Buffer, at: number): boolean {
+  if (bytes[at] !== LF) return false;
+  return bytes[at - 1] === LF || (bytes[at - 1] === CR && bytes[at - 2] === LF);
+}
+
+export function endsWithDone(bytes: Buffer): boolean {
+  // Most events end in "}\n\n", so one comparison settles most calls.
+  if (bytes[bytes.length - 3] !== DONE_EVENT[DONE_EVENT.length - 3]) {
+    return false;
+  }
+  const start = bytes.length - DONE_EVENT.length;
+  return start >= 0 && bytes.compare(DONE_EVENT, 0, undefined, start) === 0;
+}
+
+export interface Progress {
+  /** Id of the first completion, which all later events must carry. */
+  readonly id: string | undefined;
+  readonly created: number | undefined;
+  readonly text: string;
+  readonly tokens: number;
+  /** True if the last token has been sent. */
+  readonly isFinished: boolean;
+  /** False if the answer holds more than one text. */
+  readonly isResumable: boolean;
+}
+
+interface Choice {
+  readonly index?: number;
+  readonly text?: string;
+  readonly delta?: Readonly<Record<string, unknown>>;
+  readonly finish_reason?: string | null;
+}
+
+interface Chunk {
+  readonly id?: string;
+  readonly created?: number;
+  readonly choices?: readonly Choice[];
+}
+
+/** Reads text and token count from events that were forwarded. */
+export function readProgress(events: Buffer): Progress {
+  const chunks = splitEvents(events).map(parseChunk);
+  const choices = chunks.flatMap((chunk) => chunk?.choices ?? []);
+  const texts = choices.map(readChoiceText).filter((text) => text !== "");
+  return {
+    id: chunks.find((chunk) => chunk?.id !== undefined)?.id,
+    created: chunks.find((chunk) => chunk?.created !== undefined)?.created,
+    text: texts.join(""),
+    tokens: texts.length,
+    isFinished: choices.some((choice) => (choice.finish_reason ?? "") !== ""),
+    isResumable: choices.every(isPlainText),
+  };
+}
+
+/**
+ * Gives the events of a continued answer the identity of the first one, and
+ * drops those that only start a message.
+ */
+export function rewriteEvents(events: Buffer, progress: Progress): Buffer {
+  const rewritten = splitEvents(events).map((event) => {
+    const chunk = parseChunk(event);
+    if (chunk === undefined) return event + "\n\n";
+    const choices = chunk.choices?.map(dropRole);
+    const isOpening =
+      choices !== undefined &&
+      choices.length > 0 &&
+      choices.every(isEmptyChoice) &&
+      !("usage" in chunk && chunk.usage);
+    if (isOpening) return "";
+    const identity = {
+      ...(progress.id !== undefined && { id: progress.id }),
+      ...(progress.created !== undefined && { created: progress.created }),
+    };
+    const next = { ...chunk, ...identity, ...(choices && { choices }) };
+    return `data: ${JSON.stringify(next)}\n\n`;
+  });
+  return Buffer.from(rewritten.join(""));
+}
+
+function splitEvents(events: Buffer): readonly string[] {
+  return events
+    .toString("utf8")
+    .replaceAll("\r\n", "\n")
+    .split("\n\n")
+    .filter((event) => event !== "");
+}
+
+function parseChunk(event: string): Chunk | undefined {
+  const data = event
+    .split("\n")
+    .filter((line) => line.startsWith("data:"))
+    .map((line) => line.slice("data:".length).trimStart())
+    .join("\n");
+  if (!data.startsWith("{")) return undefined;
+  try {
+    return JSON.parse(data) as Chunk;
+  } catch {
+    return undefined;
+  }
+}
+
+function readChoiceText({ text, delta }: Choice): string {
+  const content = text ?? delta?.["content"];
+  return typeof content === "string" ? content : "";
+}
+
+function isPlainText({ index, delta }: Choice): boolean {
+  const isFirst = index === undefined || index === 0;
+  return isFirst && delta?.["tool_calls"] === undefined;
+}
+
+function dropRole(choice: Choice): Choice {
+  if (choice.delta === undefined) return choice;
+  const { role: _, ...delta } = choice.delta;
+  return { ...choice, delta };
+}
+
+function isEmptyChoice(choice: Choice): boolean {
+  const isUnfinished = (choice.finish_reason ?? "") === "";
+  const others = Object.keys(choice.delta ?? {}).filter(
+    (name) => name !== "content",
+  );
+  return isUnfinished && readChoiceText(choice) === "" && others.length === 0;
+}
--- /dev/null
+++ b/src/entry/match_route.ts
@@ -0,0 +1,41 @@
+/** Finds the document's route for a call of a plain service. */
+
+import type { PlainService, Route } from "../document/mod.ts";
+
+/**
+ * Undefined if the path could mean another route to the service than to the
+ * entry: a call must not pass for a repeatable one by the spelling of its path.
+ */
+export function normalizePath(path: string): string | undefined {
+  if (/%2f|%5c|%00|\\/i.test(path)) return undefined;
+  try {
+    const decoded = decodeURIComponent(path);
+    return /\/\/|\/\.{1,2}(\/|$)/.test(decoded) ? undefined : decoded;
+  } catch {
+    return undefined;
+  }
+}
+
+/**
+ * The route with the longest prefix of whole path segments. Among equal ones,
+ * the one that must not be repeated.
+ */
+export function matchRoute(
+  service: PlainService,
+  method: string,
+  path: string,
+): Route | undefined {
+  return service.routes
+    .filter((route) => route.method.toUpperCase() === method)
+    .filter(({ pathPrefix }) => hasPrefix(path, pathPrefix))
+    .sort(
+      (a, b) =>
+        b.pathPrefix.length - a.pathPrefix.length ||
+        Number(a.repeatable) - Number(b.repeatable),
+    )[0];
+}
+
+function hasPrefix(path: string, prefix: string): boolean {
+  const trimmed = prefix.endsWith("/") ? prefix.slice(0, -1) : prefix;
+  return path === trimmed || path.startsWith(`${trimmed}/`);
+}
--- /dev/null
+++ b/src/limits/account_limits.ts
@@ -0,0 +1,71 @@
+/**
+ * Rate limits of client accounts over entries that share no state: each entry
+ * grants an equal share, by the number of live entries in the host list.
+ */
+
+import type { ClientAccount } from "../document/mod.ts";
+import type { FleetView } from "../membership/mod.ts";
+import { createTokenBucket } from "./token_bucket.ts";
+import type { TokenBucket } from "./token_bucket.ts";
+
+/** Wait that is reported for an account whose configured rate is 0. */
+const MAX_WAIT_MS = 60_000;
+
+export interface AccountLimits {
+  /** 0 if the request may run, otherwise the wait until the next token. */
+  take(account: ClientAccount): number;
+}
+
+export interface AccountLimitsOptions {
+  readonly view: FleetView;
+  readonly nowMs: () => number;
+}
+
+export function createAccountLimits(
+  options: AccountLimitsOptions,
+): AccountLimits {
+  const { view, nowMs } = options;
+  const buckets = new Map<string, TokenBucket>();
+  let entries = countLiveEntries(view);
+
+  view.onChange(() => {
+    entries = countLiveEntries(view);
+    const accounts = view.config()?.document.clientAccounts ?? [];
+    const byName = new Map(accounts.map((account) => [account.name, account]));
+    [...buckets].forEach(([name, bucket]) => {
+      const account = byName.get(name);
+      if (account === undefined) buckets.delete(name);
+      else bucket.setRate(share(account), burst(account));
+    });
+  });
+
+  function share(account: ClientAccount): number {
+    return account.requestsPerS / entries;
+  }
+
+  function burst(account: ClientAccount): number {
+    return Math.max(1, share(account));
+  }
+
+  return {
+    take(account) {
+      let bucket = buckets.get(account.name);
+      if (bucket === undefined) {
+        bucket = createTokenBucket({
+          perS: share(account),
+          burst: burst(account),
+          nowMs,
+        });
+        buckets.set(account.name, bucket);
+      }
+      return bucket.take() ? 0 : Math.min(bucket.waitMs(), MAX_WAIT_MS);
+    },
+  };
+}
+
+function countLiveEntries(view: FleetView): number {
+  const live = view
+    .hosts()
+    .hosts.filter((host) => host.role === "entry" && host.state === "live");
+  return Math.max(1, live.length);
+}
--- /dev/null
+++ b/src/routing/candidate.ts
@@ -0,0 +1,11 @@
+/** One endpoint that may receive a request, as the entry sees it now. */
+
+import type { Peer } from "../wire/mod.ts";
+
+export interface Candidate {
+  readonly host: string;
+  readonly dataCentre: string;
+  readonly peer: Peer;
+  /** Estimated load plus distance; 1 is a full endpoint in this place. */
+  readonly cost: number;
+}
--- /dev/null
+++ b/src/routing/choose_peers.ts
@@ -0,0 +1,64 @@
+/**
+ * The agents that one entry keeps connections to: all of a service while there
+ * are few, otherwise a bounded subset. The subsets of all entries together
+ * cover each agent about equally often.
+ */
+
+import type { FleetView, Host } from "../membership/mod.ts";
+import { rankByHash } from "../hashing/mod.ts";
+
+export const MAX_AGENTS_PER_SERVICE = 32;
+
+export interface PeerChoiceOptions {
+  /** Host name of this entry. */
+  readonly entry: string;
+  /** True while requests from here run on this host. */
+  readonly isInUse: (hostName: string) => boolean;
+}
+
+export function choosePeers(
+  view: FleetView,
+  options: PeerChoiceOptions,
+): readonly Host[] {
+  const { hosts } = view.hosts();
+  const services = view.config()?.document.services ?? [];
+  const entries = hosts
+    .filter((host) => host.role === "entry" && host.state === "live")
+    .map((host) => host.name);
+  const names = [...new Set([...entries, options.entry])].sort();
+  const rank = names.indexOf(options.entry);
+  return services.flatMap((service) => {
+    const agents = hosts.filter(
+      (host) => host.role === "endpoint" && host.service === service.name,
+    );
+    if (agents.length <= MAX_AGENTS_PER_SERVICE) return agents;
+    const live = agents.filter((host) => host.state === "live");
+    const ranked = rankByHash(
+      service.name,
+      live.map((host) => host.name),
+    );
+    const chosen = new Set(
+      listPositions(ranked.length, { rank, entries: names.length }).map(
+        (position) => ranked[position]!,
+      ),
+    );
+    return agents.filter(
+      (host) => chosen.has(host.name) || options.isInUse(host.name),
+    );
+  });
+}
+
+/**
+ * Slot k of entry i is number `i + k * entries` of all slots, and all slots
+ * are spread evenly over the agents: an entry's own positions lie far apart,
+ * and each agent gets the same number of entries, give or take one.
+ */
+function listPositions(
+  agents: number,
+  { rank, entries }: { readonly rank: number; readonly entries: number },
+): readonly number[] {
+  const slots = Math.min(MAX_AGENTS_PER_SERVICE, agents);
+  return Array.from({ length: slots }, (_, k) =>
+    Math.floor(((rank + k * entries) * agents) / (slots * entries)),
+  );
+}
--- /dev/null
+++ b/src/routing/list_candidates.ts
@@ -0,0 +1,97 @@
+/**
+ * The endpoints that may receive a request for one service. The connection
+ * counts for more than the host list, which lags: a connected agent that the
+ * list does not have yet is a candidate; one that it shows as leaving is not.
+ */
+
+import type { EnvironmentDocument, Service } from "../document/mod.ts";
+import type { HostList } from "../membership/mod.ts";
+import type { Peer, Phase } from "../wire/mod.ts";
+import type { Candidate } from "./candidate.ts";
+import type { LoadHint, LoadHints } from "./load_hints.ts";
+
+/**
+ * Distances are in units of load: they decide between endpoints of about the
+ * same load. Regions share 15 Mbit/s for all traffic, while data centres of
+ * one region differ by about a millisecond only.
+ */
+const SAME_REGION_COST = 0.05;
+const OTHER_REGION_COST = 0.25;
+
+const USABLE_PHASES: ReadonlySet<Phase> = new Set(["unknown", "cold", "warm"]);
+
+export interface CandidateOptions {
+  readonly document: EnvironmentDocument;
+  readonly hosts: HostList;
+  readonly peers: readonly Peer[];
+  readonly hints: LoadHints;
+  /** Data centre of this entry. */
+  readonly dataCentre: string;
+  /** Digests that may answer; undefined for a plain service. */
+  readonly digests?: ReadonlySet<string> | undefined;
+  /** Hosts that this request has already tried. */
+  readonly tried: ReadonlySet<string>;
+  /** Data centres that an agent has reported as out. */
+  readonly outDataCentres: ReadonlySet<string>;
+}
+
+export function listCandidates(
+  service: Service,
+  options: CandidateOptions,
+): readonly Candidate[] {
+  const { document, hosts, peers, hints, digests, tried } = options;
+  const leaving = new Set(
+    hosts.hosts
+      .filter((host) => host.state === "leaving")
+      .map((host) => host.name),
+  );
+  const regions = new Map(
+    document.dataCentres
+      .filter(({ name, out }) => !out && !options.outDataCentres.has(name))
+      .map(({ name, region }) => [name, region]),
+  );
+  const ownRegion = document.dataCentres.find(
+    ({ name }) => name === options.dataCentre,
+  )?.region;
+
+  function distance(dataCentre: string): number {
+    if (dataCentre === options.dataCentre) return 0;
+    return regions.get(dataCentre) === ownRegion
+      ? SAME_REGION_COST
+      : OTHER_REGION_COST;
+  }
+
+  return peers
+    .filter(({ hello }) => hello.role === "agent")
+    .filter(({ hello }) => hello.service === service.name)
+    .filter(({ hello }) => regions.has(hello.dataCentre))
+    .filter(({ hello }) => !leaving.has(hello.host) && !tried.has(hello.host))
+    .filter((peer) => !peer.isClosed())
+    .map((peer) => ({ peer, hint: hints.read(peer) }))
+    .filter(({ hint }) => isUsable(hint, digests))
+    .map(({ peer, hint }) => ({
+      host: peer.hello.host,
+      dataCentre: peer.hello.dataCentre,
+      peer,
+      cost: estimateLoad(hint, service) + distance(peer.hello.dataCentre),
+    }));
+}
+
+function isUsable(
+  { report }: LoadHint,
+  digests: ReadonlySet<string> | undefined,
+): boolean {
+  if (report === undefined) return true;
+  if (!USABLE_PHASES.has(report.phase)) return false;
+  const { versionDigest } = report;
+  return !digests || versionDigest === undefined || digests.has(versionDigest);
+}
+
+function estimateLoad(hint: LoadHint, { admission }: Service): number {
+  const { report, sinceReport, inFlight } = hint;
+  if (report === undefined) {
+    return (inFlight + 1) / Math.max(1, admission.coldConcurrency);
+  }
+  const load = sinceReport + report.inFlight + report.queued;
+  return load / Math.max(1, report.limit);
+}
--- /dev/null
+++ b/src/routing/load_hints.ts
@@ -0,0 +1,77 @@
+/**
+ * What the entry knows of each connected agent's load: its last report, and
+ * the requests dispatched from here since then. All of it may be old; agents
+ * decide on admission.
+ */
+
+import type { LoadNotice, Peer } from "../wire/mod.ts";
+
+export interface LoadHint {
+  /** Absent until the agent has reported on this connection. */
+  readonly report?: LoadNotice;
+  /** Own requests in flight that the last report cannot include. */
+  readonly sinceReport: number;
+  /** Own requests in flight. */
+  readonly inFlight: number;
+}
+
+export interface LoadHints {
+  onReport(peer: Peer, report: LoadNotice): void;
+  /** Counts a request in flight until the returned function is called. */
+  addInFlight(peer: Peer): () => void;
+  /** Treats the agent as full until its next report. */
+  markFull(peer: Peer): void;
+  /** Treats the agent as leaving until its next report. */
+  markLeaving(peer: Peer): void;
+  read(peer: Peer): LoadHint;
+}
+
+const NOTHING: LoadHint = { sinceReport: 0, inFlight: 0 };
+
+/** The records live as long as their connections. */
+export function createLoadHints(): LoadHints {
+  const hints = new WeakMap<Peer, LoadHint>();
+
+  function read(peer: Peer): LoadHint {
+    return hints.get(peer) ?? NOTHING;
+  }
+
+  return {
+    read,
+    onReport(peer, report) {
+      const hint = read(peer);
+      if (hint.report && report.sequence < hint.report.sequence) return;
+      hints.set(peer, { ...hint, report, sinceReport: 0 });
+    },
+    addInFlight(peer) {
+      const before = read(peer);
+      hints.set(peer, {
+        ...before,
+        sinceReport: before.sinceReport + 1,
+        inFlight: before.inFlight + 1,
+      });
+      return () => {
+        const now = read(peer);
+        const isReported = now.report !== before.report;
+        hints.set(peer, {
+          ...now,
+          sinceReport: Math.max(0, now.sinceReport - (isReported ? 0 : 1)),
+          inFlight: now.inFlight - 1,
+        });
+      };
+    },
+    markFull(peer) {
+      const hint = read(peer);
+      if (hint.report === undefined) return;
+      const { limit, inFlight } = hint.report;
+      const full = { ...hint.report, inFlight: Math.max(inFlight, limit) };
+      hints.set(peer, { ...hint, report: full });
+    },
+    markLeaving(peer) {
+      const hint = read(peer);
+      if (hint.report === undefined) return;
+      const leaving = { ...hint.report, phase: "leaving" as const };
+      hints.set(peer, { ...hint, report: leaving });
+    },
+  };
+}
