--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -1,4 +1,11 @@
 /** This process's view of hosts and configuration. */
 
+export { chooseNeighbours, isWatcher } from "./choose_peers.ts";
+export type { Self } from "./choose_peers.ts";
+export { SYSTEM_CLOCK } from "./clock.ts";
+export type { Clock } from "./clock.ts";
 export type { AcceptedConfig, FleetView } from "./fleet_view.ts";
 export type { Host, HostList } from "./host.ts";
+export { parseHosts } from "./parse_host_list.ts";
+export { createWakeDetector } from "./wake.ts";
+export type { WakeDetector, WakeOptions } from "./wake.ts";
--- /dev/null
+++ b/src/node/dialler.ts
@@ -0,0 +1,141 @@
+/**
+ * Keeps a connection open to each wanted host: one task per address dials,
+ * waits until the connection closes, and dials again after a backoff.
+ */
+
+import type { Result } from "neverthrow";
+import type { Registry } from "../metrics/mod.ts";
+import { createBackoff, delay } from "../platform/mod.ts";
+import type { Peer } from "../wire/mod.ts";
+import type { Connections } from "./connections.ts";
+
+const FIRST_BACKOFF_MS = 100;
+/** A healed partition has to be noticed well within 5 s. */
+const MAX_BACKOFF_MS = 2_000;
+/** A connection that nobody here wants is kept this long before it is closed. */
+const UNWANTED_MS = 60_000;
+
+export interface DialTarget {
+  readonly address: string;
+  /** Absent for a seed address, whose host is not known yet. */
+  readonly host?: string;
+}
+
+export interface Dialler {
+  /** Replaces the set of wanted hosts. */
+  setTargets(targets: readonly DialTarget[]): void;
+  close(): void;
+}
+
+export interface DiallerOptions {
+  readonly connections: Connections;
+  readonly dial: (address: string) => Promise<Result<Peer, string>>;
+  readonly registry: Registry;
+}
+
+export function createDialler(options: DiallerOptions): Dialler {
+  const { connections, dial, registry } = options;
+  const tasks = new Map<string, AbortController>();
+  const failures = registry.counter(
+    "peer_dial_failures_total",
+    "Failed attempts to connect to peers by reason",
+  );
+  let isClosed = false;
+
+  async function keepConnected(target: DialTarget, signal: AbortSignal) {
+    const backoff = createBackoff({
+      firstMs: FIRST_BACKOFF_MS,
+      maxMs: MAX_BACKOFF_MS,
+    });
+    let host = target.host;
+    while (!signal.aborted) {
+      const peer = host === undefined ? undefined : connections.find(host);
+      if (peer !== undefined) {
+        await waitUntilClosed(peer, signal);
+        // Both sides may lose a connection at once and dial at once.
+        await delay(backoff.nextMs(), signal);
+        continue;
+      }
+      const dialled = await dial(target.address);
+      if (dialled.isErr()) {
+        failures.increment({ reason: dialled.error });
+        await delay(backoff.nextMs(), signal);
+        continue;
+      }
+      if (signal.aborted) {
+        dialled.value.close("not_wanted");
+        return;
+      }
+      const { hello } = dialled.value;
+      connections.add(dialled.value, { isDialled: true });
+      if (host === undefined || host === hello.host) {
+        host = hello.host;
+        backoff.reset();
+      } else {
+        // The host list lags: another host has this address now.
+        failures.increment({ reason: "other_host" });
+        await delay(backoff.nextMs(), signal);
+      }
+      // A connection to this very process is never listed.
+      if (connections.find(host) === undefined) {
+        await delay(MAX_BACKOFF_MS, signal);
+      }
+    }
+    if (host !== undefined) await closeIfUnwanted(host);
+  }
+
+  async function closeIfUnwanted(host: string) {
+    const peer = connections.find(host);
+    if (peer === undefined || !connections.isDialled(host)) return;
+    const timer = setTimeout(() => {
+      const isWanted = [...wantedHosts].includes(host);
+      if (!isWanted && !isClosed) connections.retire(peer, "not_wanted");
+    }, UNWANTED_MS);
+    timer.unref();
+    void peer.closed.then(() => clearTimeout(timer));
+  }
+
+  let wantedHosts: ReadonlySet<string> = new Set();
+
+  return {
+    setTargets(targets) {
+      if (isClosed) return;
+      const wanted = new Map(targets.map((t) => [keyOf(t), t]));
+      wantedHosts = new Set(targets.flatMap((t) => t.host ?? []));
+      [...tasks]
+        .filter(([key]) => !wanted.has(key))
+        .forEach(([key, controller]) => {
+          tasks.delete(key);
+          controller.abort();
+        });
+      [...wanted]
+        .filter(([key]) => !tasks.has(key))
+        .forEach(([key, target]) => {
+          const controller = new AbortController();
+          tasks.set(key, controller);
+          void keepConnected(target, controller.signal);
+        });
+    },
+    close() {
+      isClosed = true;
+      tasks.forEach((controller) => controller.abort());
+      tasks.clear();
+    },
+  };
+}
+
+function keyOf({ host, address }: DialTarget): string {
+  return `${host ?? ""} ${address}`;
+}
+
+function waitUntilClosed(peer: Peer, signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    function finish() {
+      signal.removeEventListener("abort", finish);
+      resolve();
+    }
+    if (signal.aborted) return resolve();
+    signal.addEventListener("abort", finish);
+    void peer.closed.then(finish);
+  });
+}
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -53,5 +53,10 @@
   fetchConfig(peer: Peer, version: number): Promise<void>;
   /** A floor below which no configuration is accepted. */
   raiseConfigFloor(version: number): void;
+  /**
+   * Runs once when a later incarnation of this process's host name has been
+   * seen; this process must then stop for good.
+   */
+  onReplaced?(handler: () => void): void;
   close(): Promise<void>;
 }
--- /dev/null
+++ b/src/node/start_node.ts
@@ -0,0 +1,337 @@
+/**
+ * Starts what the entry and the agent share and connects its parts: peer
+ * connections, snapshots of configuration and host list, platform reads.
+ */
+
+import type { Socket } from "node:net";
+import type { Result } from "neverthrow";
+import { formatFinding } from "../document/mod.ts";
+import type { EnvironmentDocument, Finding } from "../document/mod.ts";
+import type { Logger } from "../logging/mod.ts";
+import {
+  chooseNeighbours,
+  isWatcher,
+  parseHosts,
+  SYSTEM_CLOCK,
+} from "../membership/mod.ts";
+import type { Clock, FleetView, Host, HostList } from "../membership/mod.ts";
+import type { Registry } from "../metrics/mod.ts";
+import { createPlatformClient } from "../platform/mod.ts";
+import type { PlatformRead } from "../platform/mod.ts";
+import { createGossip, createSnapshotStore } from "../snapshots/mod.ts";
+import type { SnapshotStore } from "../snapshots/mod.ts";
+import {
+  connectPeer,
+  createWireCounters,
+  listenForPeers,
+  PROTOCOL_VERSION,
+} from "../wire/mod.ts";
+import type { Hello, Notice, Peer, Stream } from "../wire/mod.ts";
+import { createConnections } from "./connections.ts";
+import { createDialler } from "./dialler.ts";
+import type { DialTarget } from "./dialler.ts";
+import { createIncarnation } from "./incarnation.ts";
+import type { Node, NodeIdentity } from "./node.ts";
+import { createPlatformReader } from "./platform_reader.ts";
+import { createStartRule } from "./start_rule.ts";
+import { createWakeCheck } from "./wake_check.ts";
+
+const START_JITTER_MS = 1_000;
+const UNCONFIRMED_MS = 30_000;
+
+export interface NodeOptions {
+  readonly host: string;
+  readonly role: "entry" | "agent";
+  readonly dataCentre: string;
+  readonly service?: string;
+  /** A new UUIDv7 by default. */
+  readonly incarnation?: string;
+  /** "IP:port" to bind; port 0 picks a free one. */
+  readonly peerAddress: string;
+  readonly platformUrl: string;
+  /** "IP:port" of processes to ask when the host list is not available. */
+  readonly seedPeers?: readonly string[];
+  readonly registry: Registry;
+  readonly logger: Logger;
+  readonly parseDocument: (
+    text: string,
+  ) => Result<EnvironmentDocument, readonly Finding[]>;
+  readonly clock?: Clock;
+  /** Longest random delay before the platform read at start; 1 s by default. */
+  readonly startJitterMs?: number;
+  /** Time without confirmation before any process reads the platform; 30 s. */
+  readonly unconfirmedMs?: number;
+  readonly openSocket?: (address: string, port: number) => Socket;
+}
+
+/** Resolves when the peer listener is bound; the view may still be empty. */
+export async function startNode(options: NodeOptions): Promise<Node> {
+  const { registry, logger, parseDocument } = options;
+  const clock = options.clock ?? SYSTEM_CLOCK;
+  const startedAtMs = clock.wallMs();
+  const identity: NodeIdentity = {
+    host: options.host,
+    role: options.role,
+    dataCentre: options.dataCentre,
+    ...(options.service === undefined ? {} : { service: options.service }),
+    incarnation: options.incarnation ?? createIncarnation(startedAtMs),
+    startedAtMs,
+  };
+  const storeOptions = { clock, registry, logger };
+  const config = createSnapshotStore("config", {
+    ...storeOptions,
+    parse: (text) =>
+      parseDocument(text).mapErr((findings) => findings.map(formatFinding)),
+  });
+  const hosts = createSnapshotStore("hosts", {
+    ...storeOptions,
+    parse: parseHosts,
+  });
+  hosts.release();
+
+  const changeHandlers: (() => void)[] = [];
+  const choosers: ((view: FleetView) => readonly Host[])[] = [];
+  const streamHandlers = new Map<
+    string,
+    (peer: Peer, stream: Stream) => void
+  >();
+  const noticeHandlers = new Map<
+    string,
+    (peer: Peer, notice: Notice) => void
+  >();
+  const connections = createConnections({ identity, logger });
+  let neighbours: readonly Host[] = [];
+  let neighbourNames: ReadonlySet<string> = new Set();
+  let isWatching = false;
+  let peerAddress = options.peerAddress;
+
+  const platform = createPlatformClient({
+    platformUrl: options.platformUrl,
+    registry,
+  });
+  const wakeCheck = createWakeCheck({
+    clock,
+    registry,
+    logger,
+    peers: connections.peers,
+    compare: (peer) => {
+      void gossip.compare(peer, "hosts");
+      return gossip.compare(peer, "config");
+    },
+    readPlatform: () => {
+      void hostsReader.readNow();
+      return configReader.readNow();
+    },
+  });
+  const gossip = createGossip({
+    stores: [config, hosts],
+    peers: connections.peers,
+    neighbours: () => neighbourNames,
+    isWaking: wakeCheck.isWaking,
+    clock,
+    registry,
+    logger,
+  });
+  const configReader = createReader(config, platform.readConfig);
+  const hostsReader = createReader(hosts, platform.readHosts);
+  const readers = [configReader, hostsReader];
+  const startRule = createStartRule({
+    store: config,
+    isPlatformSettled: () => readers.every((reader) => reader.isSettled()),
+    countOthers,
+    compare: (peer) => gossip.compare(peer, "config"),
+  });
+
+  const emptyHostList: HostList = { sequence: 0, hosts: [] };
+  let hostList = emptyHostList;
+  const view: FleetView = {
+    config() {
+      const snapshot = config.current();
+      if (snapshot === undefined) return;
+      const { version, publishedAtMs, value } = snapshot;
+      return { version, publishedAtMs, document: value };
+    },
+    configConfirmedAtMs: config.confirmedAtMs,
+    hosts: () => hostList,
+    onChange: (handler) => void changeHandlers.push(handler),
+    isWaking: wakeCheck.isWaking,
+  };
+
+  function createReader(store: SnapshotStore, read: PlatformRead) {
+    return createPlatformReader({
+      store,
+      read,
+      isWatcher: () => isWatching,
+      onSettled: () => startRule.update(),
+      clock,
+      startJitterMs: options.startJitterMs ?? START_JITTER_MS,
+      unconfirmedMs: options.unconfirmedMs ?? UNCONFIRMED_MS,
+    });
+  }
+
+  function listOthers(): readonly Host[] {
+    return hostList.hosts.filter(({ name }) => name !== identity.host);
+  }
+
+  function countOthers(): number {
+    const seeds = options.seedPeers ?? [];
+    return Math.max(listOthers().length, seeds.length);
+  }
+
+  function listSeedTargets(hostTargets: readonly DialTarget[]) {
+    // Seeds are only a way into the fleet.
+    if (connections.peers().length > 0) return [];
+    const known = new Set([peerAddress, ...hostTargets.map((t) => t.address)]);
+    return (options.seedPeers ?? [])
+      .filter((address) => !known.has(address))
+      .map((address) => ({ address }));
+  }
+
+  function updateTargets() {
+    const chosen = choosers.flatMap((choose) => choose(view));
+    const wanted = [...neighbours, ...chosen]
+      .filter(({ name }) => name !== identity.host)
+      .map(({ name, peerAddress: address }) => ({ host: name, address }));
+    dialler.setTargets([...wanted, ...listSeedTargets(wanted)]);
+  }
+
+  function notifyChange() {
+    changeHandlers.forEach((handle) => handle());
+  }
+
+  function onHostsChange() {
+    const snapshot = hosts.current();
+    if (snapshot === undefined) return;
+    hostList = { sequence: snapshot.version, hosts: snapshot.value };
+    neighbours = chooseNeighbours(identity, hostList.hosts);
+    neighbourNames = new Set(neighbours.map(({ name }) => name));
+    isWatching = isWatcher(identity, hostList.hosts);
+    readers.forEach((reader) => reader.update());
+    startRule.update();
+    updateTargets();
+    notifyChange();
+  }
+
+  function createHello(): Hello {
+    return {
+      protocolVersion: PROTOCOL_VERSION,
+      role: identity.role,
+      host: identity.host,
+      dataCentre: identity.dataCentre,
+      incarnation: identity.incarnation,
+      ...(identity.service === undefined ? {} : { service: identity.service }),
+      configVersion: config.current()?.version ?? 0,
+    };
+  }
+
+  const transport = {
+    hello: createHello,
+    counters: createWireCounters(registry),
+    handlers: { onStream: dispatchStream, onNotice: dispatchNotice },
+    ...(options.openSocket === undefined
+      ? {}
+      : { openSocket: options.openSocket }),
+  };
+
+  function dispatchStream(peer: Peer, stream: Stream) {
+    const { kind } = stream.head;
+    if (kind === "snapshot") return gossip.onSnapshotStream(stream);
+    const handle = streamHandlers.get(kind);
+    if (handle === undefined) return stream.reset("no_handler");
+    handle(peer, stream);
+  }
+
+  function dispatchNotice(peer: Peer, notice: Notice) {
+    if (notice.topic === "version") return gossip.onNotice(peer, notice);
+    if (notice.topic === "replaced") {
+      return connections.noteIncarnation(notice.host, notice.incarnation);
+    }
+    noticeHandlers.get(notice.topic)?.(peer, notice);
+  }
+
+  const dialler = createDialler({
+    connections,
+    dial: (address) => connectPeer(address, transport),
+    registry,
+  });
+
+  connections.onPeer((peer) => {
+    startRule.onPeer(peer);
+    gossip.onPeer(peer);
+    updateTargets();
+    void peer.closed.then(updateTargets);
+  });
+  hosts.onChange(onHostsChange);
+  config.onChange(() => {
+    updateTargets();
+    notifyChange();
+  });
+  registerGauges();
+
+  const listener = await listenForPeers(options.peerAddress, {
+    ...transport,
+    onPeer: (peer) => connections.add(peer, { isDialled: false }),
+  });
+  peerAddress = listener.address;
+  updateTargets();
+
+  function registerGauges() {
+    registry.gauge(
+      "config_version",
+      "Version of the configuration in force",
+      () => config.current()?.version ?? 0,
+    );
+    registry.gauge(
+      "config_confirmation_age_seconds",
+      "Time since the configuration was last known to be current",
+      () => (clock.wallMs() - config.confirmedAtMs()) / 1000,
+    );
+    registry.gauge(
+      "peers_connected",
+      "Remote hosts with an open connection",
+      () => connections.peers().length,
+    );
+    registry.gauge(
+      "platform_watching",
+      "1 if this process watches the platform for others",
+      () => (isWatching ? 1 : 0),
+    );
+  }
+
+  return {
+    identity,
+    view,
+    registry,
+    logger,
+    peerAddress,
+    peers: connections.peers,
+    findPeer: connections.find,
+    onPeer: connections.onPeer,
+    addPeerChooser(choose) {
+      choosers.push(choose);
+      updateTargets();
+    },
+    onStream: (kind, handler) => void streamHandlers.set(kind, handler),
+    onNotice: (topic, handler) => void noticeHandlers.set(topic, handler),
+    async fetchConfig(peer, version) {
+      if (config.knownVersion() >= version) return;
+      await gossip.compare(peer, "config");
+    },
+    raiseConfigFloor(version) {
+      const before = config.current()?.version;
+      config.raiseFloor(version);
+      if (config.current()?.version !== before) notifyChange();
+    },
+    onReplaced: connections.onReplaced,
+    async close() {
+      readers.forEach((reader) => reader.close());
+      startRule.close();
+      wakeCheck.close();
+      gossip.close();
+      dialler.close();
+      connections.close();
+      await listener.close();
+      await platform.close();
+    },
+  };
+}
--- /dev/null
+++ b/src/platform/mod.ts
@@ -0,0 +1,13 @@
+/** Reads and watches of the platform's configuration and host list. */
+
+export { createBackoff } from "./backoff.ts";
+export type { Backoff, BackoffOptions } from "./backoff.ts";
+export { delay } from "./delay.ts";
+export { createPlatformClient } from "./platform_client.ts";
+export type {
+  PlatformClient,
+  PlatformFailure,
+  PlatformRead,
+  PlatformValue,
+  ReadOptions,
+} from "./platform_client.ts";
--- /dev/null
+++ b/src/snapshots/gossip.ts
@@ -0,0 +1,262 @@
+/**
+ * Keeps the snapshots of connected processes alike. A process announces a new
+ * version to its partners, and a partner that is behind pulls it. Each second
+ * it also exchanges versions with one neighbour, so a lost announcement heals
+ * and confirmation times spread even when nothing changes.
+ */
+
+import type { Clock } from "../membership/mod.ts";
+import type { Logger } from "../logging/mod.ts";
+import type { Registry } from "../metrics/mod.ts";
+import type { Peer, Stream, VersionNotice } from "../wire/mod.ts";
+import { createSnapshotServer, pullSnapshot } from "./exchange.ts";
+import type { SnapshotStore, Topic } from "./snapshot_store.ts";
+
+/** Below a quarter of the 5 s in which a lost announcement has to heal. */
+const PROBE_INTERVAL_MS = 1_000;
+/** A peer that probed within this time takes this process for a neighbour. */
+const PROBER_MEMORY_MS = 15_000;
+const PULL_TIMEOUT_MS = 2_000;
+/** A peer that could not give a value is not asked for it again before this. */
+const PULL_RETRY_MS = 1_000;
+/** A confirmation is passed on when it is newer by more than this. */
+const CONFIRMATION_STEP_MS = 1_000;
+const NOTICE_DIGEST_DIGITS = 16;
+
+export type Comparison =
+  /** The peer has a value, and this process now holds none older. */
+  | "compared"
+  /** The peer has no value itself, or it has just been paused. */
+  | "unsettled"
+  | "failed";
+
+export interface Gossip {
+  onPeer(peer: Peer): void;
+  onNotice(peer: Peer, notice: VersionNotice): void;
+  onSnapshotStream(stream: Stream): void;
+  /** Pulls from `peer` if it is ahead. */
+  compare(peer: Peer, topic: Topic): Promise<Comparison>;
+  close(): void;
+}
+
+export interface GossipOptions {
+  readonly stores: readonly SnapshotStore[];
+  readonly peers: () => readonly Peer[];
+  /** Names of the hosts chosen as gossip neighbours. */
+  readonly neighbours: () => ReadonlySet<string>;
+  readonly isWaking: () => boolean;
+  readonly clock: Clock;
+  readonly registry: Registry;
+  readonly logger: Logger;
+}
+
+/** What is known of one connection's other side. */
+interface PeerState {
+  readonly versions: Map<Topic, number>;
+  readonly retryAtMs: Map<Topic, number>;
+  /** The next pull doesn't build on the held value. */
+  readonly wantWhole: Set<Topic>;
+  probedAtMs: number;
+}
+
+export function createGossip(options: GossipOptions): Gossip {
+  const { stores, clock, registry, logger } = options;
+  const server = createSnapshotServer({ isWaking: options.isWaking });
+  const states = new WeakMap<Peer, PeerState>();
+  const pulling = new Map<Topic, Promise<unknown>>();
+  let probeCount = 0;
+  let isClosed = false;
+  const pullFailures = registry.counter(
+    "snapshot_pull_failures_total",
+    "Failed pulls of snapshots from peers by topic and reason",
+  );
+
+  function stateOf(peer: Peer): PeerState {
+    const found = states.get(peer);
+    if (found !== undefined) return found;
+    const created: PeerState = {
+      versions: new Map(),
+      retryAtMs: new Map(),
+      wantWhole: new Set(),
+      probedAtMs: -Infinity,
+    };
+    states.set(peer, created);
+    return created;
+  }
+
+  function isPartner(peer: Peer): boolean {
+    const ageMs = clock.monotonicMs() - stateOf(peer).probedAtMs;
+    return (
+      ageMs < PROBER_MEMORY_MS || options.neighbours().has(peer.hello.host)
+    );
+  }
+
+  function sendVersion(peer: Peer, store: SnapshotStore, probe = false) {
+    const snapshot = store.current();
+    peer.sendNotice({
+      topic: "version",
+      snapshot: store.topic,
+      version: snapshot?.version ?? 0,
+      confirmedAtMs: store.confirmedAtMs(),
+      ...(snapshot === undefined
+        ? {}
+        : { digest: snapshot.digest.slice(0, NOTICE_DIGEST_DIGITS) }),
+      ...(probe ? { probe } : {}),
+    });
+  }
+
+  function announce(store: SnapshotStore) {
+    const version = store.current()?.version ?? 0;
+    options
+      .peers()
+      .filter((peer) => isPartner(peer) && knownOf(peer, store) < version)
+      .forEach((peer) => sendVersion(peer, store));
+  }
+
+  function knownOf(peer: Peer, store: SnapshotStore): number {
+    return stateOf(peer).versions.get(store.topic) ?? 0;
+  }
+
+  function noteVersion(peer: Peer, topic: Topic, version: number) {
+    const { versions } = stateOf(peer);
+    versions.set(topic, Math.max(version, versions.get(topic) ?? 0));
+  }
+
+  function isBehind(store: SnapshotStore, peer: Peer): boolean {
+    return knownOf(peer, store) > store.knownVersion();
+  }
+
+  /** The peer to pull from next, if one is ahead of this process. */
+  function choosePeer(store: SnapshotStore): Peer | undefined {
+    const nowMs = clock.monotonicMs();
+    const ahead = options.peers().filter((peer) => {
+      const retryAtMs = stateOf(peer).retryAtMs.get(store.topic) ?? 0;
+      return !peer.isClosed() && retryAtMs <= nowMs && isBehind(store, peer);
+    });
+    const highest = Math.max(...ahead.map((peer) => knownOf(peer, store)));
+    const best = ahead.filter((peer) => knownOf(peer, store) === highest);
+    return best[Math.floor(Math.random() * best.length)];
+  }
+
+  /** Pulls until no reachable peer is known to be ahead. */
+  async function catchUp(store: SnapshotStore) {
+    if (pulling.has(store.topic)) return;
+    for (;;) {
+      const peer = isClosed ? undefined : choosePeer(store);
+      if (peer === undefined) return;
+      await compare(peer, store);
+    }
+  }
+
+  async function compare(
+    peer: Peer,
+    store: SnapshotStore,
+  ): Promise<Comparison> {
+    const comparison = pull(peer, store);
+    pulling.set(store.topic, comparison);
+    const result = await comparison;
+    if (pulling.get(store.topic) === comparison) pulling.delete(store.topic);
+    return result;
+  }
+
+  async function pull(peer: Peer, store: SnapshotStore): Promise<Comparison> {
+    const { topic } = store;
+    const { retryAtMs, wantWhole, versions } = stateOf(peer);
+    const pulled = await pullSnapshot(peer, store, {
+      timeoutMs: PULL_TIMEOUT_MS,
+      wantWhole: wantWhole.delete(topic),
+    });
+    if (pulled.isErr()) {
+      const reason = pulled.error;
+      pullFailures.increment({ topic, reason });
+      retryAtMs.set(topic, clock.monotonicMs() + PULL_RETRY_MS);
+      if (reason === "bad_digest" || reason === "malformed") {
+        wantWhole.add(topic);
+      }
+      if (reason === "bad_digest" || reason === "too_large") {
+        store.reject(reason, { peer: peer.hello.host });
+      }
+      return "failed";
+    }
+    const { reply, bytes } = pulled.value;
+    const { version, confirmedAtMs, publishedAtMs } = reply;
+    noteVersion(peer, topic, version);
+    if (bytes === undefined) {
+      if (store.matchesDigest(version, reply.digest)) {
+        store.confirm(version, confirmedAtMs);
+      }
+      // An announced version that the peer doesn't give is not asked for again.
+      versions.set(topic, version);
+    } else {
+      store.offer({ version, bytes, confirmedAtMs, publishedAtMs });
+      if (store.knownVersion() < version) {
+        retryAtMs.set(topic, clock.monotonicMs() + PULL_RETRY_MS);
+      }
+    }
+    return version === 0 || reply.waking ? "unsettled" : "compared";
+  }
+
+  function probeNext() {
+    stores.forEach((store) => void catchUp(store));
+    const neighbours = options.neighbours();
+    const peers = options
+      .peers()
+      .filter((peer) => neighbours.has(peer.hello.host));
+    const peer = peers[probeCount++ % Math.max(1, peers.length)];
+    if (peer === undefined) return;
+    stores.forEach((store) => sendVersion(peer, store, true));
+  }
+
+  const probeTimer = setInterval(probeNext, PROBE_INTERVAL_MS);
+  stores.forEach((store) => store.onChange(() => announce(store)));
+
+  return {
+    onPeer(peer) {
+      noteVersion(peer, "config", peer.hello.configVersion);
+      stores.forEach((store) => {
+        if (store.current() !== undefined) sendVersion(peer, store);
+        void catchUp(store);
+      });
+    },
+    onNotice(peer, notice) {
+      const store = stores.find(({ topic }) => topic === notice.snapshot);
+      if (store === undefined) return;
+      const { version, confirmedAtMs, digest, probe } = notice;
+      if (probe) stateOf(peer).probedAtMs = clock.monotonicMs();
+      noteVersion(peer, store.topic, version);
+      const heldVersion = store.current()?.version ?? 0;
+      if (digest === undefined || store.matchesDigest(version, digest)) {
+        store.confirm(version, confirmedAtMs);
+      }
+      if (isBehind(store, peer)) void catchUp(store);
+      const isPeerBehind = version < heldVersion;
+      const isOlderConfirmation =
+        version === heldVersion &&
+        confirmedAtMs + CONFIRMATION_STEP_MS < store.confirmedAtMs();
+      if (isPeerBehind || (probe && isOlderConfirmation)) {
+        sendVersion(peer, store);
+      }
+    },
+    onSnapshotStream(stream) {
+      const { head } = stream;
+      const store = stores.find(
+        ({ topic }) => head.kind === "snapshot" && topic === head.topic,
+      );
+      if (store === undefined) return stream.reset("unknown_topic");
+      server.serve(stream, store).catch((error: unknown) => {
+        logger.error({ err: error }, "Cannot serve a snapshot");
+        stream.reset("internal_error");
+      });
+    },
+    async compare(peer, topic) {
+      const store = stores.find((other) => other.topic === topic)!;
+      const result = await compare(peer, store);
+      void catchUp(store);
+      return result;
+    },
+    close() {
+      isClosed = true;
+      clearInterval(probeTimer);
+    },
+  };
+}
--- /dev/null
+++ b/src/snapshots/mod.ts
@@ -0,0 +1,15 @@
+/** Versioned snapshots that processes keep alike by announcing and pulling. */
+
+export { applyDelta, deriveDelta } from "./delta.ts";
+export type { Delta } from "./delta.ts";
+export { createGossip } from "./gossip.ts";
+export type { Comparison, Gossip, GossipOptions } from "./gossip.ts";
+export { createSnapshotStore } from "./snapshot_store.ts";
+export type {
+  OfferedSnapshot,
+  Rejection,
+  Snapshot,
+  SnapshotStore,
+  SnapshotStoreOptions,
+  Topic,
+} from "./snapshot_store.ts";
--- /dev/null
+++ b/src/snapshots/snapshot_store.ts
@@ -0,0 +1,209 @@
+/**
+ * One versioned value that this process holds. It only moves forward, and only
+ * to a value that passes its check.
+ */
+
+import { createHash } from "node:crypto";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import type { Clock } from "../membership/mod.ts";
+import type { Logger } from "../logging/mod.ts";
+import type { Registry } from "../metrics/mod.ts";
+
+export type Topic = "config" | "hosts";
+
+/**
+ * The platform holds values up to 1 MB; a list of 4,100 hosts comes close to
+ * that too.
+ */
+export const MAX_VALUE_BYTES = 2 * 1024 * 1024;
+/** Earlier values kept as bases for deltas to peers that are behind. */
+const MAX_BASES = 4;
+/** Peers' clocks may be ahead of ours; a time beyond this is cut. */
+const MAX_CLOCK_SKEW_MS = 2_000;
+const CONFLICT_DIGITS = 16;
+
+export interface Snapshot<T> {
+  readonly version: number;
+  readonly bytes: Buffer;
+  /** SHA-256 of `bytes`, hexadecimal. */
+  readonly digest: string;
+  readonly publishedAtMs: number;
+  readonly value: T;
+}
+
+export interface OfferedSnapshot {
+  readonly version: number;
+  readonly bytes: Buffer;
+  readonly publishedAtMs: number;
+  /** Time at which the version was known to be the platform's. */
+  readonly confirmedAtMs: number;
+}
+
+export type Rejection =
+  | "older_version"
+  | "conflicting_digest"
+  | "bad_digest"
+  | "invalid_document"
+  | "below_floor"
+  | "too_large";
+
+export interface SnapshotStore<T = unknown> {
+  readonly topic: Topic;
+  /** The value in force. */
+  current(): Snapshot<T> | undefined;
+  /** The highest value accepted, whether in force or not. */
+  held(): Snapshot<T> | undefined;
+  /** Versions up to this one need no asking for: held, invalid or too low. */
+  knownVersion(): number;
+  confirmedAtMs(): number;
+  offer(offered: OfferedSnapshot): Result<"accepted" | "unchanged", Rejection>;
+  /** Notes that `version` was the platform's at this time. */
+  confirm(version: number, atMs: number): void;
+  /**
+   * False if another process holds a different value for the same version;
+   * each keeps its own until the next version. Counted once for each digest.
+   */
+  matchesDigest(version: number, digestPrefix: string): boolean;
+  reject(reason: Rejection, details: object): void;
+  /** Puts the held value in force, and each later one as it is accepted. */
+  release(): void;
+  isReleased(): boolean;
+  raiseFloor(version: number): void;
+  findBase(version: number, digest: string): Buffer | undefined;
+  /** Runs when a value is accepted, in force or not. */
+  onAccepted(handler: () => void): void;
+  /** Runs when the value in force has changed. */
+  onChange(handler: () => void): void;
+}
+
+export interface SnapshotStoreOptions<T> {
+  /** Fails with one readable line for each problem. */
+  readonly parse: (text: string) => Result<T, readonly string[]>;
+  readonly clock: Clock;
+  readonly registry: Registry;
+  readonly logger: Logger;
+}
+
+export function createSnapshotStore<T>(
+  topic: Topic,
+  options: SnapshotStoreOptions<T>,
+): SnapshotStore<T> {
+  const { parse, clock, registry, logger } = options;
+  const rejections = registry.counter(
+    "snapshot_rejections_total",
+    "Snapshots not accepted by topic and reason",
+  );
+  const acceptances = registry.counter(
+    "snapshot_acceptances_total",
+    "Snapshots accepted by topic",
+  );
+  const acceptedHandlers: (() => void)[] = [];
+  const changeHandlers: (() => void)[] = [];
+  let bases: readonly Snapshot<T>[] = [];
+  let held: Snapshot<T> | undefined;
+  let released = false;
+  let confirmedAtMs = 0;
+  let floor = 0;
+  let invalidVersion = 0;
+  let lastConflict = "";
+
+  function reject(reason: Rejection, details: object) {
+    rejections.increment({ topic, reason });
+    logger.warn({ topic, reason, ...details }, "Snapshot not accepted");
+    return err(reason);
+  }
+
+  function confirm(version: number, atMs: number) {
+    if (held === undefined || version !== held.version) return;
+    const latestMs = clock.wallMs() + MAX_CLOCK_SKEW_MS;
+    confirmedAtMs = Math.max(confirmedAtMs, Math.min(atMs, latestMs));
+  }
+
+  function noteConflict(version: number, digest: string) {
+    const conflict = `${version} ${digest.slice(0, CONFLICT_DIGITS)}`;
+    if (conflict === lastConflict) return;
+    lastConflict = conflict;
+    reject("conflicting_digest", { version, digest });
+  }
+
+  function current() {
+    if (!released || held === undefined || held.version < floor) return;
+    return held;
+  }
+
+  function notifyChange() {
+    if (current() !== undefined) changeHandlers.forEach((handle) => handle());
+  }
+
+  return {
+    topic,
+    current,
+    held: () => held,
+    knownVersion: () => Math.max(held?.version ?? 0, invalidVersion, floor - 1),
+    confirmedAtMs: () => confirmedAtMs,
+    offer(offered) {
+      const { version, bytes, publishedAtMs } = offered;
+      const heldVersion = held?.version ?? 0;
+      if (version < heldVersion) {
+        return reject("older_version", { version, heldVersion });
+      }
+      if (bytes.length > MAX_VALUE_BYTES) {
+        return reject("too_large", { version, sizeBytes: bytes.length });
+      }
+      const digest = digestOf(bytes);
+      if (held !== undefined && version === heldVersion) {
+        if (digest !== held.digest) {
+          noteConflict(version, digest);
+          return err("conflicting_digest");
+        }
+        confirm(version, offered.confirmedAtMs);
+        return ok("unchanged");
+      }
+      if (version < floor) return reject("below_floor", { version, floor });
+      const parsed = parse(bytes.toString("utf8"));
+      if (parsed.isErr()) {
+        invalidVersion = Math.max(invalidVersion, version);
+        return reject("invalid_document", { version, findings: parsed.error });
+      }
+      if (held !== undefined) bases = [held, ...bases].slice(0, MAX_BASES);
+      held = { version, bytes, digest, publishedAtMs, value: parsed.value };
+      confirmedAtMs = 0;
+      confirm(version, offered.confirmedAtMs);
+      acceptances.increment({ topic });
+      logger.info({ topic, version, digest }, "Snapshot accepted");
+      acceptedHandlers.forEach((handle) => handle());
+      if (released) notifyChange();
+      return ok("accepted");
+    },
+    confirm,
+    matchesDigest(version, digestPrefix) {
+      if (version !== held?.version) return true;
+      if (held.digest.startsWith(digestPrefix)) return true;
+      noteConflict(version, digestPrefix);
+      return false;
+    },
+    reject,
+    release() {
+      if (released) return;
+      released = true;
+      notifyChange();
+    },
+    isReleased: () => released,
+    raiseFloor(version) {
+      floor = Math.max(floor, version);
+    },
+    findBase(version, digest) {
+      if (held === undefined) return;
+      return [held, ...bases].find(
+        (base) => base.version === version && base.digest === digest,
+      )?.bytes;
+    },
+    onAccepted: (handler) => void acceptedHandlers.push(handler),
+    onChange: (handler) => void changeHandlers.push(handler),
+  };
+}
+
+export function digestOf(bytes: Uint8Array): string {
+  return createHash("sha256").update(bytes).digest("hex");
+}
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -82,18 +82,23 @@
   readonly versionDigest?: string;
 }
 
-/** Answer to a snapshot stream; the bytes follow as data. */
-export interface SnapshotReply {
-  readonly kind: "snapshot_reply";
-  readonly version: number;
+const snapshotReplySchema = z.object({
+  kind: z.literal("snapshot_reply"),
+  /** 0 when the sender has no value. */
+  version: z.number().int().nonnegative(),
   /** SHA-256 of the whole value, hexadecimal. */
-  readonly digest: string;
-  readonly encoding: "delta" | "whole" | "unchanged";
-  readonly confirmedAtMs: number;
-  readonly publishedAtMs: number;
-  readonly keptPrefixBytes?: number;
-  readonly keptSuffixBytes?: number;
-}
+  digest: z.string(),
+  /** The bytes of a whole value are compressed, those of a delta are not. */
+  encoding: z.enum(["delta", "whole", "unchanged"]),
+  confirmedAtMs: z.number(),
+  publishedAtMs: z.number(),
+  keptPrefixBytes: z.number().int().nonnegative().optional(),
+  keptSuffixBytes: z.number().int().nonnegative().optional(),
+  /** True if the sender itself has yet to compare versions after a pause. */
+  waking: z.boolean().optional(),
+});
+/** Answer to a snapshot stream; the bytes follow as data. */
+export type SnapshotReply = Readonly<z.infer<typeof snapshotReplySchema>>;
 
 export type StreamMessage = Accepted | ResponseHead | SnapshotReply;
 
@@ -127,6 +132,10 @@
   readonly version: number;
   /** Highest time at which the version was known to be the platform's. */
   readonly confirmedAtMs: number;
+  /** First 16 hexadecimal digits of the value's SHA-256. */
+  readonly digest?: string;
+  /** True in the periodic exchange that heals lost announcements. */
+  readonly probe?: boolean;
 }
 
 export interface HaveNotice {
@@ -146,7 +155,74 @@
   readonly expiresAtMs: number;
 }
 
-export type Notice = LoadNotice | VersionNotice | HaveNotice | CrashNotice;
+/** Tells a process that a later one with its host name has been seen. */
+export interface ReplacedNotice {
+  readonly topic: "replaced";
+  readonly host: string;
+  readonly incarnation: string;
+}
+
+const phaseSchema = z.enum([
+  "unknown",
+  "down",
+  "empty",
+  "loading",
+  "cold",
+  "warm",
+  "leaving",
+]);
+
+const loadNoticeSchema = z.object({
+  topic: z.literal("load"),
+  sequence: z.number(),
+  service: z.string(),
+  phase: phaseSchema,
+  versionDigest: z.string().optional(),
+  inFlight: z.number(),
+  queued: z.number(),
+  limit: z.number(),
+});
+
+const versionNoticeSchema = z.object({
+  topic: z.literal("version"),
+  snapshot: z.enum(["config", "hosts"]),
+  version: z.number().int(),
+  confirmedAtMs: z.number(),
+  digest: z.string().optional(),
+  probe: z.boolean().optional(),
+});
+
+const haveNoticeSchema = z.object({
+  topic: z.literal("have"),
+  manifestDigest: z.string(),
+  chunkCount: z.number().int(),
+  bitmap: z.instanceof(Uint8Array),
+  servingDigest: z.string().optional(),
+  phase: phaseSchema,
+});
+
+const crashNoticeSchema = z.object({
+  topic: z.literal("crash"),
+  fingerprint: z.string(),
+  endpoint: z.string(),
+  expiresAtMs: z.number(),
+});
+
+const replacedNoticeSchema = z.object({
+  topic: z.literal("replaced"),
+  host: z.string(),
+  incarnation: z.string(),
+});
+
+const noticeSchema = z.discriminatedUnion("topic", [
+  loadNoticeSchema,
+  versionNoticeSchema,
+  haveNoticeSchema,
+  crashNoticeSchema,
+  replacedNoticeSchema,
+]);
+export type Notice =
+  LoadNotice | VersionNotice | HaveNotice | CrashNotice | ReplacedNotice;
 
 export function parseHello(value: unknown): Hello | undefined {
   const parsed = helloSchema.safeParse(value);
@@ -157,3 +233,13 @@
   const parsed = openHeadSchema.safeParse(value);
   return parsed.success ? (parsed.data as OpenHead) : undefined;
 }
+
+export function parseNotice(value: unknown): Notice | undefined {
+  const parsed = noticeSchema.safeParse(value);
+  return parsed.success ? (parsed.data as Notice) : undefined;
+}
+
+export function parseSnapshotReply(value: unknown): SnapshotReply | undefined {
+  const parsed = snapshotReplySchema.safeParse(value);
+  return parsed.success ? parsed.data : undefined;
+}
--- a/src/wire/peer.ts
+++ b/src/wire/peer.ts
@@ -9,7 +9,7 @@
 import type { Frame } from "./frame.ts";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
-import { parseHello, parseOpenHead } from "./messages.ts";
+import { parseHello, parseNotice, parseOpenHead } from "./messages.ts";
 import type { Hello, Notice, OpenHead } from "./messages.ts";
 import { createStream } from "./stream.ts";
 import type { Stream, StreamLost, StreamPort } from "./stream.ts";
@@ -32,6 +32,8 @@
   /** Fails only if the connection is closed, and then nothing was sent. */
   openStream(head: OpenHead): Result<Stream, StreamLost>;
   sendNotice(notice: Notice): void;
+  /** Number of streams that are not closed in both directions. */
+  openStreams?(): number;
   isClosed(): boolean;
   /** Resolves with the reason when the connection has closed. */
   readonly closed: Promise<string>;
@@ -128,7 +130,7 @@
       case "open":
         return onOpen(frame.streamId, frame.head);
       case "notice":
-        return handlers.onNotice(peer, frame.notice as Notice);
+        return onNotice(frame.notice);
       case "ping":
         return sendFrame({ type: "pong", nonce: frame.nonce });
       case "pong":
@@ -144,6 +146,15 @@
     }
   }
 
+  function onNotice(rawNotice: unknown) {
+    const notice = parseNotice(rawNotice);
+    if (notice === undefined) {
+      // A topic of a later protocol version or a faulty sender.
+      return counters.framesDropped.increment({ reason: "malformed_notice" });
+    }
+    handlers.onNotice(peer!, notice);
+  }
+
   function onHello(frame: Frame) {
     const hello = frame.type === "hello" ? parseHello(frame.hello) : undefined;
     if (hello === undefined) return close("protocol_error");
@@ -153,6 +164,7 @@
       remoteAddress: `${socket.remoteAddress}:${socket.remotePort}`,
       closed,
       close,
+      openStreams: () => ports.size,
       isClosed: () => closeReason !== undefined,
       openStream(head) {
         if (closeReason !== undefined) {
