Weights: first working version

Manifest and chunk transfer between agents over chunk streams, with a store client, a bounded chunk cache, link buckets that live traffic is charged to, and the policies store and swarm.

--- /dev/null
+++ b/src/hashing/mod.ts
@@ -0,0 +1,3 @@
+/** Rendezvous hashing. */
+
+export { rankByHash } from "./rank_by_hash.ts";
--- /dev/null
+++ b/src/weights/change_signal.ts
@@ -0,0 +1,49 @@
+/** Wakes all tasks that wait for a change. */
+
+export interface ChangeSignal {
+  /** Resolves on the next change or after `timeoutMs`. */
+  wait(timeoutMs: number): Promise<void>;
+  /** Changes within `delayMs` of the first are reported together. */
+  notify(delayMs?: number): void;
+}
+
+export function createChangeSignal(): ChangeSignal {
+  const waiters = new Set<() => void>();
+  let timer: NodeJS.Timeout | undefined;
+  let isDue = false;
+
+  function flush() {
+    clearTimeout(timer);
+    timer = undefined;
+    isDue = false;
+    // Random order, so that no task is always the first to choose.
+    const woken = [...waiters]
+      .map((wake) => ({ wake, order: Math.random() }))
+      .sort((a, b) => a.order - b.order);
+    waiters.clear();
+    woken.forEach(({ wake }) => wake());
+  }
+
+  return {
+    wait(timeoutMs) {
+      return new Promise((resolve) => {
+        const limit = setTimeout(done, timeoutMs);
+        function done() {
+          clearTimeout(limit);
+          waiters.delete(done);
+          resolve();
+        }
+        waiters.add(done);
+      });
+    },
+    notify(delayMs = 0) {
+      if (isDue) return;
+      if (delayMs > 0) {
+        timer ??= setTimeout(flush, delayMs);
+        return;
+      }
+      isDue = true;
+      setImmediate(flush);
+    },
+  };
+}
--- /dev/null
+++ b/src/weights/choose_weight_peers.ts
@@ -0,0 +1,69 @@
+/**
+ * Which agents an agent exchanges weights with: all of them in a small fleet;
+ * in a large one the gateways of all data centres among each other, and each
+ * data centre as a ring with chords, whose diameter grows with the logarithm
+ * of its size.
+ */
+
+import { rankByHash } from "../hashing/mod.ts";
+import type { FleetView, Host } from "../membership/mod.ts";
+import { chooseGateways, findMembers } from "./members.ts";
+import type { Member } from "./members.ts";
+
+/** A full mesh of `have` notices costs little up to this many agents. */
+const MAX_FULL_MESH = 24;
+/** Two, so that the loss of one gateway does not cut an agent off. */
+const GATEWAYS_PER_AGENT = 2;
+
+export interface WeightSelf {
+  readonly host: string;
+  readonly service: string;
+}
+
+export function chooseWeightPeers(
+  view: FleetView,
+  self: WeightSelf,
+): readonly Host[] {
+  const members = findMembers(view, self.service);
+  const others = members.filter((member) => member.host.name !== self.host);
+  const own = members.find((member) => member.host.name === self.host);
+  if (own === undefined || members.length <= MAX_FULL_MESH) {
+    return others.slice(0, MAX_FULL_MESH).map((member) => member.host);
+  }
+  const dataCentre = own.host.dataCentre;
+  const local = members.filter((other) => other.host.dataCentre === dataCentre);
+  const gateways = chooseGateways(members);
+  const chosen = new Set([
+    ...chooseChords(local, self.host),
+    ...(gateways.includes(own)
+      ? gateways.map((gateway) => gateway.host.name)
+      : chooseOwnGateways(gateways, own)),
+  ]);
+  return others
+    .filter((member) => chosen.has(member.host.name))
+    .map((member) => member.host);
+}
+
+function chooseOwnGateways(gateways: readonly Member[], own: Member) {
+  const local = gateways
+    .filter((gateway) => gateway.host.dataCentre === own.host.dataCentre)
+    .map((gateway) => gateway.host.name);
+  return rankByHash(own.host.name, local).slice(0, GATEWAYS_PER_AGENT);
+}
+
+/** Neighbours at distances 1, 2, 4, ... on a ring ordered by hash. */
+function chooseChords(local: readonly Member[], self: string) {
+  const ring = rankByHash(
+    "weight-ring",
+    local.map((member) => member.host.name),
+  );
+  const at = ring.indexOf(self);
+  const distances = Array.from(
+    { length: Math.max(0, Math.ceil(Math.log2(ring.length)) - 1) },
+    (_, power) => 2 ** power,
+  );
+  return distances.flatMap((distance) => [
+    ring[(at + distance) % ring.length]!,
+    ring[(at - distance + ring.length) % ring.length]!,
+  ]);
+}
--- /dev/null
+++ b/src/weights/chunk_server.ts
@@ -0,0 +1,114 @@
+/**
+ * Sends chunks to other agents, also while this agent is still receiving. A
+ * full queue refuses at once, so that the downloader asks another holder.
+ */
+
+import type { Peer, Stream } from "../wire/mod.ts";
+import { MANIFEST_INDEX } from "./fetch_from_peer.ts";
+import type { WeightCounters } from "./weight_counters.ts";
+
+/**
+ * Few, so that each chunk is sent at nearly the link's rate and its receiver
+ * can pass it on early.
+ */
+const MAX_UPLOADS = 2;
+const MAX_QUEUED = 2;
+const PIECE_BYTES = 32 * 1024;
+/** A downloader that takes nothing for this long loses its slot. */
+const WRITE_TIMEOUT_MS = 4_000;
+
+export interface ChunkServer {
+  onStream(peer: Peer, stream: Stream): void;
+  close(): void;
+}
+
+export interface ChunkServerOptions {
+  /** A verified chunk, or the manifest for index -1. */
+  readonly findBytes: (
+    manifestDigest: string,
+    index: number,
+  ) => Uint8Array | undefined;
+  /** Whether another holder that this peer can reach has sent much less. */
+  readonly hasLighterHolder: (
+    peer: Peer,
+    manifestDigest: string,
+    index: number,
+  ) => boolean;
+  readonly waitForRoom: () => Promise<void>;
+  readonly onSent: (peer: Peer, manifestDigest: string, bytes: number) => void;
+  /** Rate of the host's uplink, for the time after which to ask again. */
+  readonly readBytesPerS: () => number;
+  readonly counters: WeightCounters;
+}
+
+export function createChunkServer(options: ChunkServerOptions): ChunkServer {
+  const { findBytes, hasLighterHolder, waitForRoom, onSent } = options;
+  const queue: (() => void)[] = [];
+  let uploads = 0;
+  let closed = false;
+
+  function refuse(stream: Stream, code: string, retryAfterMs: number) {
+    options.counters.refusedUploads.increment({ reason: code });
+    stream.end({ outcome: "not_run", code, retryAfterMs });
+  }
+
+  async function serve(peer: Peer, stream: Stream) {
+    const { head } = stream;
+    if (head.kind !== "chunk") return stream.reset("wrong_kind");
+    const { manifestDigest, index } = head;
+    const bytes = findBytes(manifestDigest, index);
+    if (bytes === undefined) return refuse(stream, "missing", 1_000);
+    if (index !== MANIFEST_INDEX) {
+      if (hasLighterHolder(peer, manifestDigest, index)) {
+        return refuse(stream, "sent_enough", 200);
+      }
+      if (uploads >= MAX_UPLOADS && queue.length >= MAX_QUEUED) {
+        const chunkMs = (bytes.length / options.readBytesPerS()) * 1000;
+        return refuse(stream, "busy", Math.max(20, chunkMs));
+      }
+    }
+    // A finished upload hands its slot to the first in the queue.
+    if (uploads < MAX_UPLOADS) uploads += 1;
+    else await new Promise<void>((resolve) => queue.push(resolve));
+    try {
+      if (await sendAll(stream, bytes)) {
+        onSent(peer, manifestDigest, bytes.length);
+        stream.end({ outcome: "answered" });
+      }
+    } finally {
+      const next = queue.shift();
+      if (next === undefined) uploads -= 1;
+      else next();
+    }
+  }
+
+  async function sendAll(stream: Stream, bytes: Uint8Array) {
+    let isLost = false;
+    stream.onLost(() => (isLost = true));
+    for (let at = 0; at < bytes.length; at += PIECE_BYTES) {
+      await waitForRoom();
+      if (isLost || closed) return false;
+      const piece = bytes.subarray(at, at + PIECE_BYTES);
+      if (!(await writeWithin(stream, piece))) return false;
+    }
+    return !isLost;
+  }
+
+  return {
+    onStream: (peer, stream) => void serve(peer, stream),
+    close() {
+      closed = true;
+      queue.splice(0).forEach((release) => release());
+    },
+  };
+}
+
+async function writeWithin(stream: Stream, bytes: Uint8Array) {
+  const timer = setTimeout(
+    () => stream.reset("reader_stalled"),
+    WRITE_TIMEOUT_MS,
+  );
+  const written = await stream.write(bytes);
+  clearTimeout(timer);
+  return written.isOk();
+}
--- /dev/null
+++ b/src/weights/create_weights.ts
@@ -0,0 +1,343 @@
+/**
+ * Weight transfer of one agent: connects the cache, the store, the peers and
+ * the current transfer.
+ */
+
+import type { Logger } from "../logging/mod.ts";
+import type { Registry } from "../metrics/mod.ts";
+import type { Node } from "../node/mod.ts";
+import { createWireCounters } from "../wire/mod.ts";
+import type { HaveNotice, Phase } from "../wire/mod.ts";
+import { createAnnouncer } from "./announcer.ts";
+import { createBitmap, hasBit } from "./bitmap.ts";
+import { createChangeSignal } from "./change_signal.ts";
+import { createChunkCache } from "./chunk_cache.ts";
+import { createChunkServer } from "./chunk_server.ts";
+import { chooseWeightPeers } from "./choose_weight_peers.ts";
+import { MANIFEST_INDEX } from "./fetch_from_peer.ts";
+import { createLinkBucket } from "./link_bucket.ts";
+import type { Manifest } from "./manifest.ts";
+import { findMembers } from "./members.ts";
+import { createPeerHoldings } from "./peer_holdings.ts";
+import type { Holding } from "./peer_holdings.ts";
+import type { Policy } from "./policy.ts";
+import { createStoreClient } from "./store_client.ts";
+import { decideFromStore } from "./store_policy.ts";
+import { decideInSwarm } from "./swarm_policy.ts";
+import { startTransfer } from "./transfer.ts";
+import type { Transfer } from "./transfer.ts";
+import { createWeightCounters } from "./weight_counters.ts";
+import type { TransferProgress, WantedVersion, Weights } from "./weights.ts";
+
+export type WeightsPolicy = "store" | "swarm";
+
+export interface WeightsOptions {
+  readonly node: Node;
+  readonly service: string;
+  readonly storeUrl: string;
+  readonly memoryBytes: number;
+  readonly policy: WeightsPolicy;
+  /** Lower than the document's, for a host with a slower link. */
+  readonly hostUpMbitPerS?: number | undefined;
+  readonly hostDownMbitPerS?: number | undefined;
+  readonly registry: Registry;
+  readonly logger: Logger;
+}
+
+interface PolicyOptions {
+  readonly decide: Policy;
+  readonly usesPeers: boolean;
+  readonly storeTasks: number;
+}
+
+const POLICIES: Readonly<Record<WeightsPolicy, PolicyOptions>> = {
+  store: { decide: decideFromStore, usesPeers: false, storeTasks: 4 },
+  swarm: { decide: decideInSwarm, usesPeers: true, storeTasks: 2 },
+};
+
+const BYTES_PER_MBIT = 125_000;
+/** Used only until a first document is accepted. */
+const DEFAULT_LINK_MBIT_PER_S = 1_000;
+/** Notices that arrive close together are acted upon together. */
+const NOTICE_DELAY_MS = 10;
+/** Manifests of earlier versions whose chunks can still be served. */
+const MAX_MANIFESTS = 8;
+/** Above this an agent refuses when another holder has sent less. */
+const MANY_SENT_COPIES = 1.2;
+const LIGHTER_BY_COPIES = 0.3;
+
+export function createWeights(options: WeightsOptions): Weights {
+  const { node, service, registry, logger, memoryBytes } = options;
+  const { decide, usesPeers, storeTasks } = POLICIES[options.policy];
+  const counters = createWeightCounters(registry);
+  const cache = createChunkCache(memoryBytes);
+  const store = createStoreClient(options.storeUrl);
+  const changes = createChangeSignal();
+  const manifests = new Map<string, Manifest>();
+  const completeHandlers: ((manifestDigest: string) => void)[] = [];
+  const completed = new Set<string>();
+  const sentBytes = new Map<string, number>();
+  let transfer: Transfer | undefined;
+  let servingDigest: string | undefined;
+  let phase: Phase = "unknown";
+  let isClosed = false;
+
+  const { up, down } = createBuckets(options);
+  const announcer = createAnnouncer({
+    readNotice,
+    listPeers: () => holdings.list().map((holding) => holding.peer),
+    nowMs,
+  });
+  const server = createChunkServer({
+    findBytes,
+    hasLighterHolder(peer, manifestDigest, index) {
+      const sent = sentBytes.get(manifestDigest) ?? 0;
+      const sizeBytes = manifests.get(manifestDigest)?.sizeBytes ?? Infinity;
+      if (sent < MANY_SENT_COPIES * sizeBytes) return false;
+      const limit = sent - LIGHTER_BY_COPIES * sizeBytes;
+      const { host, dataCentre } = peer.hello;
+      return holdings
+        .list()
+        .some(
+          (other) =>
+            other.host !== host &&
+            other.dataCentre === dataCentre &&
+            other.manifestDigest === manifestDigest &&
+            other.sentBytes < limit &&
+            hasBit(other.bitmap, index),
+        );
+    },
+    waitForRoom: up.waitForRoom,
+    onSent(peer, manifestDigest, bytes) {
+      const sum = (sentBytes.get(manifestDigest) ?? 0) + bytes;
+      sentBytes.set(manifestDigest, sum);
+      const isLocal = peer.hello.dataCentre === node.identity.dataCentre;
+      const to = isLocal ? "data_centre" : "other_data_centre";
+      counters.sentBytes.increment({ to }, bytes);
+      announcer.onChange();
+    },
+    readBytesPerS: () => readHostBytesPerS(options, "up"),
+    counters,
+  });
+  const holdings = createPeerHoldings({
+    node,
+    counters,
+    nowMs,
+    onPeer(holding) {
+      announcer.greet(holding.peer);
+      transfer?.addPeer(holding);
+    },
+    onChange() {
+      transfer?.onHoldingsChanged();
+      changes.notify(NOTICE_DELAY_MS);
+    },
+  });
+
+  node.addPeerChooser((view) =>
+    usesPeers
+      ? chooseWeightPeers(view, { host: node.identity.host, service })
+      : [],
+  );
+  node.onStream("chunk", server.onStream);
+  node.view.onChange(() => transfer?.onMembersChanged());
+  registry.gauge("weights_memory_bytes", "Bytes held for chunks", () =>
+    cache.usedBytes(),
+  );
+
+  function findBytes(manifestDigest: string, index: number) {
+    const manifest = manifests.get(manifestDigest);
+    if (index === MANIFEST_INDEX) return manifest?.bytes;
+    const chunk = manifest?.chunks[index];
+    return chunk && cache.get(chunk.digest);
+  }
+
+  function readNotice(): HaveNotice {
+    return {
+      topic: "have",
+      manifestDigest: transfer?.version.manifestDigest ?? "",
+      chunkCount: transfer?.manifest()?.chunks.length ?? 0,
+      bitmap: transfer?.bitmap() ?? createBitmap(0),
+      ...(servingDigest === undefined ? {} : { servingDigest }),
+      phase,
+      sentBytes: sentBytes.get(transfer?.version.manifestDigest ?? "") ?? 0,
+    };
+  }
+
+  function onManifest(manifest: Manifest) {
+    manifests.delete(manifest.digest);
+    manifests.set(manifest.digest, manifest);
+    const oldest = [...manifests.keys()].slice(0, -MAX_MANIFESTS);
+    oldest.forEach((digest) => {
+      manifests.delete(digest);
+      sentBytes.delete(digest);
+    });
+    announcer.onChange();
+  }
+
+  function onComplete(manifestDigest: string) {
+    if (completed.has(manifestDigest)) return;
+    completed.add(manifestDigest);
+    logger.info({ manifestDigest }, "Version complete");
+    completeHandlers.forEach((handler) => handler(manifestDigest));
+  }
+
+  /** False, with a counter and a log line, if the version cannot fit. */
+  function hasRoomFor(version: WantedVersion): boolean {
+    const { manifestDigest, sizeBytes } = version;
+    if (sizeBytes <= memoryBytes) return true;
+    counters.refusedVersions.increment({ reason: "memory" });
+    logger.error(
+      { manifestDigest, sizeBytes, memoryBytes },
+      "Version is larger than the memory for weights",
+    );
+    return false;
+  }
+
+  function want(version: WantedVersion | undefined) {
+    if (isClosed) return;
+    const current = transfer?.version;
+    const isSame =
+      current?.manifestDigest === version?.manifestDigest &&
+      current?.sizeBytes === version?.sizeBytes;
+    if (isSame) return;
+    transfer?.end();
+    transfer = undefined;
+    if (version !== undefined && hasRoomFor(version)) {
+      // Its chunks may have been evicted since it was last whole.
+      if (!progress(version.manifestDigest).isComplete) {
+        completed.delete(version.manifestDigest);
+      }
+      transfer = startTransfer(version, {
+        selfHost: node.identity.host,
+        policy: decide,
+        usesPeers,
+        storeTasks,
+        cache,
+        holdings,
+        store,
+        changes,
+        counters,
+        logger,
+        waitForRoom: down.waitForRoom,
+        chargeStoreBytes: down.charge,
+        listMembers: () => findMembers(node.view, service),
+        readLinks: () => readLinks(node),
+        findManifest: (digest) => manifests.get(digest),
+        onManifest,
+        onChunk: announcer.onChange,
+        onComplete: () => onComplete(version.manifestDigest),
+        nowMs,
+        random: Math.random,
+      });
+    }
+    announcer.onChange();
+  }
+
+  function progress(manifestDigest: string): TransferProgress {
+    const manifest = manifests.get(manifestDigest);
+    const chunks = manifest?.chunks ?? [];
+    const heldChunks = chunks.filter(
+      (chunk) => cache.get(chunk.digest) !== undefined,
+    );
+    const isComplete = chunks.length > 0 && heldChunks.length === chunks.length;
+    return {
+      manifestDigest,
+      chunksHeld: heldChunks.length,
+      chunkCount: chunks.length,
+      bytesHeld: heldChunks.reduce((sum, chunk) => sum + chunk.sizeBytes, 0),
+      isComplete,
+    };
+  }
+
+  return {
+    want,
+    progress,
+    onComplete: (handler) => void completeHandlers.push(handler),
+    setServing(digest, newPhase) {
+      if (servingDigest === digest && phase === newPhase) return;
+      servingDigest = digest;
+      phase = newPhase;
+      announcer.onChange();
+    },
+    peers: () => holdings.list().map(describePeer),
+    readManifest: (digest) => manifests.get(digest)?.bytes,
+    readChunks(manifestDigest) {
+      const chunks = manifests.get(manifestDigest)?.chunks;
+      const bytes = (chunks ?? []).flatMap(
+        (chunk) => cache.get(chunk.digest) ?? [],
+      );
+      return chunks !== undefined && bytes.length === chunks.length
+        ? bytes
+        : undefined;
+    },
+    async close() {
+      isClosed = true;
+      transfer?.end();
+      announcer.close();
+      server.close();
+      up.close();
+      down.close();
+      changes.notify();
+      await store.close();
+    },
+  };
+}
+
+function nowMs(): number {
+  return performance.now();
+}
+
+function describePeer(holding: Holding) {
+  const { servingDigest } = holding;
+  return {
+    host: holding.host,
+    dataCentre: holding.dataCentre,
+    service: holding.peer.hello.service ?? "",
+    ...(servingDigest === undefined ? {} : { servingDigest }),
+    phase: holding.phase,
+    wantedDigest: holding.manifestDigest,
+    chunksHeld: holding.chunksHeld,
+    chunkCount: holding.chunkCount,
+  };
+}
+
+/** The wire counters see all peer traffic of this process, also live. */
+function createBuckets(options: WeightsOptions) {
+  const wire = createWireCounters(options.registry);
+  return {
+    up: createLinkBucket({
+      readBytesPerS: () => readHostBytesPerS(options, "up"),
+      readChargedBytes: () =>
+        wire.bytesSent.samples().reduce((sum, sample) => sum + sample.value, 0),
+      nowMs,
+    }),
+    down: createLinkBucket({
+      readBytesPerS: () => readHostBytesPerS(options, "down"),
+      readChargedBytes: () => wire.bytesReceived.read({}),
+      nowMs,
+    }),
+  };
+}
+
+function readHostBytesPerS(
+  options: WeightsOptions,
+  direction: "up" | "down",
+): number {
+  const links = options.node.view.config()?.document.links;
+  const own =
+    direction === "up" ? options.hostUpMbitPerS : options.hostDownMbitPerS;
+  return (
+    Math.min(links?.hostMbitPerS ?? DEFAULT_LINK_MBIT_PER_S, own ?? Infinity) *
+    BYTES_PER_MBIT
+  );
+}
+
+function readLinks(node: Node) {
+  const links = node.view.config()?.document.links;
+  return {
+    storeBytesPerS:
+      (links?.storeMbitPerS ?? DEFAULT_LINK_MBIT_PER_S) * BYTES_PER_MBIT,
+    regionBytesPerS:
+      (links?.regionMbitPerS ?? DEFAULT_LINK_MBIT_PER_S) * BYTES_PER_MBIT,
+  };
+}
--- /dev/null
+++ b/src/weights/peer_holdings.ts
@@ -0,0 +1,136 @@
+/** What each connected agent last said that it holds. */
+
+import type { Node } from "../node/mod.ts";
+import type { HaveNotice, Notice, Peer, Phase } from "../wire/mod.ts";
+import { countBits } from "./bitmap.ts";
+import { MAX_CHUNKS } from "./manifest.ts";
+import type { WeightCounters } from "./weight_counters.ts";
+
+export interface Holding {
+  readonly peer: Peer;
+  readonly host: string;
+  readonly dataCentre: string;
+  readonly connectedAtMs: number;
+  /** Empty until the first notice, and while it wants no version. */
+  manifestDigest: string;
+  chunkCount: number;
+  bitmap: Uint8Array;
+  chunksHeld: number;
+  sentBytes: number;
+  servingDigest: string | undefined;
+  phase: Phase;
+  /** When it last held more chunks than before. */
+  progressAtMs: number;
+}
+
+export interface PeerHoldings {
+  list(): readonly Holding[];
+  find(host: string): Holding | undefined;
+  /** When the connection to a host that has none now was lost. */
+  lostAtMs(host: string): number | undefined;
+}
+
+export interface PeerHoldingsOptions {
+  readonly node: Node;
+  readonly counters: WeightCounters;
+  readonly nowMs: () => number;
+  readonly onPeer: (holding: Holding) => void;
+  readonly onChange: (holding: Holding) => void;
+}
+
+const PHASES: ReadonlySet<unknown> = new Set<Phase>([
+  "unknown",
+  "down",
+  "empty",
+  "loading",
+  "cold",
+  "warm",
+  "leaving",
+]);
+
+export function createPeerHoldings(options: PeerHoldingsOptions): PeerHoldings {
+  const { node, counters, nowMs, onPeer, onChange } = options;
+  const holdings = new Map<string, Holding>();
+  const lost = new Map<string, number>();
+
+  function add(peer: Peer) {
+    const { role, host, dataCentre } = peer.hello;
+    if (role !== "agent" || peer.isClosed()) return;
+    if (holdings.get(host)?.peer === peer) return;
+    const holding: Holding = {
+      peer,
+      host,
+      dataCentre,
+      connectedAtMs: nowMs(),
+      manifestDigest: "",
+      chunkCount: 0,
+      bitmap: new Uint8Array(0),
+      chunksHeld: 0,
+      sentBytes: 0,
+      servingDigest: undefined,
+      phase: "unknown",
+      progressAtMs: nowMs(),
+    };
+    holdings.set(host, holding);
+    lost.delete(host);
+    void peer.closed.then(() => {
+      // A newer connection to the same host may have replaced this one.
+      if (holdings.get(host) !== holding) return;
+      holdings.delete(host);
+      lost.set(host, nowMs());
+      onChange(holding);
+    });
+    onPeer(holding);
+  }
+
+  function onNotice(peer: Peer, notice: Notice) {
+    if (holdings.get(peer.hello.host)?.peer !== peer) add(peer);
+    const holding = holdings.get(peer.hello.host);
+    if (holding === undefined || holding.peer !== peer) return;
+    if (!isHaveNotice(notice)) return counters.malformedNotices.increment();
+    const chunksHeld = countBits(notice.bitmap);
+    const isNew = holding.manifestDigest !== notice.manifestDigest;
+    if (isNew || chunksHeld > holding.chunksHeld) {
+      holding.progressAtMs = nowMs();
+    }
+    holding.manifestDigest = notice.manifestDigest;
+    holding.chunkCount = notice.chunkCount;
+    // A copy, because the notice may be a view into a whole network read.
+    holding.bitmap = Uint8Array.from(notice.bitmap);
+    holding.chunksHeld = chunksHeld;
+    holding.sentBytes = notice.sentBytes ?? 0;
+    holding.servingDigest = notice.servingDigest;
+    holding.phase = notice.phase;
+    onChange(holding);
+  }
+
+  node.peers().forEach(add);
+  node.onPeer(add);
+  node.onNotice("have", onNotice);
+  return {
+    list: () => [...holdings.values()],
+    find: (host) => holdings.get(host),
+    lostAtMs: (host) => lost.get(host),
+  };
+}
+
+function isHaveNotice(value: unknown): value is HaveNotice {
+  const notice = value as Partial<Record<keyof HaveNotice, unknown>>;
+  const { chunkCount, bitmap, servingDigest, sentBytes } = notice;
+  return (
+    typeof notice.manifestDigest === "string" &&
+    Number.isSafeInteger(chunkCount) &&
+    (chunkCount as number) >= 0 &&
+    (chunkCount as number) <= MAX_CHUNKS &&
+    bitmap instanceof Uint8Array &&
+    bitmap.length === Math.ceil((chunkCount as number) / 8) &&
+    countBits(bitmap) <= (chunkCount as number) &&
+    (servingDigest === undefined || typeof servingDigest === "string") &&
+    (sentBytes === undefined || isAmount(sentBytes)) &&
+    PHASES.has(notice.phase)
+  );
+}
+
+function isAmount(value: unknown): boolean {
+  return typeof value === "number" && value >= 0;
+}
--- /dev/null
+++ b/src/weights/retry_times.ts
@@ -0,0 +1,39 @@
+/** When each source may be asked again after refusals and failures. */
+
+const FIRST_BACKOFF_MS = 250;
+const MAX_BACKOFF_MS = 8_000;
+
+export interface RetryTimes {
+  readyAtMs(name: string): number;
+  /** Waits for the time that the source asked for, and a little at random. */
+  defer(name: string, delayMs: number): void;
+  /** Exponential backoff with jitter. */
+  backOff(name: string): void;
+  succeed(name: string): void;
+}
+
+export function createRetryTimes(options: {
+  readonly nowMs: () => number;
+  readonly random: () => number;
+}): RetryTimes {
+  const { nowMs, random } = options;
+  const readyAt = new Map<string, number>();
+  const failures = new Map<string, number>();
+
+  function delay(name: string, delayMs: number) {
+    const time = nowMs() + delayMs;
+    readyAt.set(name, Math.max(time, readyAt.get(name) ?? 0));
+  }
+
+  return {
+    readyAtMs: (name) => readyAt.get(name) ?? 0,
+    defer: (name, delayMs) => delay(name, delayMs * (1 + random() / 2)),
+    backOff(name) {
+      const count = failures.get(name) ?? 0;
+      failures.set(name, count + 1);
+      const limitMs = Math.min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** count);
+      delay(name, limitMs * (0.5 + random() / 2));
+    },
+    succeed: (name) => void failures.delete(name),
+  };
+}
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -137,6 +137,8 @@
   readonly bitmap: Uint8Array;
   readonly servingDigest?: string;
   readonly phase: Phase;
+  /** Chunk bytes of this manifest that the agent has sent to others. */
+  readonly sentBytes?: number;
 }
 
 export interface CrashNotice {
