--- a/src/hashing/rank_by_hash.ts
+++ b/src/hashing/rank_by_hash.ts
@@ -1,22 +1,21 @@
 /**
- * Rendezvous hashing: every process that knows the same names ranks them in
- * the same order for a key, and a change of one name moves no other.
+ * Rendezvous hashing: every process ranks the same names alike, and adding or
+ * removing one name moves only the keys that it held.
  */
 
 import { createHash } from "node:crypto";
 
-/** The names by SHA-256 of key and name, highest first. */
+/** Names by descending SHA-256 of key and name. */
 export function rankByHash(
   key: string,
   names: readonly string[],
 ): readonly string[] {
   return names
-    .map((name) => ({ name, hash: hashPair(key, name) }))
-    .sort((a, b) => Buffer.compare(b.hash, a.hash))
+    .map((name) => ({ name, score: hashPair(key, name) }))
+    .sort((a, b) => Buffer.compare(b.score, a.score))
     .map(({ name }) => name);
 }
 
 function hashPair(key: string, name: string): Buffer {
-  // The length keeps ("a", "bc") apart from ("ab", "c").
-  return createHash("sha256").update(`${key.length}:${key}${name}`).digest();
+  return createHash("sha256").update(key).update("\0").update(name).digest();
 }
