--- /dev/null
+++ b/bin/agent.ts
@@ -0,0 +1,60 @@
+#!/usr/bin/env node
+/** The program that stands beside an endpoint. */
+
+import { createAgent } from "../src/agent/mod.ts";
+import { parseDocument } from "../src/document/mod.ts";
+import { createLogger } from "../src/logging/mod.ts";
+import { createRegistry } from "../src/metrics/mod.ts";
+import { startNode } from "../src/node/mod.ts";
+import { runProgram } from "../src/program/mod.ts";
+import type { RunningProgram } from "../src/program/mod.ts";
+import { parseAgentSettings } from "../src/settings/mod.ts";
+import type { AgentSettings } from "../src/settings/mod.ts";
+import { createWeights } from "../src/weights/mod.ts";
+
+const NAME = "zinniaspur-agent";
+
+async function start(settings: AgentSettings): Promise<RunningProgram> {
+  const registry = createRegistry();
+  const logger = createLogger(NAME, settings.host);
+  const node = await startNode({
+    ...settings,
+    role: "agent",
+    registry,
+    logger,
+    parseDocument: (text) => parseDocument(text, { file: "configuration" }),
+  });
+  const weights = createWeights({
+    node,
+    service: settings.service,
+    storeUrl: settings.weightStoreUrl,
+    memoryBytes: settings.weightsMemoryBytes,
+    policy: settings.weightsPolicy,
+    hostUpMbitPerS: settings.hostUpMbitPerS,
+    hostDownMbitPerS: settings.hostDownMbitPerS,
+    registry,
+    logger,
+  });
+  const agent = createAgent({ node, weights, settings, registry, logger });
+  await agent.start();
+  logger.info(
+    { address: agent.httpAddress(), peerAddress: node.peerAddress },
+    "agent is listening",
+  );
+  return {
+    stopped: agent.stopped,
+    async shutDown() {
+      await agent.shutDown();
+      await agent.close();
+      await weights.close();
+      await node.close();
+    },
+  };
+}
+
+await runProgram(process.argv.slice(2), {
+  name: NAME,
+  description: "Controls one endpoint and decides on each of its requests",
+  parseSettings: parseAgentSettings,
+  start,
+});
--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -14,6 +14,8 @@
 import { createQuarantine } from "../quarantine/mod.ts";
 import { createRollout, createSwitchOrder } from "../rollout/mod.ts";
 import type { RolloutTarget } from "../rollout/mod.ts";
+import { createConfigStatus } from "../status/mod.ts";
+import type { StatusReport } from "../status/mod.ts";
 import type { Weights } from "../weights/mod.ts";
 import type { CrashNotice, Notice, Peer } from "../wire/mod.ts";
 import { createAgentCounters } from "./agent_counters.ts";
@@ -26,6 +28,7 @@
 import { createLoadReports } from "./load_reports.ts";
 import { createPauseGuard } from "./pause_guard.ts";
 import type { RequestContext } from "./request_context.ts";
+import { createTransferStatusReader } from "./transfer_status.ts";
 import { findService, findServingVersion } from "./service_config.ts";
 
 /** Used until the document gives a service's own limit. */
@@ -159,6 +162,7 @@
   let toldServing = "";
   let stopForGood: (reason: string) => void;
   const stopped = new Promise<string>((resolve) => (stopForGood = resolve));
+  const transferStatus = createTransferStatusReader(clock.monotonicMs);
   const ongoing = new Set<Promise<void>>();
 
   function readService() {
@@ -299,26 +303,35 @@
 
   function readStatus() {
     const target = readTarget();
-    return {
+    const report: StatusReport = {
       host: identity.host,
-      data_centre: identity.dataCentre,
-      service: settings.service,
       incarnation: identity.incarnation,
-      config_version: view.config()?.version ?? 0,
-      config_floor: control.configFloor(),
-      host_list_sequence: view.hosts().sequence,
+      role: identity.role,
+      dataCentre: identity.dataCentre,
+      service: settings.service,
+      ...createConfigStatus(view, clock.wallMs()),
       phase: control.phase(),
-      version_digest: control.digest() ?? null,
-      target_digest: target?.manifestDigest ?? null,
-      transfer: target ? weights.progress(target.manifestDigest) : null,
+      ...withServing(control.digest()),
+      transfers: target
+        ? [
+            transferStatus.read(
+              weights.progress(target.manifestDigest),
+              target.sizeBytes,
+            ),
+          ]
+        : [],
+      inFlight: admission.inFlight(),
+    };
+    return {
+      ...report,
+      configFloor: control.configFloor(),
       rollout: rollout.phase(),
-      closed: control.closure()?.code ?? null,
-      in_flight: admission.inFlight(),
+      closed: control.closure()?.code,
       queued: admission.queued(),
       limit: admission.limit(),
       keys: keyTable.size(),
-      key_floor_ms: keyFloor.valueMs(),
-      quarantined_fingerprints: quarantine.size(),
+      keyFloorMs: keyFloor.valueMs(),
+      quarantinedFingerprints: quarantine.size(),
     };
   }
 
@@ -371,6 +384,10 @@
   };
 }
 
+function withServing(digest: string | undefined) {
+  return digest === undefined ? {} : { servingDigest: digest };
+}
+
 function withDigest(digest: string | undefined) {
   return digest === undefined ? {} : { versionDigest: digest };
 }
--- a/src/entry/status_report.ts
+++ b/src/entry/status_report.ts
@@ -2,6 +2,8 @@
 
 import type { Node } from "../node/mod.ts";
 import type { LoadHints } from "../routing/mod.ts";
+import { createConfigStatus } from "../status/mod.ts";
+import type { StatusReport } from "../status/mod.ts";
 
 export interface StatusOptions {
   readonly hints: LoadHints;
@@ -12,33 +14,25 @@
 export function createStatusReport(node: Node, options: StatusOptions) {
   const { hints, isDraining, inFlight } = options;
   const { identity, view } = node;
-  const config = view.config();
-  return {
+  const report: StatusReport = {
     host: identity.host,
-    role: identity.role,
-    data_centre: identity.dataCentre,
     incarnation: identity.incarnation,
-    started_at_ms: identity.startedAtMs,
-    config_version: config?.version ?? null,
-    config_confirmed_at_ms: view.configConfirmedAtMs(),
-    host_list_sequence: view.hosts().sequence,
-    is_waking: view.isWaking(),
-    is_draining: isDraining,
-    in_flight: inFlight,
-    peers: node.peers().map((peer) => {
-      const { report, inFlight: ownInFlight } = hints.read(peer);
-      return {
-        host: peer.hello.host,
-        role: peer.hello.role,
-        service: peer.hello.service ?? null,
-        data_centre: peer.hello.dataCentre,
-        phase: report?.phase ?? null,
-        version_digest: report?.versionDigest ?? null,
-        in_flight: report?.inFlight ?? null,
-        queued: report?.queued ?? null,
-        limit: report?.limit ?? null,
-        own_in_flight: ownInFlight,
-      };
-    }),
+    role: identity.role,
+    dataCentre: identity.dataCentre,
+    ...createConfigStatus(view, Date.now()),
+    transfers: [],
+    inFlight,
+  };
+  return {
+    ...report,
+    isWaking: view.isWaking(),
+    isDraining,
+    hostListSequence: view.hosts().sequence,
+    peers: node.peers().map((peer) => ({
+      host: peer.hello.host,
+      role: peer.hello.role,
+      dataCentre: peer.hello.dataCentre,
+      ...hints.read(peer),
+    })),
   };
 }
--- /dev/null
+++ b/src/status/config_status.ts
@@ -0,0 +1,14 @@
+/** The part of a status report that tells the configuration in force. */
+
+import type { FleetView } from "../membership/mod.ts";
+import type { StatusReport } from "./status_report.ts";
+
+export function createConfigStatus(
+  view: FleetView,
+  nowMs: number,
+): Pick<StatusReport, "config"> {
+  const config = view.config();
+  if (config === undefined) return {};
+  const confirmedAgeMs = Math.max(0, nowMs - view.configConfirmedAtMs());
+  return { config: { version: config.version, confirmedAgeMs } };
+}
--- a/src/status/mod.ts
+++ b/src/status/mod.ts
@@ -6,3 +6,4 @@
   StatusReport,
   TransferStatus,
 } from "./status_report.ts";
+export { createConfigStatus } from "./config_status.ts";
