--- a/src/agent/agent_test.ts
+++ b/src/agent/agent_test.ts
@@ -55,7 +55,7 @@
     );
     expect(await (await fetch(`${base}/status`)).json()).toMatchObject({
       phase: "warm",
-      version_digest: DIGEST_1,
+      servingDigest: DIGEST_1,
     });
   });
 });
