--- a/src/status/status_report.ts
+++ b/src/status/status_report.ts
@@ -23,6 +23,8 @@
   readonly version: number;
   /** Time since the version was last known to be current. */
   readonly confirmedAgeMs: number;
+  /** Names of the data centres that this version takes out. */
+  readonly dataCentresOut?: readonly string[];
 }
 
 /** A document that was published but is not in force because it is invalid. */
