--- /dev/null
+++ b/src/cli/mod.ts
@@ -0,0 +1,6 @@
+/** The operator command; it reads and prints, and writes no shared state. */
+
+export { fetchJson } from "./fetch_json.ts";
+export type { CommandIo } from "./io.ts";
+export { runCommand } from "./run_command.ts";
+export { readVersion } from "./version.ts";
--- /dev/null
+++ b/src/cli/run_command.ts
@@ -0,0 +1,88 @@
+/** Parses the arguments of `zinniaspur` and runs one command. */
+
+import { Command, CommanderError } from "commander";
+import { runCheck } from "./check.ts";
+import { runDiff } from "./diff.ts";
+import { EXIT_FINDINGS, EXIT_OK, EXIT_USAGE } from "./io.ts";
+import type { CommandIo } from "./io.ts";
+import { runPromote } from "./promote.ts";
+import { runStatus } from "./status.ts";
+import { readVersion } from "./version.ts";
+
+/** Gives the exit code: 0 success, 1 findings or failure, 2 usage. */
+export async function runCommand(
+  args: readonly string[],
+  io: CommandIo,
+): Promise<number> {
+  let exitCode = EXIT_OK;
+  const program = createProgram(io, (code) => {
+    exitCode = code;
+  });
+  try {
+    await program.parseAsync(args, { from: "user" });
+    return exitCode;
+  } catch (error) {
+    if (error instanceof CommanderError) {
+      return error.exitCode === 0 ? EXIT_OK : EXIT_USAGE;
+    }
+    io.writeError(`zinniaspur: ${(error as Error).message}\n`);
+    return EXIT_FINDINGS;
+  }
+}
+
+function createProgram(io: CommandIo, onExit: (code: number) => void): Command {
+  const program = new Command("zinniaspur")
+    .description("Checks environment documents and reads the fleet's status")
+    .version(readVersion())
+    .exitOverride()
+    .configureOutput({ writeOut: io.write, writeErr: io.writeError });
+
+  program
+    .command("check")
+    .description("report everything that is wrong with these documents")
+    .argument("<files...>", "environment documents")
+    .action(async (files: string[]) => onExit(await runCheck(files, io)));
+
+  program
+    .command("diff")
+    .description("show what will happen when NEW takes the place of OLD")
+    .argument("<old>", "document in force")
+    .argument("<new>", "document to publish")
+    .option("--hosts <file>", "host list of the platform, as JSON")
+    .action(async (before: string, after: string, options: DiffOptions) =>
+      onExit(await runDiff({ before, after, hosts: options.hosts }, io)),
+    );
+
+  program
+    .command("promote")
+    .description("check that PRODUCTION carries what TRIAL tried")
+    .argument("<trial>", "document of the trial environment")
+    .argument("<production>", "document of the production environment")
+    .action(async (trial: string, production: string) =>
+      onExit(await runPromote([trial, production], io)),
+    );
+
+  program
+    .command("status")
+    .description("show what entries and agents report")
+    .argument("[addresses...]", "HTTP addresses, as IP:port")
+    .option("--platform <url>", "read addresses from the platform's host list")
+    .option("--json", "print JSON")
+    .action(async (addresses: string[], options: StatusOptions, command) => {
+      if (addresses.length === 0 && options.platform === undefined) {
+        (command as Command).error("error: give addresses or --platform");
+      }
+      onExit(await runStatus({ addresses, ...options }, io));
+    });
+
+  return program;
+}
+
+interface DiffOptions {
+  readonly hosts?: string;
+}
+
+interface StatusOptions {
+  readonly platform?: string;
+  readonly json?: boolean;
+}
--- /dev/null
+++ b/src/cli/summarise_status.ts
@@ -0,0 +1,149 @@
+/** Sums up the reports of entries and agents by data centre and version. */
+
+import type { StatusReport, TransferStatus } from "../status/mod.ts";
+
+export interface VersionProgress {
+  readonly manifestDigest: string;
+  /** Endpoints that transfer, hold or serve the version. */
+  readonly endpoints: number;
+  readonly serving: number;
+  readonly bytesHeld: number;
+  readonly sizeBytes: number;
+  readonly percent: number;
+  /**
+   * Time until the last of these endpoints holds the version at its present
+   * rate, without the time to load it. Absent while one receives nothing.
+   */
+  readonly remainingS?: number;
+}
+
+export interface DataCentreStatus {
+  readonly name: string;
+  readonly out: boolean;
+  readonly entries: number;
+  readonly agents: number;
+  /** Hosts whose configuration is older than the newest known. */
+  readonly lagging: readonly string[];
+  readonly endpointsByPhase: Readonly<Record<string, number>>;
+  readonly inFlight: number;
+  readonly versions: readonly VersionProgress[];
+}
+
+export interface StatusSummary {
+  /** Highest version that a process or the platform gave; 0 if none did. */
+  readonly newestVersion: number;
+  /** Lowest version in force; 0 if a process has none. */
+  readonly oldestVersion: number;
+  readonly dataCentres: readonly DataCentreStatus[];
+}
+
+export interface SummaryOptions {
+  readonly publishedVersion?: number | undefined;
+  /** From the published document; otherwise processes report them. */
+  readonly dataCentresOut?: readonly string[] | undefined;
+}
+
+export function summariseStatus(
+  reports: readonly StatusReport[],
+  { publishedVersion = 0, dataCentresOut }: SummaryOptions,
+): StatusSummary {
+  const versions = reports.map((report) => report.config?.version ?? 0);
+  const newestVersion = Math.max(publishedVersion, ...versions);
+  const out = new Set(dataCentresOut ?? readReportedOut(reports));
+  const names = new Set([...reports.map((r) => r.dataCentre), ...out]);
+  return {
+    newestVersion,
+    oldestVersion: versions.length === 0 ? 0 : Math.min(...versions),
+    dataCentres: [...names].sort().map((name) => ({
+      name,
+      out: out.has(name),
+      ...summariseDataCentre(
+        reports.filter((report) => report.dataCentre === name),
+        newestVersion,
+      ),
+    })),
+  };
+}
+
+/** What the process with the newest configuration reports. */
+function readReportedOut(reports: readonly StatusReport[]): readonly string[] {
+  const newest = reports
+    .flatMap(({ config }) => (config === undefined ? [] : [config]))
+    .toSorted((a, b) => b.version - a.version)
+    .find(({ dataCentresOut }) => dataCentresOut !== undefined);
+  return newest?.dataCentresOut ?? [];
+}
+
+function summariseDataCentre(
+  reports: readonly StatusReport[],
+  newestVersion: number,
+): Omit<DataCentreStatus, "name" | "out"> {
+  const agents = reports.filter(({ role }) => role === "agent");
+  const phases = agents.map(({ phase }) => phase ?? "unknown");
+  return {
+    entries: reports.length - agents.length,
+    agents: agents.length,
+    lagging: reports
+      .filter(({ config }) => (config?.version ?? 0) < newestVersion)
+      .map(({ host }) => host),
+    endpointsByPhase: Object.fromEntries(
+      [...new Set(phases)]
+        .sort()
+        .map((phase) => [phase, phases.filter((p) => p === phase).length]),
+    ),
+    inFlight: reports.reduce((sum, { inFlight }) => sum + inFlight, 0),
+    versions: summariseVersions(agents),
+  };
+}
+
+function summariseVersions(
+  agents: readonly StatusReport[],
+): readonly VersionProgress[] {
+  const digests = new Set(
+    agents.flatMap((agent) => [
+      ...agent.transfers.map(({ manifestDigest }) => manifestDigest),
+      ...(agent.servingDigest === undefined ? [] : [agent.servingDigest]),
+    ]),
+  );
+  return [...digests].sort().map((digest) => {
+    const transfers = agents.flatMap((agent) =>
+      agent.transfers.filter((t) => t.manifestDigest === digest),
+    );
+    const involved = agents.filter(
+      (agent) =>
+        agent.servingDigest === digest ||
+        agent.transfers.some((t) => t.manifestDigest === digest),
+    );
+    const bytesHeld = sum(transfers.map((t) => t.bytesHeld));
+    const sizeBytes = sum(transfers.map((t) => t.sizeBytes));
+    const remainingS = estimateRemaining(transfers);
+    return {
+      manifestDigest: digest,
+      endpoints: involved.length,
+      serving: agents.filter(
+        ({ servingDigest, phase }) =>
+          servingDigest === digest && (phase === "warm" || phase === "cold"),
+      ).length,
+      bytesHeld,
+      sizeBytes,
+      percent: sizeBytes === 0 ? 100 : (100 * bytesHeld) / sizeBytes,
+      ...(remainingS === undefined ? {} : { remainingS }),
+    };
+  });
+}
+
+function estimateRemaining(
+  transfers: readonly TransferStatus[],
+): number | undefined {
+  const seconds = transfers
+    .filter(({ bytesHeld, sizeBytes }) => bytesHeld < sizeBytes)
+    .map(({ bytesHeld, sizeBytes, bytesPerS }) =>
+      bytesPerS > 0 ? (sizeBytes - bytesHeld) / bytesPerS : undefined,
+    );
+  if (seconds.includes(undefined)) return undefined;
+  return Math.max(0, ...seconds.map((value) => value ?? 0));
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
--- a/src/document/mod.ts
+++ b/src/document/mod.ts
@@ -13,6 +13,7 @@
 export type { ParseDocumentOptions } from "./parse_document.ts";
 export { parseYaml } from "./parse_yaml.ts";
 export type { ParseYamlOptions } from "./parse_yaml.ts";
+export { readText } from "./read_text.ts";
 export { checkPromotion } from "./promotion.ts";
 export type {
   CountedHost,
--- a/src/settings/fields.ts
+++ b/src/settings/fields.ts
@@ -32,7 +32,8 @@
   });
 }
 
-function isIpAndPort(text: string, minPort: number): boolean {
+/** Whether `text` is "IP:port"; an IPv6 address is in square brackets. */
+export function isIpAndPort(text: string, minPort = 1): boolean {
   const match = /^(?:\[([^\]]+)\]|([^:]+)):(\d{1,5})$/.exec(text);
   if (match === null) return false;
   const [, ipv6 = "", ipv4 = "", port = ""] = match;
--- a/src/settings/load_settings.ts
+++ b/src/settings/load_settings.ts
@@ -1,6 +1,6 @@
 import { readFile } from "node:fs/promises";
-import { err } from "neverthrow";
 import type { Result } from "neverthrow";
+import { readText } from "../document/mod.ts";
 import type { Finding } from "../document/mod.ts";
 
 export type ParseSettings<Settings> = (
@@ -13,18 +13,6 @@
   file: string,
   parse: ParseSettings<Settings>,
 ): Promise<Result<Settings, readonly Finding[]>> {
-  try {
-    return parse(await readFile(file, "utf8"), { file });
-  } catch (error) {
-    return err([
-      {
-        file,
-        line: 1,
-        column: 1,
-        path: "(document)",
-        message: `Cannot read the file: ${(error as Error).message}`,
-        fix: "Check the path and the permissions",
-      },
-    ]);
-  }
+  const text = await readText(file, (path) => readFile(path, "utf8"));
+  return text.andThen((read) => parse(read, { file }));
 }
--- a/src/settings/mod.ts
+++ b/src/settings/mod.ts
@@ -4,5 +4,6 @@
 export type { AgentSettings } from "./agent_settings.ts";
 export { parseEntrySettings } from "./entry_settings.ts";
 export type { EntrySettings } from "./entry_settings.ts";
+export { isIpAndPort } from "./fields.ts";
 export { loadSettings } from "./load_settings.ts";
 export type { ParseSettings } from "./load_settings.ts";
--- a/src/status/mod.ts
+++ b/src/status/mod.ts
@@ -1,5 +1,6 @@
 /** The status that each process reports to operators. */
 
+export { parseStatusReport } from "./parse_status_report.ts";
 export type {
   ConfigStatus,
   RejectedDocument,
