--- a/src/cli/diff.ts
+++ b/src/cli/diff.ts
@@ -78,7 +78,7 @@
     ...(move.into ?? []).map(({ dataCentre, endpoints, bytes }) =>
       endpoints === 0
         ? `  ${dataCentre}: no endpoints`
-        : `  ${dataCentre}: ${formatCount(endpoints, "endpoint")} receive ${formatBytes(bytes)} (${bytes} bytes), of which about ${size} enter the data centre`,
+        : `  ${dataCentre}: ${formatBytes(bytes)} (${bytes} bytes) to ${formatCount(endpoints, "endpoint")}, of which about ${size} enter the data centre`,
     ),
     ...(total === undefined
       ? []
--- a/src/cli/fetch_json.ts
+++ b/src/cli/fetch_json.ts
@@ -1,5 +1,5 @@
 import { request } from "undici";
-import { VError } from "verror";
+import VError from "verror";
 
 const TIMEOUT_MS = 3_000;
 /** A host list of 4,100 hosts has under 1 MB. */
--- a/src/document/runner_changes.ts
+++ b/src/document/runner_changes.ts
@@ -12,6 +12,8 @@
 } from "./environment_document.ts";
 import type { Issue, Path } from "./issue.ts";
 
+const MS_PER_MINUTE = 60_000;
+
 export function checkRunnerChanges(
   [before, after]: readonly [EnvironmentDocument, EnvironmentDocument],
   nowMs: number,
@@ -38,7 +40,8 @@
   { path, nowMs }: { path: Path; nowMs: number },
 ): readonly Issue[] {
   const leadS = Math.max(before.runnerLeadS, after.runnerLeadS);
-  const earliestMs = nowMs + leadS * 1_000;
+  const earliestMs =
+    Math.ceil((nowMs + leadS * 1_000) / MS_PER_MINUTE) * MS_PER_MINUTE;
   const changed = after.runnerSets.flatMap((set, index) => {
     if (set.fromMs >= earliestMs) return [];
     const old = before.runnerSets.find(({ fromMs }) => fromMs === set.fromMs);
