--- a/src/document/edit_distance.ts
+++ b/src/document/edit_distance.ts
@@ -24,16 +24,30 @@
   return word.toLowerCase().replaceAll("-", "_");
 }
 
-/** Levenshtein distance. */
+/** Edit distance in which swapping two neighbours is one edit. */
 function countEdits(a: string, b: string): number {
-  let row = Array.from({ length: b.length + 1 }, (_, index) => index);
+  let before: readonly number[] = [];
+  let row: readonly number[] = Array.from(
+    { length: b.length + 1 },
+    (_, j) => j,
+  );
   for (let i = 1; i <= a.length; i++) {
     const next = [i];
     for (let j = 1; j <= b.length; j++) {
-      const replaced = (row[j - 1] ?? 0) + (a[i - 1] === b[j - 1] ? 0 : 1);
-      next.push(Math.min(replaced, (row[j] ?? 0) + 1, (next[j - 1] ?? 0) + 1));
+      const replaced = at(row, j - 1) + (a[i - 1] === b[j - 1] ? 0 : 1);
+      const isSwap =
+        i > 1 && j > 1 && a[i - 1] === b[j - 2] && a[i - 2] === b[j - 1];
+      const swapped = isSwap ? at(before, j - 2) + 1 : Infinity;
+      next.push(
+        Math.min(replaced, swapped, at(row, j) + 1, at(next, j - 1) + 1),
+      );
     }
+    before = row;
     row = next;
   }
-  return row[b.length] ?? 0;
+  return at(row, b.length);
+}
+
+function at(row: readonly number[], index: number): number {
+  return row[index] ?? 0;
 }
--- a/src/document/issue.ts
+++ b/src/document/issue.ts
@@ -12,10 +12,12 @@
 
 export function formatPath(path: Path): string {
   if (path.length === 0) return "(document)";
-  return path
-    .map((part) => (typeof part === "number" ? `[${part}]` : `.${part}`))
-    .join("")
-    .replace(/^\./, "");
+  return path.map(formatPart).join("").replace(/^\./, "");
+}
+
+function formatPart(part: string | number): string {
+  if (typeof part === "number") return `[${part}]`;
+  return /^[\w-]+$/.test(part) ? `.${part}` : `[${formatValue(part)}]`;
 }
 
 /** Short form of a value for use in a message. */
