--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -201,6 +201,7 @@
   bitmap: z.instanceof(Uint8Array),
   servingDigest: z.string().optional(),
   phase: phaseSchema,
+  sentBytes: z.number().nonnegative().optional(),
 });
 
 const crashNoticeSchema = z.object({
