Entry: bound memory, answer malformed requests, and test faults

A request that was lost once is reported as unknown even if a later attempt is refused. Loss reasons have their own retry label.

--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -21,6 +21,14 @@
   /** The request may have run. */
   | { readonly type: "lost"; readonly refusal: Refusal };
 
+type LossReason =
+  | "connection_lost"
+  | "event_too_large"
+  | "no_answer"
+  | "not_continued"
+  | "protocol_error"
+  | "wrong_digest";
+
 export interface AttemptOptions {
   readonly peer: Peer;
   readonly configVersion: number;
@@ -70,7 +78,9 @@
   void sendBody(stream, request.body);
   const result = await readAnswer(call, stream, options);
   // Nothing happens if both directions have ended.
-  stream.reset(result.type === "lost" ? result.refusal.code : "finished");
+  stream.reset(
+    result.type === "lost" ? (result.refusal.reason ?? "lost") : "finished",
+  );
   return result;
 }
 
@@ -109,7 +119,7 @@
       case "end":
         return onEnd(event.trailer, sink);
       case "lost":
-        return createLost(event.reason);
+        return createLost("connection_lost");
     }
   }
 }
@@ -154,21 +164,31 @@
     };
     return { type: "refused", refusal };
   }
-  return createLost(code ?? "no_answer", {
+  return createLost("no_answer", {
     code: code ?? "connection_lost",
-    message: message ?? "The endpoint ended without an answer",
+    ...(message !== undefined && { message }),
   });
 }
 
+const LOSS_MESSAGES: Readonly<Record<LossReason, string>> = {
+  connection_lost: "The connection to the endpoint broke",
+  event_too_large: "The endpoint sent an event that is too large",
+  no_answer: "The endpoint ended without an answer",
+  not_continued: "Another endpoint did not continue the answer",
+  protocol_error: "The endpoint's agent broke the protocol",
+  wrong_digest: "The endpoint answered from a version that is not served",
+};
+
 function createLost(
-  reason: string,
+  reason: LossReason,
   { code, message }: { code?: string; message?: string } = {},
 ): AttemptResult {
   return {
     type: "lost",
     refusal: {
       code: code ?? "connection_lost",
-      message: message ?? `The connection to the endpoint broke (${reason})`,
+      message: message ?? LOSS_MESSAGES[reason],
+      reason,
       outcome: "unknown",
     },
   };
--- /dev/null
+++ b/src/entry/bad_input_test.ts
@@ -0,0 +1,284 @@
+import { connect } from "node:net";
+import { text } from "node:stream/consumers";
+import { afterEach, describe, expect, test } from "@jest/globals";
+import { createKey } from "../idempotency/mod.ts";
+import {
+  answerJson,
+  createDocument,
+  createFleet,
+} from "./testing/fake_fleet.ts";
+import type { Fleet, FleetOptions } from "./testing/fake_fleet.ts";
+
+const BOOKING = "/services/booking/bookings";
+
+let fleet: Fleet | undefined;
+afterEach(() => fleet?.close());
+
+async function startFleet(options: FleetOptions = {}): Promise<Fleet> {
+  fleet = await createFleet({
+    agents: [{ host: "a", behaviour: answerJson("ok") }],
+    ...options,
+  });
+  return fleet;
+}
+
+interface Case {
+  /** The bad input that would otherwise reach an endpoint. */
+  readonly name: string;
+  readonly path: string;
+  readonly body: unknown;
+  readonly headers?: Record<string, string>;
+  readonly status: number;
+  readonly code: string;
+  readonly message: string;
+}
+
+const CASES: readonly Case[] = [
+  {
+    name: "an unknown model",
+    path: "/v1/completions",
+    body: { model: "x", prompt: "p" },
+    status: 404,
+    code: "unknown_model",
+    message: 'No service offers the model "x"',
+  },
+  {
+    name: "a body that is too large",
+    path: "/v1/completions",
+    body: { model: "m", prompt: "p".repeat(200_000) },
+    status: 413,
+    code: "body_too_large",
+    message: "The request body is too large",
+  },
+  {
+    name: "broken JSON",
+    path: "/v1/completions",
+    body: '{"model": "m"',
+    status: 400,
+    code: "bad_request",
+    message: "The body is not valid JSON",
+  },
+  {
+    name: "JSON that is not an object",
+    path: "/v1/completions",
+    body: "[]",
+    status: 400,
+    code: "bad_request",
+    message: "The body is not a JSON object",
+  },
+  {
+    name: "a field of the wrong type",
+    path: "/v1/chat/completions",
+    body: { model: "m", messages: [{ content: "no role" }] },
+    status: 400,
+    code: "bad_request",
+    message: "The field `messages.0.role` is missing or of the wrong type",
+  },
+  {
+    name: "a chat without messages",
+    path: "/v1/chat/completions",
+    body: { model: "m" },
+    status: 400,
+    code: "bad_request",
+    message: "The body has no `messages`",
+  },
+  {
+    name: "a wrong API key",
+    path: "/v1/completions",
+    body: {},
+    headers: { authorization: "Bearer wrong" },
+    status: 401,
+    code: "unknown_account",
+    message: "No client account has the API key of this request",
+  },
+  {
+    name: "an unknown service",
+    path: "/services/x/bookings",
+    body: "",
+    status: 404,
+    code: "unknown_service",
+    message: 'There is no service "x"',
+  },
+  {
+    name: "a path without route",
+    path: "/services/booking/other",
+    body: "",
+    status: 404,
+    code: "unknown_service",
+    message: "Service booking has no route for POST /other",
+  },
+  {
+    name: "a path that hides its route",
+    path: "/services/booking/x%2f..%2fbookings",
+    body: "",
+    status: 400,
+    code: "bad_request",
+    message: "The path has empty, relative or encoded segments",
+  },
+  {
+    name: "an unknown path",
+    path: "/v2/completions",
+    body: "",
+    status: 404,
+    code: "unknown_service",
+    message: "There is no such path",
+  },
+  {
+    name: "a missing idempotency key",
+    path: BOOKING,
+    body: "",
+    status: 400,
+    code: "key_required",
+    message: "This route needs the header Idempotency-Key",
+  },
+  {
+    name: "a key that is not ordered by time",
+    path: BOOKING,
+    body: "",
+    headers: { "idempotency-key": "7d444840-9dc0-41d1-b245-5ffdce74fad2" },
+    status: 400,
+    code: "key_not_time_ordered",
+    message: "The idempotency key is not a UUIDv7",
+  },
+  {
+    name: "a key of the future",
+    path: BOOKING,
+    body: "",
+    headers: { "idempotency-key": createKey(Date.now() + 3_600_000) },
+    status: 400,
+    code: "key_not_time_ordered",
+    message: "The idempotency key's time is in the future",
+  },
+];
+
+describe("bad input", () => {
+  test.each(CASES)("guards against $name", async (input) => {
+    const { post, counter, agents } = await startFleet({
+      settings: { maxBodyBytes: 100_000 },
+    });
+    const response = await post(input.path, input.body, input.headers);
+    expect(response.status).toBe(input.status);
+    expect(response.headers.get("zinniaspur-outcome")).toBe("not_run");
+    expect(await response.json()).toMatchObject({
+      error: {
+        code: input.code,
+        message: input.message,
+        outcome: "not_run",
+        retry_after_ms: null,
+      },
+    });
+    expect(counter("refusals_total", { reason: input.code })).toBe(1);
+    expect(agents[0]!.requests).toEqual([]);
+  });
+
+  const RAW: readonly { name: string; bytes: string; expected: string[] }[] = [
+    {
+      name: "a slow body",
+      bytes:
+        "POST /v1/completions HTTP/1.1\r\nHost: x\r\n" +
+        "Authorization: Bearer key-of-a\r\nContent-Length: 9\r\n\r\n{",
+      expected: ["HTTP/1.1 408", '"code":"slow_request"'],
+    },
+    {
+      name: "slow headers",
+      bytes: "POST /v1/completions HTTP/1.1\r\nHost:",
+      expected: ["HTTP/1.1 408", '"code":"slow_request"'],
+    },
+    {
+      name: "a chunked body that is too large",
+      bytes:
+        "POST /v1/completions HTTP/1.1\r\nHost: x\r\n" +
+        "Authorization: Bearer key-of-a\r\nTransfer-Encoding: chunked\r\n\r\n" +
+        `c8\r\n${"p".repeat(200)}\r\n`,
+      expected: ["HTTP/1.1 413", '"code":"body_too_large"'],
+    },
+    {
+      name: "bytes that are not HTTP",
+      bytes: "hello\r\n\r\n",
+      expected: ["HTTP/1.1 400", '"code":"bad_request"'],
+    },
+  ];
+
+  test.each(RAW)("guards against $name", async ({ bytes, expected }) => {
+    const { url } = await startFleet({
+      settings: { maxBodyBytes: 100, bodyTimeoutMs: 200 },
+    });
+    const { hostname, port } = new URL(url);
+    const socket = connect({ host: hostname, port: Number(port) });
+    socket.write(bytes);
+    const answer = await text(socket);
+    expected.forEach((part) => expect(answer).toContain(part));
+    expect(answer).toContain('"outcome":"not_run"');
+  });
+
+  // Guards against an account that takes more than its share.
+  test("refuses above the share of the account's rate", async () => {
+    const { post, view, changeView } = await startFleet();
+    const document = createDocument();
+    const [account] = document.clientAccounts;
+    view.document = {
+      ...document,
+      clientAccounts: [{ ...account!, requestsPerS: 0.2 }],
+    };
+    view.hosts = ["entry-1", "entry-2"].map((name) => ({
+      name,
+      role: "entry",
+      dataCentre: "d1",
+      peerAddress: "127.0.0.1:1",
+      state: "live",
+    }));
+    changeView();
+    const request = { model: "m", prompt: "p" };
+    expect((await post("/v1/completions", request)).status).toBe(200);
+    const refused = await post("/v1/completions", request);
+    expect(refused.status).toBe(429);
+    const retryAfterS = Number(refused.headers.get("retry-after"));
+    const { error } = (await refused.json()) as {
+      error: { retry_after_ms: number };
+    };
+    expect(retryAfterS).toBe(10);
+    expect(error.retry_after_ms).toBeGreaterThan(9_000);
+  });
+
+  // Guards against requests that are taken before there is a configuration.
+  test("is not ready without a configuration", async () => {
+    const { post, view, url } = await startFleet();
+    view.document = undefined;
+    const response = await post("/v1/completions", {});
+    expect(response.status).toBe(503);
+    expect(await response.json()).toMatchObject({
+      error: { code: "no_configuration", outcome: "not_run" },
+    });
+    expect((await fetch(`${url}/readyz`)).status).toBe(503);
+    expect((await fetch(`${url}/healthz`)).status).toBe(200);
+  });
+});
+
+describe("request that crashes endpoints", () => {
+  // Guards against a crashing request that its caller sends again.
+  test("is refused after crashes of two endpoints", async () => {
+    const { post, agents } = await startFleet({
+      agents: ["a", "b"].map((host) => ({
+        host,
+        behaviour: answerJson("ok"),
+      })),
+    });
+    const request = { model: "m", prompt: "p" };
+    await post("/v1/completions", request);
+    const { fingerprint } = agents[0]!.requests[0]!.head;
+    const crash = { topic: "crash" as const, fingerprint };
+    const expiresAtMs = Date.now() + 60_000;
+    agents[0]!.notify({ ...crash, endpoint: "a", expiresAtMs });
+    agents[0]!.notify({ ...crash, endpoint: "a", expiresAtMs });
+    await agents[1]!.waitForNotices(1);
+    expect((await post("/v1/completions", request)).status).toBe(200);
+    agents[0]!.notify({ ...crash, endpoint: "b", expiresAtMs });
+    await agents[1]!.waitForNotices(2);
+    const refused = await post("/v1/completions", request);
+    expect(refused.status).toBe(503);
+    expect(Number(refused.headers.get("retry-after"))).toBeGreaterThan(50);
+    const other = { ...request, prompt: "q" };
+    expect((await post("/v1/completions", other)).status).toBe(200);
+    expect(agents[0]!.notices).toEqual([]);
+  });
+});
--- a/src/entry/call.ts
+++ b/src/entry/call.ts
@@ -8,6 +8,7 @@
 import type { CallerResponse } from "./caller_response.ts";
 import { createKeptEvents } from "./kept_events.ts";
 import type { KeptEvents } from "./kept_events.ts";
+import type { MemoryPool } from "./memory_pool.ts";
 
 export interface CallRequest {
   readonly requestId: string;
@@ -38,6 +39,7 @@
   setStream(stream: Stream): void;
   /** Time since the request or since the last token, for the metrics. */
   readonly takeLapMs: () => number;
+  /** Also resets a stream that is still open. */
   close(): void;
 }
 
@@ -45,10 +47,13 @@
   readonly caller: CallerResponse;
   readonly timeoutMs: number;
   readonly nowMs: () => number;
+  /** Memory for the events of all callers. */
+  readonly keptEventsPool: MemoryPool;
 }
 
 export function createCall(request: CallRequest, options: CallOptions): Call {
-  const { caller, timeoutMs, nowMs } = options;
+  const { caller, timeoutMs, nowMs, keptEventsPool } = options;
+  const kept = createKeptEvents(keptEventsPool);
   const startedAtMs = nowMs();
   let lapAtMs = startedAtMs;
   let stream: Stream | undefined;
@@ -68,7 +73,7 @@
   return {
     request,
     caller,
-    kept: createKeptEvents(),
+    kept,
     remainingMs: () => Math.max(0, startedAtMs + timeoutMs - nowMs()),
     stopReason: () => stopReason,
     setStream(next) {
@@ -81,6 +86,11 @@
       lapAtMs = now;
       return lapMs;
     },
-    close: () => clearTimeout(timer),
+    close() {
+      clearTimeout(timer);
+      // Nothing happens if both directions have ended.
+      stream?.reset("finished");
+      kept.close();
+    },
   };
 }
--- a/src/entry/caller_response.ts
+++ b/src/entry/caller_response.ts
@@ -3,7 +3,7 @@
  * its backpressure must reach the agent's stream.
  */
 
-import type { ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Outcome } from "../wire/mod.ts";
 import { createErrorBody, jitterRetryAfterMs, readStatus } from "./refusal.ts";
 import type { Refusal } from "./refusal.ts";
@@ -62,6 +62,8 @@
   "zinniaspur-outcome",
 ]);
 
+const MAX_SHORT_BYTES = 64 * 1024;
+const DISCARD_TIMEOUT_MS = 1_000;
 const EVENT_STREAM = "text/event-stream";
 
 export function createCallerResponse(
@@ -69,6 +71,8 @@
   options: CallerResponseOptions,
 ): CallerResponse {
   const { random, isDraining } = options;
+  // A write can fail after the caller left; `close` reports that.
+  outgoing.on("error", () => undefined);
 
   function isGone(): boolean {
     return outgoing.destroyed || outgoing.socket?.destroyed === true;
@@ -125,9 +129,17 @@
       outgoing.end(bytes);
     },
     sendWhole(head, body) {
-      const headers = { ...pickHeaders(head), "content-length": body.length };
+      // RFC 9110 allows no Content-Length here, or gives it another meaning.
+      const hasBody =
+        head.status !== 204 &&
+        head.status !== 304 &&
+        outgoing.req.method !== "HEAD";
+      const headers = {
+        ...pickHeaders(head),
+        ...(hasBody && { "content-length": body.length }),
+      };
       writeHead(head.status, headers, "answered");
-      outgoing.end(body);
+      outgoing.end(hasBody ? body : undefined);
     },
     refuse(refusal) {
       const retryAfterMs = jitterRetryAfterMs(refusal, random);
@@ -141,11 +153,11 @@
         ...(refusal.suggestedKey !== undefined && {
           "zinniaspur-suggested-key": refusal.suggestedKey,
         }),
-        // The rest of the request was not read.
-        ...(!outgoing.req.complete && { connection: "close" }),
+        ...(!isShort(outgoing.req) && { connection: "close" }),
       };
       writeHead(readStatus(refusal), headers, refusal.outcome);
-      outgoing.end(body);
+      if (isShort(outgoing.req)) outgoing.end(body);
+      else endAfterRequest(outgoing, body);
     },
     endWithError(refusal) {
       const body = createErrorBody(refusal, undefined);
@@ -157,6 +169,34 @@
   };
 }
 
+/** True if the rest of the request is not worth a new connection. */
+function isShort(request: IncomingMessage): boolean {
+  const { headers } = request;
+  if (request.complete) return true;
+  if (headers["transfer-encoding"] !== undefined) return false;
+  return Number(headers["content-length"] ?? 0) <= MAX_SHORT_BYTES;
+}
+
+/**
+ * Sends the whole response at once, but keeps the connection for a moment and
+ * discards what still arrives: closing a connection with unread bytes would
+ * make the caller's system drop the response.
+ */
+function endAfterRequest(outgoing: ServerResponse, body: Uint8Array) {
+  const { req } = outgoing;
+  const timer = setTimeout(settle, DISCARD_TIMEOUT_MS);
+  function settle() {
+    clearTimeout(timer);
+    req.off("end", settle);
+    req.off("close", settle);
+    outgoing.end();
+  }
+  outgoing.write(body);
+  req.on("end", settle);
+  req.on("close", settle);
+  req.resume();
+}
+
 function waitForDrain(outgoing: ServerResponse): Promise<void> {
   return new Promise((resolve) => {
     function settle() {
--- a/src/entry/crash_book.ts
+++ b/src/entry/crash_book.ts
@@ -12,6 +12,8 @@
 export interface CrashBook {
   /** True if this endpoint was not yet known for the fingerprint. */
   add(notice: CrashNotice): boolean;
+  /** All notices that are in force. */
+  list(): readonly CrashNotice[];
   /** Remaining time of the quarantine; 0 if there is none. */
   readQuarantineMs(fingerprint: string): number;
 }
@@ -39,6 +41,16 @@
       }
       return true;
     },
+    list() {
+      return [...expiries.keys()].flatMap((fingerprint) =>
+        [...readLive(fingerprint)].map(([endpoint, expiresAtMs]) => ({
+          topic: "crash",
+          fingerprint,
+          endpoint,
+          expiresAtMs,
+        })),
+      );
+    },
     readQuarantineMs(fingerprint) {
       if (!expiries.has(fingerprint)) return 0;
       const latest = [...readLive(fingerprint).values()].sort((a, b) => b - a);
--- a/src/entry/create_app.ts
+++ b/src/entry/create_app.ts
@@ -56,13 +56,21 @@
   caller_left: "The caller closed the connection",
 };
 
+/** An error in this process; the request may have been sent. */
+const INTERNAL_ERROR: Refusal = {
+  code: "connection_lost",
+  message: "The entry failed while it handled the request",
+  outcome: "unknown",
+};
+
 export function createApp(context: EntryContext, options: AppOptions): App {
   const { node, settings, metrics, hints, random } = context;
   const { registry, isDraining, readInFlight, addInFlight } = options;
-  const { view } = node;
+  const { view, logger } = node;
   const app: App = new Hono<{ Bindings: HttpBindings }>();
 
   function refuse(caller: CallerResponse, refusal: Refusal) {
+    if (caller.isGone()) return metrics.callersLeft.increment();
     metrics.refusals.increment({ reason: refusal.code });
     metrics.requests.increment({ outcome: refusal.outcome });
     caller.refuse(refusal);
@@ -97,19 +105,40 @@
       ...options,
     });
     if (admitted.isErr()) return refuse(caller, admitted.error);
-    const input = await readInput(exchange, admitted.value);
-    const request = input.andThen((read) =>
-      readCall(read.input, read.admitted),
-    );
-    if (request.isErr()) return refuse(caller, request.error);
-    const call = createCall(request.value, {
+    const bodyBytes = readDeclaredBytes(incoming, settings.maxBodyBytes);
+    if (!context.bodyPool.take(bodyBytes)) {
+      const message = "The entry holds too many request bodies";
+      return refuse(caller, createNotRun("overloaded", message));
+    }
+    try {
+      const input = await readInput(exchange, admitted.value);
+      const request = input.andThen((read) =>
+        readCall(read.input, read.admitted),
+      );
+      if (request.isErr()) return refuse(caller, request.error);
+      await answerCall(caller, request.value);
+    } finally {
+      context.bodyPool.release(bodyBytes);
+    }
+  }
+
+  async function answerCall(caller: CallerResponse, request: CallRequest) {
+    const call = createCall(request, {
       caller,
       timeoutMs: settings.requestTimeoutMs,
       nowMs: context.nowMs,
+      keptEventsPool: context.keptEventsPool,
     });
-    const outcome = await dispatch(context, call);
-    call.close();
-    metrics.requests.increment({ outcome });
+    try {
+      const outcome = await dispatch(context, call);
+      metrics.requests.increment({ outcome });
+    } catch (error) {
+      logger.error({ err: error, requestId: request.requestId }, "Failed");
+      if (caller.isStarted()) caller.abort();
+      else refuse(caller, INTERNAL_ERROR);
+    } finally {
+      call.close();
+    }
   }
 
   async function createKeyFor(exchange: Exchange) {
@@ -196,6 +225,16 @@
   return app;
 }
 
+/** Bytes that the body may take; the most there can be if none are declared. */
+function readDeclaredBytes(
+  { headers }: IncomingMessage,
+  maxBytes: number,
+): number {
+  const declared = headers["content-length"];
+  const isChunked = headers["transfer-encoding"] !== undefined;
+  return isChunked ? maxBytes : Math.min(Number(declared ?? 0), maxBytes);
+}
+
 /** The body may name the service; it need not if there is only one. */
 function findKeyService(
   { body }: HttpInput,
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -119,10 +119,10 @@
   history.tried.add(host);
   history.attempts += 1;
   if (continued !== undefined) {
-    metrics.continuations.increment({ reason: history.failure!.code });
+    metrics.continuations.increment();
   }
   const release = hints.addInFlight(peer);
-  const result = await runAttempt(call, {
+  const attempt = runAttempt(call, {
     peer,
     configVersion: config.version,
     metrics,
@@ -133,7 +133,7 @@
       return isServed;
     },
   });
-  release();
+  const result = await attempt.finally(release);
   if (result.type !== "not_sent") {
     metrics.dispatches.increment({ service: service.name, dataCentre });
   }
@@ -195,6 +195,11 @@
     const message = "The answer was not complete within the time limit";
     return createFail(createNotRun(stopReason, message));
   }
+  if (call.remainingMs() === 0) {
+    // The process was paused; its timers may not have run yet.
+    const message = "The time limit passed before the request was sent";
+    return createFail(loss ?? createNotRun("deadline_exceeded", message));
+  }
   if (loss !== undefined) {
     const isLast =
       !request.repeatable || history.lostEndpoints >= MAX_LOST_ENDPOINTS;
@@ -261,7 +266,7 @@
     metrics.retriesDenied.increment({ cause: "budget" });
     return false;
   }
-  metrics.retries.increment({ reason: failure.code });
+  metrics.retries.increment({ reason: failure.reason ?? failure.code });
   return true;
 }
 
@@ -392,7 +397,7 @@
   }
   if (!caller.isStarted()) caller.refuse(told);
   else {
-    metrics.streamsCut.increment({ reason: told.code });
+    metrics.streamsCut.increment({ reason: told.reason ?? told.code });
     if (caller.isEventStream()) caller.endWithError(told);
     else caller.abort();
   }
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -3,7 +3,7 @@
  */
 
 import type { Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { createAdaptorServer } from "@hono/node-server";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
@@ -23,8 +23,14 @@
 import type { EntryContext } from "./entry_context.ts";
 import { createEntryMetrics } from "./entry_metrics.ts";
 import type { EntrySettings } from "./entry_settings.ts";
+import { createMemoryPool } from "./memory_pool.ts";
+import { refuseMalformed } from "./refuse_malformed.ts";
 import { createUncertainKeys } from "./uncertain_keys.ts";
 
+const MAX_KEPT_EVENTS_BYTES = 48 * 1024 * 1024;
+const MAX_BODIES_BYTES = 32 * 1024 * 1024;
+/** After this much more than the body's time, a connection is closed. */
+const REQUEST_TIMEOUT_EXTRA_MS = 2_000;
 /** How often slow senders of headers are looked for. */
 const HEADER_CHECK_INTERVAL_MS = 500;
 
@@ -66,6 +72,8 @@
     crashBook,
     budget: createRetryBudget(nowMs),
     uncertainKeys: createUncertainKeys(),
+    keptEventsPool: createMemoryPool(MAX_KEPT_EVENTS_BYTES),
+    bodyPool: createMemoryPool(MAX_BODIES_BYTES),
     choose: options.choose ?? chooseByPrefixAndLoad,
     random: options.random ?? Math.random,
     nowMs,
@@ -84,7 +92,11 @@
   }
 
   const app = createApp(context, {
-    limits: createAccountLimits({ view: node.view, nowMs }),
+    limits: createAccountLimits({
+      entry: node.identity.host,
+      view: node.view,
+      nowMs,
+    }),
     registry,
     isDraining: () => isDraining,
     isRefusing: () => isRefusing,
@@ -97,11 +109,14 @@
     autoCleanupIncoming: false,
     serverOptions: {
       headersTimeout: settings.bodyTimeoutMs,
-      requestTimeout: 0,
+      requestTimeout: settings.bodyTimeoutMs + REQUEST_TIMEOUT_EXTRA_MS,
       connectionsCheckingInterval: HEADER_CHECK_INTERVAL_MS,
     },
   }) as Server;
 
+  server.on("clientError", (error, socket) =>
+    refuseMalformed(error, socket as Socket, metrics),
+  );
   registry.gauge(
     "requests_in_flight",
     "Requests of callers that are being answered",
@@ -129,6 +144,10 @@
       .forEach((peer) => peer.sendNotice(notice));
   });
 
+  node.onPeer((peer) =>
+    crashBook.list().forEach((notice) => peer.sendNotice(notice)),
+  );
+
   async function close() {
     isDraining = true;
     isRefusing = true;
--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -6,6 +6,7 @@
 import type { CrashBook } from "./crash_book.ts";
 import type { EntryMetrics } from "./entry_metrics.ts";
 import type { EntrySettings } from "./entry_settings.ts";
+import type { MemoryPool } from "./memory_pool.ts";
 import type { UncertainKeys } from "./uncertain_keys.ts";
 
 export interface EntryContext {
@@ -16,6 +17,8 @@
   readonly budget: RetryBudget;
   readonly crashBook: CrashBook;
   readonly uncertainKeys: UncertainKeys;
+  readonly keptEventsPool: MemoryPool;
+  readonly bodyPool: MemoryPool;
   readonly choose: ChoicePolicy;
   /** Uniform in [0, 1). */
   readonly random: () => number;
--- a/src/entry/refusal.ts
+++ b/src/entry/refusal.ts
@@ -8,6 +8,8 @@
 export interface Refusal {
   readonly code: string;
   readonly message: string;
+  /** Finer than the code, for the metrics only. */
+  readonly reason?: string;
   readonly outcome: Exclude<Outcome, "answered">;
   /** Time after which another try makes sense, before jitter. */
   readonly retryAfterMs?: number;
--- a/src/entry/testing/fake_fleet.ts
+++ b/src/entry/testing/fake_fleet.ts
@@ -16,7 +16,6 @@
 } from "../../wire/mod.ts";
 import type {
   Hello,
-  LoadNotice,
   Notice,
   Peer,
   RequestHead,
@@ -30,13 +29,27 @@
 export const OTHER_DIGEST = `sha256:${"2".repeat(64)}`;
 export const API_KEY = "key-of-a";
 
-const logger = {
-  debug: () => undefined,
-  info: () => undefined,
-  warn: () => undefined,
-  error: () => undefined,
-  fatal: () => undefined,
-} as unknown as Node["logger"];
+export interface Gate<T> {
+  readonly promise: Promise<T>;
+  readonly open: (value: T) => void;
+}
+
+/** A promise that a test resolves. */
+export function createGate<T = void>(): Gate<T> {
+  let open: (value: T) => void;
+  const promise = new Promise<T>((resolve) => (open = resolve));
+  return { promise, open: open! };
+}
+
+function createLogger(onMessage: (message: string) => void): Node["logger"] {
+  function log(...values: readonly unknown[]) {
+    onMessage(String(values.at(-1)));
+  }
+  const names = ["debug", "info", "warn", "error", "fatal"];
+  return Object.fromEntries(
+    names.map((name) => [name, log]),
+  ) as unknown as Node["logger"];
+}
 
 const ADMISSION = { coldConcurrency: 2, warmConcurrency: 8, maxQueued: 8 };
 
@@ -102,7 +115,9 @@
   behaviour: Behaviour;
   /** Breaks the connection to the entry. */
   disconnect(): void;
-  report(load?: Partial<LoadNotice>): void;
+  notify(notice: Notice): void;
+  /** Resolves when the entry has sent this many notices. */
+  waitForNotices(count: number): Promise<void>;
 }
 
 export interface AgentPlace {
@@ -123,6 +138,8 @@
     isWaking: boolean;
   };
   changeView(): void;
+  /** Resolves when the entry has logged this message. */
+  waitForLog(message: string): Promise<void>;
   counter(name: string, labels?: Record<string, string>): number;
   post(
     path: string,
@@ -144,6 +161,13 @@
 
 export async function createFleet(options: FleetOptions): Promise<Fleet> {
   const registry = createRegistry();
+  const logged = new Map<string, Gate<void>>();
+  const logger = createLogger((message) => findGate(message).open());
+  function findGate(message: string): Gate<void> {
+    const gate = logged.get(message) ?? createGate();
+    logged.set(message, gate);
+    return gate;
+  }
   const counters = createWireCounters(registry);
   const peers = new Map<string, Peer>();
   const noticeHandlers = new Map<string, (peer: Peer, n: Notice) => void>();
@@ -223,6 +247,7 @@
     view,
     fetchedVersions,
     agents: started.map(({ agent }) => agent),
+    waitForLog: (message) => findGate(message).promise,
     changeView: () => changeHandlers.forEach((handler) => handler()),
     counter: (name, labels) => registry.counter(name, "").read(labels),
     post: (path, body, headers = {}) =>
@@ -247,24 +272,19 @@
 ) {
   const { counters, onNotice } = entryOptions;
   let entryPeer: Peer | undefined;
+  const noticeWaiters: (() => void)[] = [];
   const agent: Agent = {
     host: place.host,
     requests: [],
     notices: [],
     behaviour: place.behaviour,
     disconnect: () => entryPeer?.close("killed"),
-    report: (load) =>
-      entryPeer?.sendNotice({
-        topic: "load",
-        sequence: 1,
-        service: place.service ?? "assistant",
-        phase: "warm",
-        versionDigest: DIGEST,
-        inFlight: 0,
-        queued: 0,
-        limit: 8,
-        ...load,
-      }),
+    notify: (notice) => entryPeer?.sendNotice(notice),
+    async waitForNotices(count) {
+      while (agent.notices.length < count) {
+        await new Promise<void>((resolve) => noticeWaiters.push(resolve));
+      }
+    },
   };
 
   async function serve(stream: Stream) {
@@ -283,20 +303,20 @@
     await agent.behaviour(stream, request, agent);
   }
 
-  let resolveConnected: () => void;
-  const connected = new Promise<void>(
-    (resolve) => (resolveConnected = resolve),
-  );
+  const connected = createGate();
   const listener = await listenForPeers("127.0.0.1:0", {
     hello: () => createHello(place),
     counters,
     handlers: {
       onStream: (_, stream) => void serve(stream),
-      onNotice: (_, notice) => agent.notices.push(notice),
+      onNotice: (_, notice) => {
+        agent.notices.push(notice);
+        noticeWaiters.splice(0).forEach((resolve) => resolve());
+      },
     },
     onPeer: (peer) => {
       entryPeer = peer;
-      resolveConnected();
+      connected.open();
     },
   });
   const dialled = await connectPeer(listener.address, {
@@ -304,7 +324,7 @@
     counters,
     handlers: { onStream: () => undefined, onNotice },
   });
-  await connected;
+  await connected.promise;
   return { agent, peer: dialled._unsafeUnwrap(), close: listener.close };
 }
 
--- a/src/limits/account_limits.ts
+++ b/src/limits/account_limits.ts
@@ -17,6 +17,8 @@
 }
 
 export interface AccountLimitsOptions {
+  /** Host name of this entry, which counts even if the list lacks it. */
+  readonly entry: string;
   readonly view: FleetView;
   readonly nowMs: () => number;
 }
@@ -24,12 +26,12 @@
 export function createAccountLimits(
   options: AccountLimitsOptions,
 ): AccountLimits {
-  const { view, nowMs } = options;
+  const { entry, view, nowMs } = options;
   const buckets = new Map<string, TokenBucket>();
-  let entries = countLiveEntries(view);
+  let entries = countLiveEntries(view, entry);
 
   view.onChange(() => {
-    entries = countLiveEntries(view);
+    entries = countLiveEntries(view, entry);
     const accounts = view.config()?.document.clientAccounts ?? [];
     const byName = new Map(accounts.map((account) => [account.name, account]));
     [...buckets].forEach(([name, bucket]) => {
@@ -63,9 +65,9 @@
   };
 }
 
-function countLiveEntries(view: FleetView): number {
+function countLiveEntries(view: FleetView, self: string): number {
   const live = view
     .hosts()
     .hosts.filter((host) => host.role === "entry" && host.state === "live");
-  return Math.max(1, live.length);
+  return new Set([self, ...live.map((host) => host.name)]).size;
 }
--- a/src/routing/choose_peers.ts
+++ b/src/routing/choose_peers.ts
@@ -1,7 +1,8 @@
 /**
  * The agents that one entry keeps connections to: all of a service while there
  * are few, otherwise a bounded subset. The subsets of all entries together
- * cover each agent about equally often.
+ * cover each agent about equally often. Runners of non-repeatable calls are
+ * always included, because no other host may stand in for them.
  */
 
 import type { FleetView, Host } from "../membership/mod.ts";
@@ -42,8 +43,14 @@
         (position) => ranked[position]!,
       ),
     );
+    const runners = new Set(
+      service.kind === "plain"
+        ? service.runnerSets.flatMap((set) => set.runners)
+        : [],
+    );
     return agents.filter(
-      (host) => chosen.has(host.name) || options.isInUse(host.name),
+      ({ name }) =>
+        chosen.has(name) || runners.has(name) || options.isInUse(name),
     );
   });
 }
--- a/src/routing/list_candidates.ts
+++ b/src/routing/list_candidates.ts
@@ -78,9 +78,10 @@
 }
 
 function isUsable(
-  { report }: LoadHint,
+  { report, isLeaving }: LoadHint,
   digests: ReadonlySet<string> | undefined,
 ): boolean {
+  if (isLeaving) return false;
   if (report === undefined) return true;
   if (!USABLE_PHASES.has(report.phase)) return false;
   const { versionDigest } = report;
--- a/src/routing/load_hints.ts
+++ b/src/routing/load_hints.ts
@@ -13,6 +13,8 @@
   readonly sinceReport: number;
   /** Own requests in flight. */
   readonly inFlight: number;
+  /** Set when the agent refused because it leaves. */
+  readonly isLeaving: boolean;
 }
 
 export interface LoadHints {
@@ -26,7 +28,11 @@
   read(peer: Peer): LoadHint;
 }
 
-const NOTHING: LoadHint = { sinceReport: 0, inFlight: 0 };
+const NOTHING: LoadHint = {
+  sinceReport: 0,
+  inFlight: 0,
+  isLeaving: false,
+};
 
 /** The records live as long as their connections. */
 export function createLoadHints(): LoadHints {
@@ -41,7 +47,7 @@
     onReport(peer, report) {
       const hint = read(peer);
       if (hint.report && report.sequence < hint.report.sequence) return;
-      hints.set(peer, { ...hint, report, sinceReport: 0 });
+      hints.set(peer, { ...hint, report, sinceReport: 0, isLeaving: false });
     },
     addInFlight(peer) {
       const before = read(peer);
@@ -68,10 +74,7 @@
       hints.set(peer, { ...hint, report: full });
     },
     markLeaving(peer) {
-      const hint = read(peer);
-      if (hint.report === undefined) return;
-      const leaving = { ...hint.report, phase: "leaving" as const };
-      hints.set(peer, { ...hint, report: leaving });
+      hints.set(peer, { ...read(peer), isLeaving: true });
     },
   };
 }
