--- a/src/entry/caller_response.ts
+++ b/src/entry/caller_response.ts
@@ -144,6 +144,7 @@
     refuse(refusal) {
       const retryAfterMs = jitterRetryAfterMs(refusal, random);
       const body = Buffer.from(createErrorBody(refusal, retryAfterMs));
+      const isSlow = refusal.code === "slow_request";
       const headers = {
         "content-type": "application/json",
         "content-length": body.length,
@@ -153,10 +154,10 @@
         ...(refusal.suggestedKey !== undefined && {
           "zinniaspur-suggested-key": refusal.suggestedKey,
         }),
-        ...(!isShort(outgoing.req) && { connection: "close" }),
+        ...((isSlow || !isShort(outgoing.req)) && { connection: "close" }),
       };
       writeHead(readStatus(refusal), headers, refusal.outcome);
-      if (isShort(outgoing.req)) outgoing.end(body);
+      if (isSlow || isShort(outgoing.req)) outgoing.end(body);
       else endAfterRequest(outgoing, body);
     },
     endWithError(refusal) {
--- /dev/null
+++ b/src/limits/limits_test.ts
@@ -0,0 +1,61 @@
+import { describe, expect, test } from "@jest/globals";
+import type { ClientAccount } from "../document/mod.ts";
+import type { FleetView } from "../membership/mod.ts";
+import { createAccountLimits, createRetryBudget } from "./mod.ts";
+
+const ACCOUNT: ClientAccount = {
+  name: "a",
+  apiKeySha256: "",
+  requestsPerS: 10,
+  priority: 0,
+};
+
+function countGranted(tries: number, take: () => boolean): number {
+  return Array.from({ length: tries }, take).filter(Boolean).length;
+}
+
+describe("account limits", () => {
+  // Guards against entries that together grant more than the limit.
+  test("follows the number of live entries", () => {
+    let now = 0;
+    let live = ["e1", "e2"];
+    let onChange: () => void = () => undefined;
+    const view = {
+      config: () => ({ document: { clientAccounts: [ACCOUNT] } }),
+      hosts: () => ({
+        hosts: live.map((name) => ({ name, role: "entry", state: "live" })),
+      }),
+      onChange: (handler: () => void) => (onChange = handler),
+    } as unknown as FleetView;
+    const limits = createAccountLimits({ entry: "e1", view, nowMs: () => now });
+    const take = () => limits.take(ACCOUNT) === 0;
+    expect(countGranted(20, take)).toBe(5);
+    expect(limits.take(ACCOUNT)).toBeCloseTo(200);
+    now += 10_000;
+    expect(countGranted(20, take)).toBe(5);
+    live = ["e2"];
+    onChange();
+    now += 1_000;
+    expect(countGranted(20, take)).toBe(5);
+    live = ["e1"];
+    onChange();
+    now += 1_000;
+    expect(countGranted(20, take)).toBe(10);
+  });
+});
+
+describe("retry budget", () => {
+  // Guards against retries that multiply an overload.
+  test("grants a tenth of the requests, and one a second at least", () => {
+    let now = 0;
+    const budget = createRetryBudget(() => now);
+    expect(countGranted(50, budget.take)).toBe(10);
+    now += 10_000;
+    Array.from({ length: 500 }, budget.onRequest);
+    expect(countGranted(500, budget.take)).toBe(50);
+    now += 5_000;
+    expect(budget.take()).toBe(false);
+    now += 5_000;
+    expect(countGranted(50, budget.take)).toBe(10);
+  });
+});
--- a/src/routing/choose_peers.ts
+++ b/src/routing/choose_peers.ts
@@ -33,11 +33,7 @@
       (host) => host.role === "endpoint" && host.service === service.name,
     );
     if (agents.length <= MAX_AGENTS_PER_SERVICE) return agents;
-    const live = agents.filter((host) => host.state === "live");
-    const ranked = rankByHash(
-      service.name,
-      live.map((host) => host.name),
-    );
+    const ranked = rankLiveAgents(hosts, service.name);
     const chosen = new Set(
       listPositions(ranked.length, { rank, entries: names.length }).map(
         (position) => ranked[position]!,
@@ -55,6 +51,31 @@
   });
 }
 
+/**
+ * Ranks by host list and service. The configuration changes far more often
+ * than the list, and thousands of hashes each time would cost milliseconds.
+ */
+const ranksOf = new WeakMap<readonly Host[], Map<string, readonly string[]>>();
+
+function rankLiveAgents(
+  hosts: readonly Host[],
+  service: string,
+): readonly string[] {
+  const ranks = ranksOf.get(hosts) ?? new Map<string, readonly string[]>();
+  ranksOf.set(hosts, ranks);
+  const found = ranks.get(service);
+  if (found !== undefined) return found;
+  const live = hosts.filter(
+    (host) => host.service === service && host.state === "live",
+  );
+  const ranked = rankByHash(
+    service,
+    live.map((host) => host.name),
+  );
+  ranks.set(service, ranked);
+  return ranked;
+}
+
 /**
  * Slot k of entry i is number `i + k * entries` of all slots, and all slots
  * are spread evenly over the agents: an entry's own positions lie far apart,
