Entry: keep forwarded events in small blocks and idle connections open

Doubling buffers were on average a third empty. Balancers keep idle connections longer than the 5 s after which Node.js closes them, which would cut off a request that arrives at that moment.

--- a/src/entry/answer_sink.ts
+++ b/src/entry/answer_sink.ts
@@ -77,7 +77,7 @@
       (isFirst ? metrics.firstToken : metrics.betweenTokens).record(
         call.takeLapMs(),
       );
-      kept.append(events);
+      if (call.request.service.kind === "language") kept.append(events);
       return caller.write(events);
     },
     finish() {
--- a/src/entry/bad_input_test.ts
+++ b/src/entry/bad_input_test.ts
@@ -207,6 +207,7 @@
     const socket = connect({ host: hostname, port: Number(port) });
     socket.write(bytes);
     const answer = await text(socket);
+    socket.destroy();
     expected.forEach((part) => expect(answer).toContain(part));
     expect(answer).toContain('"outcome":"not_run"');
   });
--- a/src/entry/create_app.ts
+++ b/src/entry/create_app.ts
@@ -206,6 +206,10 @@
       }),
     ),
   );
+  const readKeyedCall: ReadCall = (input, admitted) =>
+    readServiceCall(input, admitted, {
+      suggestKey: (document, service) => suggestKey(node, document, service),
+    });
   const answerLanguage = handle((exchange) =>
     answer(exchange, readLanguageCall),
   );
@@ -214,7 +218,7 @@
   app.post("/v1/idempotency-keys", handle(createKeyFor));
   app.all(
     "/services/*",
-    handle((exchange) => answer(exchange, readServiceCall)),
+    handle((exchange) => answer(exchange, readKeyedCall)),
   );
   app.notFound(async ({ env }) => {
     const respond = handle(async ({ caller }) => {
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -336,7 +336,7 @@
   return createNotRun(
     "runner_unreachable",
     `The host ${runner}, which alone may run this key, cannot be reached; use another key only if no request with this one had an unknown outcome`,
-    { ...(key !== undefined && { suggestedKey: key }) },
+    { suggestedKey: key },
   );
 }
 
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -31,6 +31,8 @@
 const MAX_BODIES_BYTES = 32 * 1024 * 1024;
 /** After this much more than the body's time, a connection is closed. */
 const REQUEST_TIMEOUT_EXTRA_MS = 2_000;
+/** Longer than balancers keep an idle connection, usually a minute. */
+const KEEP_ALIVE_TIMEOUT_MS = 75_000;
 /** How often slow senders of headers are looked for. */
 const HEADER_CHECK_INTERVAL_MS = 500;
 
@@ -108,6 +110,7 @@
     overrideGlobalObjects: false,
     autoCleanupIncoming: false,
     serverOptions: {
+      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
       headersTimeout: settings.bodyTimeoutMs,
       requestTimeout: settings.bodyTimeoutMs + REQUEST_TIMEOUT_EXTRA_MS,
       connectionsCheckingInterval: HEADER_CHECK_INTERVAL_MS,
--- a/src/entry/faults_test.ts
+++ b/src/entry/faults_test.ts
@@ -550,6 +550,25 @@
     expect(fleet.agents[1]!.requests).toEqual([]);
   });
 
+  // Guards against a dispatch that was due before a pause of the process.
+  test("sends nothing after the time limit has passed in a pause", async () => {
+    let now = 0;
+    const fleet = await startFleet({
+      agents: createAgents((stream, request, agent) => {
+        now += 60_000;
+        return refuseWith("overloaded")(stream, request, agent);
+      }, OK),
+      nowMs: () => now,
+    });
+    const response = await fleet.post("/v1/completions", PROMPT);
+    expect(await readError(response)).toMatchObject({
+      status: 503,
+      code: "deadline_exceeded",
+      outcome: "not_run",
+    });
+    expect(fleet.agents[1]!.requests).toEqual([]);
+  });
+
   // Guards against callers that are cut off, or sent to a closed entry.
   test("finishes streams in progress while it shuts down", async () => {
     const release = createGate();
--- a/src/entry/kept_events.ts
+++ b/src/entry/kept_events.ts
@@ -1,13 +1,14 @@
 /**
  * The events that one caller has been sent, kept until the answer is complete
- * so that a broken stream can continue. They are copied, because the received
- * bytes are parts of larger network buffers.
+ * so that a broken stream can continue. They are copied into blocks, because
+ * the received bytes are parts of larger network buffers.
  */
 
 import type { MemoryPool } from "./memory_pool.ts";
 
 export const MAX_KEPT_BYTES = 1024 * 1024;
-const FIRST_CAPACITY_BYTES = 4 * 1024;
+/** About 30 events; larger blocks would be half empty for most answers. */
+const BLOCK_BYTES = 8 * 1024;
 
 export interface KeptEvents {
   append(bytes: Uint8Array): void;
@@ -17,39 +18,44 @@
 }
 
 export function createKeptEvents(pool: MemoryPool): KeptEvents {
-  let buffer = Buffer.alloc(0);
-  let sizeBytes = 0;
+  let blocks: Buffer[] = [];
+  let lastUsedBytes = BLOCK_BYTES;
   let isKept = true;
 
   function drop() {
-    pool.release(buffer.length);
-    buffer = Buffer.alloc(0);
-    sizeBytes = 0;
+    pool.release(blocks.length * BLOCK_BYTES);
+    blocks = [];
     isKept = false;
   }
 
-  function grow(neededBytes: number) {
-    const capacity = Math.min(
-      MAX_KEPT_BYTES,
-      Math.max(neededBytes, buffer.length * 2, FIRST_CAPACITY_BYTES),
-    );
-    if (neededBytes > capacity || !pool.take(capacity - buffer.length)) {
-      return drop();
-    }
-    const larger = Buffer.allocUnsafeSlow(capacity);
-    buffer.copy(larger, 0, 0, sizeBytes);
-    buffer = larger;
+  function addBlock(): boolean {
+    const isFull = (blocks.length + 1) * BLOCK_BYTES > MAX_KEPT_BYTES;
+    if (isFull || !pool.take(BLOCK_BYTES)) return false;
+    blocks.push(Buffer.allocUnsafeSlow(BLOCK_BYTES));
+    lastUsedBytes = 0;
+    return true;
   }
 
   return {
     append(bytes) {
-      const neededBytes = sizeBytes + bytes.length;
-      if (isKept && neededBytes > buffer.length) grow(neededBytes);
-      if (!isKept) return;
-      buffer.set(bytes, sizeBytes);
-      sizeBytes = neededBytes;
+      let offset = 0;
+      while (isKept && offset < bytes.length) {
+        if (lastUsedBytes === BLOCK_BYTES && !addBlock()) return drop();
+        const part = bytes.subarray(
+          offset,
+          offset + BLOCK_BYTES - lastUsedBytes,
+        );
+        blocks.at(-1)!.set(part, lastUsedBytes);
+        lastUsedBytes += part.length;
+        offset += part.length;
+      }
+    },
+    read() {
+      if (!isKept) return undefined;
+      const unusedBytes = BLOCK_BYTES - lastUsedBytes;
+      const all = Buffer.concat(blocks);
+      return all.subarray(0, all.length - unusedBytes);
     },
-    read: () => (isKept ? buffer.subarray(0, sizeBytes) : undefined),
     close: drop,
   };
 }
--- a/src/entry/read_call_request.ts
+++ b/src/entry/read_call_request.ts
@@ -3,7 +3,7 @@
 import { randomUUID } from "node:crypto";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
-import type { PlainService } from "../document/mod.ts";
+import type { EnvironmentDocument, PlainService } from "../document/mod.ts";
 import {
   chooseRunner,
   normalizeKey,
@@ -40,6 +40,11 @@
   "upgrade",
 ]);
 
+export type KeySuggester = (
+  document: EnvironmentDocument,
+  service: PlainService,
+) => string | undefined;
+
 export interface HttpInput {
   readonly method: string;
   /** Path and query as received. */
@@ -85,6 +90,7 @@
 export function readServiceCall(
   input: HttpInput,
   { config, account }: Admitted,
+  { suggestKey }: { readonly suggestKey: KeySuggester },
 ): Result<CallRequest, Refusal> {
   const { method, url, body } = input;
   const rest = url.slice(SERVICES_PREFIX.length);
@@ -110,7 +116,9 @@
   }
   const key = route.repeatable
     ? ok(undefined)
-    : readKey(input.headers["idempotency-key"], service);
+    : readKey(input.headers["idempotency-key"], service, () =>
+        suggestKey(config.document, service),
+      );
   return key.map((value) => ({
     requestId: randomUUID(),
     clientAccount: account,
@@ -137,15 +145,19 @@
 function readKey(
   header: string | string[] | undefined,
   service: PlainService,
+  suggest: () => string | undefined,
 ): Result<{ text: string; runner: string }, Refusal> {
   if (typeof header !== "string" || header === "") {
     const message = "This route needs the header Idempotency-Key";
-    return err(createNotRun("key_required", message));
+    const suggestedKey = suggest();
+    return err(createNotRun("key_required", message, { suggestedKey }));
   }
   const text = normalizeKey(header);
   if (text === undefined) {
+    // No entry has ever let such a key run, so another one is safe.
     const message = "The idempotency key is not a UUIDv7";
-    return err(createNotRun("key_not_time_ordered", message));
+    const suggestedKey = suggest();
+    return err(createNotRun("key_not_time_ordered", message, { suggestedKey }));
   }
   if (readKeyTimeMs(text) > Date.now() + MAX_KEY_AHEAD_MS) {
     const message = "The idempotency key's time is in the future";
--- a/src/entry/refusal.ts
+++ b/src/entry/refusal.ts
@@ -14,7 +14,7 @@
   /** Time after which another try makes sense, before jitter. */
   readonly retryAfterMs?: number;
   /** A new idempotency key whose runner is reachable. */
-  readonly suggestedKey?: string;
+  readonly suggestedKey?: string | undefined;
 }
 
 const STATUS_BY_CODE: Readonly<Record<string, number>> = {
@@ -90,7 +90,7 @@
 export function createNotRun(
   code: string,
   message: string,
-  more: { retryAfterMs?: number; suggestedKey?: string } = {},
+  more: Pick<Refusal, "retryAfterMs" | "suggestedKey"> = {},
 ): Refusal {
   return { code, message, outcome: "not_run", ...more };
 }
--- a/src/entry/refuse_malformed.ts
+++ b/src/entry/refuse_malformed.ts
@@ -11,9 +11,11 @@
   socket: Socket,
   metrics: EntryMetrics,
 ) {
+  // A balancer may open connections that it does not use yet.
+  const isUnused = socket.bytesRead === 0;
   // Once something was answered on the connection, more bytes could be taken
   // for a part of that answer.
-  if (!socket.writable || socket.bytesWritten > 0) {
+  if (isUnused || !socket.writable || socket.bytesWritten > 0) {
     socket.destroy();
     return;
   }
--- a/src/entry/testing/fake_fleet.ts
+++ b/src/entry/testing/fake_fleet.ts
@@ -153,6 +153,7 @@
   readonly agents?: readonly AgentPlace[];
   readonly settings?: Partial<EntrySettings>;
   readonly choose?: ChoicePolicy;
+  readonly nowMs?: () => number;
 }
 
 /** Candidates in the order of their host names. */
@@ -220,6 +221,7 @@
     logger,
     random: () => 0,
     choose: options.choose ?? chooseFirst,
+    ...(options.nowMs && { nowMs: options.nowMs }),
     settings: {
       httpAddress: "127.0.0.1:0",
       maxBodyBytes: 1024 * 1024,
