--- a/src/node/testing/fake_platform.ts
+++ b/src/node/testing/fake_platform.ts
@@ -26,6 +26,13 @@
   readonly body: string;
 }
 
+interface WaitingCall {
+  readonly topic: Topic;
+  readonly after: number;
+  readonly waitMs: number;
+  readonly response: ServerResponse;
+}
+
 export async function startFakePlatform(): Promise<FakePlatform> {
   const stored: Record<Topic, Stored> = {
     config: { version: 0, body: "" },
@@ -56,13 +63,13 @@
     if (mode === "stale") {
       return void response.end(stored[topic].body);
     }
-    await waitForNewer({ topic, after, waitMs });
+    await waitForNewer({ topic, after, waitMs, response });
     const { version, body } = stored[topic];
     if (version <= after) return void response.writeHead(204).end();
     response.end(body);
   }
 
-  function waitForNewer(call: { topic: Topic; after: number; waitMs: number }) {
+  function waitForNewer(call: WaitingCall) {
     return new Promise<void>((resolve) => {
       const timer = setTimeout(finish, call.waitMs);
       function finish() {
@@ -73,6 +80,7 @@
       function check() {
         if (stored[call.topic].version > call.after) finish();
       }
+      call.response.on("close", finish);
       waiting.add(check);
       check();
     });
