--- a/src/node/start_node.ts
+++ b/src/node/start_node.ts
@@ -179,8 +179,8 @@
   }
 
   function listSeedTargets(hostTargets: readonly DialTarget[]) {
-    // Seeds are only a way into the fleet.
-    if (connections.peers().length > 0) return [];
+    // Seeds are only a way into the fleet, and the peers to ask at start.
+    if (config.isReleased() && connections.peers().length > 0) return [];
     const known = new Set([peerAddress, ...hostTargets.map((t) => t.address)]);
     return (options.seedPeers ?? [])
       .filter((address) => !known.has(address))
--- a/src/node/start_node_test.ts
+++ b/src/node/start_node_test.ts
@@ -1,32 +1,338 @@
 import { afterEach, describe, expect, test } from "@jest/globals";
-import { startFleet, until } from "./testing/start_fleet.ts";
+import { createRegistry } from "../metrics/mod.ts";
+import type { Logger } from "../logging/mod.ts";
+import type { Peer } from "../wire/mod.ts";
+import type { Node } from "./node.ts";
+import { createIncarnation } from "./mod.ts";
+import {
+  SILENT_LOGGER,
+  startFleet,
+  until,
+  describeHost,
+} from "./testing/start_fleet.ts";
 import type { Fleet, FleetOptions } from "./testing/start_fleet.ts";
 
 const NAMES = ["a", "b", "c", "d", "e", "f"];
-let fleet: Fleet | undefined;
+/** The time in which lost announcements and partitions have to heal. */
+const HEAL_MS = 5_000;
+const fleets: Fleet[] = [];
 
 afterEach(async () => {
-  await fleet?.close();
-  fleet = undefined;
+  await Promise.all(fleets.splice(0).map((fleet) => fleet.close()));
 });
 
-async function startWith(options: Partial<FleetOptions> = {}) {
-  fleet = await startFleet({ names: NAMES, ...options });
+async function start(options: Partial<FleetOptions> = {}) {
+  const fleet = await startFleet({ names: NAMES, ...options });
+  fleets.push(fleet);
   return fleet;
 }
 
-function isEverywhere({ nodes }: Fleet, version: number): boolean {
-  return nodes.every((node) => node.view.config()?.version === version);
+/** A fleet in which this version is in force on every node. */
+async function startAt(version: number, options: Partial<FleetOptions> = {}) {
+  const fleet = await start(options);
+  fleet.platform.publishAs(version, `v${version}`);
+  await until(() => isEverywhere(fleet.nodes, version));
+  return fleet;
+}
+
+function versionOf(node: Node): number {
+  return node.view.config()?.version ?? 0;
+}
+
+function isEverywhere(nodes: readonly Node[], version: number): boolean {
+  return nodes.every((node) => versionOf(node) === version);
+}
+
+function isWatching(node: Node): boolean {
+  return /^zinniaspur_platform_watching 1$/m.test(node.registry.render());
+}
+
+function countRejections(node: Node, reason: string): number {
+  const counter = node.registry.counter("snapshot_rejections_total", "");
+  return counter.read({ topic: "config", reason });
+}
+
+/** Drops what these connections send as notices, without an error. */
+function loseNotices(peers: readonly (Peer | undefined)[]) {
+  let lost = 0;
+  const undo = peers.map((peer) => {
+    if (peer === undefined) return () => undefined;
+    const { sendNotice } = peer;
+    Object.assign(peer, { sendNotice: () => void lost++ });
+    return () => void Object.assign(peer, { sendNotice });
+  });
+  return {
+    countLost: () => lost,
+    stop: () => undo.forEach((restore) => restore()),
+  };
+}
+
+function createMovableClock() {
+  let offsetMs = 0;
+  return {
+    wallMs: () => Date.now() + offsetMs,
+    monotonicMs: () => performance.now() + offsetMs,
+    skip: (ms: number) => void (offsetMs += ms),
+  };
 }
 
 describe("configuration in a fleet", () => {
   // Guards against a change that reaches only the watchers.
   test("puts a change in force on every node", async () => {
-    const started = await startWith();
-    started.platform.publish("one");
-    await until(() => isEverywhere(started, 1));
-    started.platform.publish("two");
-    await until(() => isEverywhere(started, 2), 5_000);
-    expect(started.nodes[0]!.view.config()?.document.environment).toBe("two");
+    const { platform, nodes } = await startAt(1);
+    expect(nodes.filter(isWatching)).toHaveLength(3);
+    platform.publish("two");
+    await until(() => isEverywhere(nodes, 2), HEAL_MS);
+    expect(nodes[0]!.view.config()?.document.environment).toBe("two");
+  });
+
+  // Guards against reads by every process, which the platform cannot serve.
+  test("reads the platform through watchers only", async () => {
+    const { platform, nodes } = await startAt(1);
+    const before = platform.countReads();
+    platform.publish("two");
+    await until(() => isEverywhere(nodes, 2), HEAL_MS);
+    // Three watchers re-arm their watch of the configuration.
+    expect(platform.countReads() - before).toBeLessThanOrEqual(3);
+  });
+
+  // Guards against a refused document that stops later ones or goes unseen.
+  test("keeps the former version when a document is invalid", async () => {
+    const lines: string[] = [];
+    const warn = (record: object) => lines.push(JSON.stringify(record));
+    const logger = { ...SILENT_LOGGER, warn } as unknown as Logger;
+    const { platform, nodes } = await startAt(1, { nodeOptions: { logger } });
+    platform.publish("invalid");
+    await until(
+      () =>
+        nodes.filter((n) => countRejections(n, "invalid_document") > 0)
+          .length >= 3,
+    );
+    expect(isEverywhere(nodes, 1)).toBe(true);
+    expect(lines.join()).toContain(
+      "config:1:1: environment: Not a document. Fix: Write one",
+    );
+    platform.publish("three");
+    await until(() => isEverywhere(nodes, 3), HEAL_MS);
+  });
+
+  // Guards against an agent that serves by a version its engine has passed.
+  test("hides and refuses versions below the floor", async () => {
+    const { platform, nodes } = await startAt(2);
+    const watcher = nodes.find(isWatching)!;
+    watcher.raiseConfigFloor(5);
+    expect(watcher.view.config()).toBeUndefined();
+    platform.publishAs(4, "four");
+    const others = nodes.filter((node) => node !== watcher);
+    await until(() => isEverywhere(others, 4), HEAL_MS);
+    expect(watcher.view.config()).toBeUndefined();
+    platform.publishAs(5, "five");
+    await until(() => isEverywhere(nodes, 5), HEAL_MS);
+  });
+
+  // Guards against dispatch by an older version than the entry's.
+  test("fetches a newer version from the peer that names it", async () => {
+    const { platform, nodes } = await startAt(1);
+    const late = nodes.find((node) => !isWatching(node))!;
+    const source = nodes.find(
+      (node) => isWatching(node) && late.findPeer(node.identity.host),
+    )!;
+    const peer = late.findPeer(source.identity.host)!;
+    platform.publish("two");
+    await until(() => versionOf(source) === 2);
+    await late.fetchConfig(peer, 2);
+    expect(versionOf(late)).toBe(2);
+  });
+});
+
+describe("faults", () => {
+  // Guards against a return to a version that was replaced.
+  test("ignores a platform that falls back to an older version", async () => {
+    const { platform, nodes } = await startAt(2);
+    platform.publishAs(1, "one");
+    platform.setMode("stale");
+    const watcher = nodes.find(isWatching)!;
+    await until(() => countRejections(watcher, "older_version") > 1);
+    expect(isEverywhere(nodes, 2)).toBe(true);
+  });
+
+  test.each(["error", "stalled"] as const)(
+    // Guards against processes that cannot start while the platform is away.
+    "starts from peers while the platform answers with %s",
+    async (mode) => {
+      const fleet = await startAt(3);
+      fleet.platform.setMode(mode);
+      const seedPeers = [fleet.nodes[0]!.peerAddress];
+      const node = await fleet.add("late", { seedPeers });
+      await until(() => versionOf(node) === 3, HEAL_MS);
+      expect(node.view.hosts().hosts).toHaveLength(NAMES.length);
+    },
+  );
+
+  // Guards against readiness without a configuration.
+  test("stays without a configuration until anyone answers", async () => {
+    const { platform, nodes, add } = await start({ names: [] });
+    platform.setMode("error");
+    const node = await add("alone");
+    const failures = node.registry.counter("platform_read_failures_total", "");
+    const labels = { topic: "config", reason: "status" };
+    await until(() => failures.read(labels) > 2);
+    expect(nodes[0]!.view.config()).toBeUndefined();
+    platform.publish("one");
+    platform.setMode("up");
+    await until(() => versionOf(node) === 1);
+  });
+
+  // Guards against a process that trusts a stale platform at start.
+  test("starts with its peers' newer version beside a stale platform", async () => {
+    const fresh = await startAt(3);
+    const stale = await start({ names: [] });
+    stale.platform.publishAs(1, "old");
+    const seen: number[] = [];
+    const node = await stale.add("late", {
+      seedPeers: fresh.nodes.slice(0, 3).map((n) => n.peerAddress),
+    });
+    node.view.onChange(() => seen.push(versionOf(node)));
+    await until(() => versionOf(node) > 0, HEAL_MS);
+    expect(seen.filter((version) => version > 0 && version < 3)).toEqual([]);
+  });
+
+  // Guards against a node that stays behind when an announcement is lost.
+  test("heals a lost announcement", async () => {
+    const { platform, nodes } = await startAt(1);
+    const loss = loseNotices(nodes.flatMap((node) => node.peers()));
+    platform.publish("two");
+    const watchers = nodes.filter(isWatching);
+    await until(() => isEverywhere(watchers, 2) && loss.countLost() > 0);
+    expect(isEverywhere(nodes, 2)).toBe(false);
+    loss.stop();
+    await until(() => isEverywhere(nodes, 2), HEAL_MS);
+  });
+
+  // Guards against work taken with the view from before a pause.
+  test("has its peers' version when it resumes after a pause", async () => {
+    const clock = createMovableClock();
+    const fleet = await startAt(1);
+    // Of these names, "late" is not a watcher.
+    const late = await fleet.add("late", { clock });
+    await until(() => versionOf(late) === 1 && late.peers().length > 3);
+    const others = fleet.nodes.filter((node) => node !== late);
+    loseNotices(others.map((node) => node.findPeer("late")));
+    fleet.platform.publish("two");
+    await until(() => isEverywhere(others, 2));
+    expect([isWatching(late), versionOf(late)]).toEqual([false, 1]);
+    clock.skip(3_000);
+    expect(late.view.isWaking()).toBe(true);
+    await until(() => !late.view.isWaking(), 2_500);
+    expect(versionOf(late)).toBe(2);
+  });
+
+  // Guards against a fleet that stops when nobody can answer after a pause.
+  test("resumes after a pause when nobody answers", async () => {
+    const clock = createMovableClock();
+    const fleet = await startAt(1, { names: ["a"], nodeOptions: { clock } });
+    fleet.platform.setMode("stalled");
+    const [node] = fleet.nodes;
+    clock.skip(3_000);
+    await until(() => !node!.view.isWaking());
+    const checks = node!.registry.counter("wake_checks_total", "");
+    expect(checks.read({ outcome: "limit" })).toBe(1);
+    expect(versionOf(node!)).toBe(1);
+  });
+
+  // Guards against one value silently replacing another of the same version.
+  test("keeps its value when a peer has another for the same version", async () => {
+    const one = await start({ names: ["a"] });
+    const two = await start({ names: ["b"] });
+    one.platform.publishAs(1, "first");
+    two.platform.publishAs(1, "second");
+    const [a, b] = [one.nodes[0]!, two.nodes[0]!];
+    await until(() => isEverywhere([a, b], 1));
+    one.platform.setHosts([a, b].map(describeHost));
+    await until(() => countRejections(b, "conflicting_digest") > 0);
+    expect(a.view.config()?.document.environment).toBe("first");
+    expect(b.view.config()?.document.environment).toBe("second");
+    one.platform.publish("third");
+    await until(() => isEverywhere([a, b], 2), HEAL_MS);
+  });
+
+  // Guards against two open connections, or none, after both sides dialled.
+  test("keeps one connection when two nodes dial each other", async () => {
+    const { nodes } = await start({ names: ["a", "b"] });
+    const [a, b] = [nodes[0]!, nodes[1]!];
+    await until(() => a.peers().length === 1 && b.peers().length === 1);
+    // The smaller name's connection is the one that stays.
+    expect(a.findPeer("b")!.remoteAddress).toBe(b.peerAddress);
+  });
+
+  // Guards against two processes that both act for one host name.
+  test("replaces an earlier incarnation and tells it to stop", async () => {
+    const nowMs = Date.now();
+    const fleet = await start({ names: ["a"] });
+    const earlier = await fleet.add("x", {
+      incarnation: createIncarnation(nowMs - 60_000),
+    });
+    await until(() => fleet.nodes[0]!.findPeer("x") !== undefined);
+    const replaced = new Promise<void>((resolve) => {
+      earlier.onReplaced?.(resolve);
+    });
+    const later = await fleet.add("x", {
+      incarnation: createIncarnation(nowMs),
+    });
+    await replaced;
+    const { incarnation } = later.identity;
+    await until(
+      () => fleet.nodes[0]!.findPeer("x")?.hello.incarnation === incarnation,
+    );
+  });
+
+  // Guards against a side of a partition that stays behind after it heals.
+  test("catches up after a partition", async () => {
+    const fleet = await startAt(1);
+    const { platform, nodes } = fleet;
+    const watchers = nodes.filter(isWatching);
+    const others = nodes.filter((node) => !isWatching(node));
+    fleet.partition(namesOf(watchers), namesOf(others));
+    await until(() =>
+      others.every((node) =>
+        node.peers().every((peer) => namesOf(others).includes(peer.hello.host)),
+      ),
+    );
+    platform.publish("two");
+    await until(() => isEverywhere(watchers, 2));
+    expect(isEverywhere(others, 1)).toBe(true);
+    fleet.heal();
+    await until(() => isEverywhere(nodes, 2), HEAL_MS);
+  });
+
+  // Guards against a cut-off process that never asks the platform itself.
+  test("reads the platform when nothing confirms the version", async () => {
+    const fleet = await startAt(1, { nodeOptions: { unconfirmedMs: 1_000 } });
+    const cut = fleet.nodes.find((node) => !isWatching(node))!;
+    const { host } = cut.identity;
+    fleet.partition(
+      [host],
+      NAMES.filter((name) => name !== host),
+    );
+    fleet.platform.publish("two");
+    await until(() => versionOf(cut) === 2, HEAL_MS);
+  });
+});
+
+function namesOf(nodes: readonly Node[]): readonly string[] {
+  return nodes.map((node) => node.identity.host);
+}
+
+// Guards against gauges that operators cannot read.
+test("shows the gauges of the view", async () => {
+  const registry = createRegistry();
+  const { nodes } = await startAt(7, {
+    names: ["a"],
+    nodeOptions: { registry },
   });
+  expect(versionOf(nodes[0]!)).toBe(7);
+  const text = registry.render();
+  expect(text).toContain("zinniaspur_config_version 7");
+  expect(text).toMatch(/zinniaspur_config_confirmation_age_seconds [0-9.e-]+/);
+  expect(text).toContain("zinniaspur_peers_connected 0");
 });
--- /dev/null
+++ b/src/wire/frame_test.ts
@@ -0,0 +1,97 @@
+import { describe, expect, test } from "@jest/globals";
+import fc from "fast-check";
+import { createFrameDecoder, encodeFrame, MAX_FRAME_BYTES } from "./mod.ts";
+import type { Frame } from "./mod.ts";
+
+const seed = Number(process.hrtime.bigint() % 2_147_483_647n);
+
+const streamId = fc.integer({ min: 0, max: 2 ** 31 });
+const frame: fc.Arbitrary<Frame> = fc.oneof(
+  fc.record({
+    type: fc.constant("data" as const),
+    streamId,
+    bytes: fc.uint8Array({ maxLength: 300 }),
+  }),
+  fc.record({
+    type: fc.constant("message" as const),
+    streamId,
+    body: fc.dictionary(fc.string(), fc.string(), { noNullPrototype: true }),
+  }),
+  fc.record({ type: fc.constant("ping" as const), nonce: fc.nat() }),
+);
+
+function frameBytes(body: Uint8Array): Buffer {
+  const length = Buffer.alloc(4);
+  length.writeUInt32BE(body.length);
+  return Buffer.concat([length, body]);
+}
+
+describe(`frame decoder (seed ${seed})`, () => {
+  // Guards against frames lost or joined where TCP splits the bytes.
+  test("gives the same frames however the bytes are split", () => {
+    fc.assert(
+      fc.property(
+        fc.array(frame, { maxLength: 6 }),
+        fc.array(fc.integer({ min: 1, max: 50 }), { minLength: 1 }),
+        (frames, sizes) => {
+          const bytes = Buffer.concat(frames.map(encodeFrame));
+          const decoder = createFrameDecoder();
+          const decoded: Frame[] = [];
+          for (let at = 0, i = 0; at < bytes.length; i++) {
+            const end = at + sizes[i % sizes.length]!;
+            const pushed = decoder.push(bytes.subarray(at, end));
+            decoded.push(...pushed._unsafeUnwrap());
+            at = end;
+          }
+          expect(decoded.map(encodeFrame)).toEqual(frames.map(encodeFrame));
+        },
+      ),
+      { seed, numRuns: 500 },
+    );
+  });
+
+  // Guards against a crash on bytes that no correct peer sends.
+  test("gives frames or a named error for any bytes", () => {
+    const anyBytes = fc.oneof(
+      fc.uint8Array({ maxLength: 200 }),
+      fc.uint8Array({ maxLength: 200 }).map(frameBytes),
+    );
+    fc.assert(
+      fc.property(anyBytes, (bytes) => {
+        createFrameDecoder()
+          .push(Buffer.from(bytes))
+          .match(
+            (frames) => expect(Array.isArray(frames)).toBe(true),
+            (error) =>
+              expect(["frame_too_large", "malformed_frame"]).toContain(error),
+          );
+      }),
+      { seed, numRuns: 5_000 },
+    );
+  });
+
+  // Guards against short frames that claim sizes of gigabytes or nest deeply.
+  test.each([
+    { name: "array", body: Buffer.from("9a06b00000", "hex") },
+    { name: "array of 2^32 - 1", body: Buffer.from("9affffffff", "hex") },
+    { name: "map", body: Buffer.from("baffffffff", "hex") },
+    { name: "byte string", body: Buffer.from("5affffffff", "hex") },
+    { name: "text", body: Buffer.from("7affffffff", "hex") },
+    { name: "nesting", body: Buffer.alloc(MAX_FRAME_BYTES, 0x81) },
+  ])("refuses an oversized $name without allocating it", ({ body }) => {
+    const before = process.memoryUsage();
+    const decoded = createFrameDecoder().push(frameBytes(body));
+    const after = process.memoryUsage();
+    expect(decoded._unsafeUnwrapErr()).toBe("malformed_frame");
+    expect(after.heapTotal - before.heapTotal).toBeLessThan(64 * 1024 * 1024);
+    expect(after.external - before.external).toBeLessThan(64 * 1024 * 1024);
+  });
+
+  // Guards against a sender that makes the receiver hold an endless frame.
+  test("refuses a frame above the limit before its bytes arrive", () => {
+    const length = Buffer.alloc(4);
+    length.writeUInt32BE(MAX_FRAME_BYTES + 1);
+    const decoded = createFrameDecoder().push(length);
+    expect(decoded._unsafeUnwrapErr()).toBe("frame_too_large");
+  });
+});
