Wire: lose a stream, not the connection, on frames that cannot be used

A head or message above the frame limit made the other side close the connection and lose every stream on it; now only its own stream is lost. A trailer or message of the wrong shape reached its reader unchecked.

--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -239,6 +239,25 @@
   return parsed.success ? (parsed.data as Notice) : undefined;
 }
 
+const messageSchema = z.looseObject({ kind: z.string() });
+const trailerSchema = z.looseObject({
+  outcome: z.enum(["answered", "not_run", "unknown"]),
+  code: z.string().optional(),
+  message: z.string().optional(),
+  retryAfterMs: z.number().optional(),
+});
+
+/** Checks only what tells messages apart; each kind has its own reader. */
+export function parseMessage(value: unknown): StreamMessage | undefined {
+  const parsed = messageSchema.safeParse(value);
+  return parsed.success ? (value as StreamMessage) : undefined;
+}
+
+export function parseTrailer(value: unknown): Trailer | undefined {
+  const parsed = trailerSchema.safeParse(value);
+  return parsed.success ? (value as Trailer) : undefined;
+}
+
 export function parseSnapshotReply(value: unknown): SnapshotReply | undefined {
   const parsed = snapshotReplySchema.safeParse(value);
   return parsed.success ? parsed.data : undefined;
--- a/src/wire/peer.ts
+++ b/src/wire/peer.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Socket } from "node:net";
-import { createFrameDecoder, encodeFrame } from "./frame.ts";
+import { createFrameDecoder, encodeFrame, MAX_FRAME_BYTES } from "./frame.ts";
 import type { Frame } from "./frame.ts";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
@@ -69,8 +69,20 @@
     (resolve) => (resolvePeer = resolve),
   );
 
+  /** The other side would close the connection, and with it every stream. */
+  function dropOversized(frame: Frame) {
+    counters.framesDropped.increment({ reason: "frame_too_large" });
+    if (!("streamId" in frame)) return;
+    const { streamId } = frame;
+    sendFrame({ type: "reset", streamId, reason: "frame_too_large" });
+    // Deferred, so that the caller has the stream when it is lost.
+    setImmediate(() => ports.get(streamId)?.lose("frame_too_large"));
+  }
+
   function sendFrame(frame: Frame) {
     if (closeReason !== undefined) return;
+    const bytes = encodeFrame(frame);
+    if (bytes.length > MAX_FRAME_BYTES) return dropOversized(frame);
     if (!corked) {
       corked = true;
       socket.cork();
@@ -79,7 +91,6 @@
         socket.uncork();
       });
     }
-    const bytes = encodeFrame(frame);
     counters.bytesSent.increment({ frame: frame.type }, bytes.length);
     socket.write(bytes);
   }
--- a/src/wire/stream.ts
+++ b/src/wire/stream.ts
@@ -6,6 +6,7 @@
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
 import type { Frame } from "./frame.ts";
+import { parseMessage, parseTrailer } from "./messages.ts";
 import type { OpenHead, StreamMessage, Trailer } from "./messages.ts";
 
 export const INITIAL_CREDIT_BYTES = 256 * 1024;
@@ -94,6 +95,20 @@
     }
   }
 
+  /** A stream whose frames cannot be read is lost, the connection is not. */
+  function deliverMessage(body: unknown) {
+    const message = parseMessage(body);
+    if (message === undefined) return stream.reset("malformed_message");
+    deliver({ type: "message", message });
+  }
+
+  function deliverEnd(rawTrailer: unknown) {
+    const trailer = parseTrailer(rawTrailer);
+    if (trailer === undefined) return stream.reset("malformed_trailer");
+    deliver({ type: "end", trailer });
+    finishIfClosed();
+  }
+
   function consume(event: StreamEvent) {
     if (event.type !== "data") return;
     consumedBytes += event.bytes.length;
@@ -175,7 +190,7 @@
       switch (frame.type) {
         case "message":
           if (events.length > MAX_QUEUED_MESSAGES) return "flow_violation";
-          deliver({ type: "message", message: frame.body as StreamMessage });
+          deliverMessage(frame.body);
           return "ok";
         case "data":
           allowedBytes -= frame.bytes.length;
@@ -183,11 +198,10 @@
           deliver({ type: "data", bytes: frame.bytes });
           return "ok";
         case "end":
-          deliver({ type: "end", trailer: frame.trailer as Trailer });
-          finishIfClosed();
+          deliverEnd(frame.trailer);
           return "ok";
         case "reset":
-          lose(frame.reason);
+          lose(String(frame.reason));
           return "ok";
         case "credit":
           creditBytes += frame.bytes;
--- a/src/wire/transport_test.ts
+++ b/src/wire/transport_test.ts
@@ -136,4 +136,30 @@
     expect((await stream.read()).type).toBe("lost");
     expect(counters.framesDropped.read({ reason: "no_stream" })).toBe(1);
   });
+
+  // Guards against one oversized head ending every stream of a connection.
+  test("loses only the stream whose head is too large", async () => {
+    const { peer } = await connectPair((_, stream) => void echo(stream));
+    const headers = { cookie: "x".repeat(300_000) };
+    const large = peer.openStream({ ...HEAD, headers })._unsafeUnwrap();
+    expect(await large.read()).toEqual({
+      type: "lost",
+      reason: "frame_too_large",
+    });
+    const second = peer.openStream(HEAD)._unsafeUnwrap();
+    await second.write(Buffer.from("y"));
+    expect((await second.read()).type).toBe("data");
+  });
+
+  // Guards against a crash on an end or message that cannot be read.
+  test.each([undefined, { outcome: "maybe" }])(
+    "takes a stream that ends with %p for lost",
+    async (trailer) => {
+      const { peer } = await connectPair((_, stream) =>
+        stream.end(trailer as never),
+      );
+      const stream = peer.openStream(HEAD)._unsafeUnwrap();
+      expect((await stream.read()).type).toBe("lost");
+    },
+  );
 });
