--- /dev/null
+++ b/src/membership/choose_peers_test.ts
@@ -0,0 +1,76 @@
+import { describe, expect, test } from "@jest/globals";
+import { chooseNeighbours, isWatcher } from "./mod.ts";
+import type { Host } from "./mod.ts";
+
+const DATA_CENTRES = ["d1", "d2", "d3"];
+const HOSTS: readonly Host[] = DATA_CENTRES.flatMap((dataCentre) =>
+  Array.from({ length: 40 }, (_, i) => ({
+    name: `${dataCentre}-${i}`,
+    role: "endpoint" as const,
+    dataCentre,
+    peerAddress: "127.0.0.1:1",
+    state: i % 10 === 0 ? ("leaving" as const) : ("live" as const),
+  })),
+);
+
+function toSelf({ name, dataCentre }: Host) {
+  return { host: name, dataCentre };
+}
+
+/** Names reached from the first host over neighbours in either direction. */
+function countReached(hosts: readonly Host[]): number {
+  const links = new Map<string, string[]>(hosts.map((h) => [h.name, []]));
+  hosts.forEach((host) =>
+    chooseNeighbours(toSelf(host), HOSTS).forEach(({ name }) => {
+      if (!links.has(name)) return;
+      links.get(host.name)!.push(name);
+      links.get(name)!.push(host.name);
+    }),
+  );
+  const reached = new Set<string>();
+  const open = [hosts[0]!.name];
+  while (open.length > 0) {
+    const name = open.pop()!;
+    if (reached.has(name)) continue;
+    reached.add(name);
+    open.push(...links.get(name)!);
+  }
+  return reached.size;
+}
+
+describe("choice of peers", () => {
+  // Guards against a data centre without watchers, or with many.
+  test("has three live watchers in each data centre", () => {
+    const live = HOSTS.filter((host) => host.state === "live");
+    DATA_CENTRES.forEach((dataCentre) => {
+      const watchers = live.filter(
+        (host) =>
+          host.dataCentre === dataCentre && isWatcher(toSelf(host), HOSTS),
+      );
+      expect(watchers).toHaveLength(3);
+    });
+  });
+
+  // Guards against hosts that choose themselves or hosts about to leave.
+  test("chooses four other live neighbours, two of them near", () => {
+    HOSTS.forEach((host) => {
+      const chosen = chooseNeighbours(toSelf(host), HOSTS);
+      expect(new Set(chosen.map(({ name }) => name)).size).toBe(4);
+      expect(chosen.every(({ state }) => state === "live")).toBe(true);
+      expect(chosen).not.toContain(host);
+      const near = chosen.filter((n) => n.dataCentre === host.dataCentre);
+      expect(near).toHaveLength(2);
+    });
+  });
+
+  // Guards against changes that cannot reach part of the fleet, whole or with
+  // one data centre cut off.
+  test("connects all live hosts, and those of each data centre", () => {
+    const live = HOSTS.filter((host) => host.state === "live");
+    expect(countReached(live)).toBe(live.length);
+    DATA_CENTRES.forEach((dataCentre) => {
+      const part = live.filter((host) => host.dataCentre === dataCentre);
+      expect(countReached(part)).toBe(part.length);
+    });
+  });
+});
--- /dev/null
+++ b/src/platform/platform_client_test.ts
@@ -0,0 +1,81 @@
+import { createServer } from "node:http";
+import type { RequestListener } from "node:http";
+import type { AddressInfo } from "node:net";
+import { afterEach, describe, expect, test } from "@jest/globals";
+import { createRegistry } from "../metrics/mod.ts";
+import { createPlatformClient } from "./mod.ts";
+
+const closers: (() => unknown)[] = [];
+afterEach(async () => {
+  await Promise.all(closers.splice(0).map((close) => close()));
+});
+
+async function createFor(answer: RequestListener) {
+  const server = createServer(answer);
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve()),
+  );
+  const { port } = server.address() as AddressInfo;
+  const registry = createRegistry();
+  const platformUrl = `http://127.0.0.1:${port}`;
+  const client = createPlatformClient({ platformUrl, registry });
+  closers.push(async () => {
+    await client.close();
+    server.close();
+    server.closeAllConnections();
+  });
+  return { client, registry };
+}
+
+describe("platform client", () => {
+  // Guards against a failure that stops the reader or is counted as another.
+  test.each<{ reason: string; answer: RequestListener }>([
+    {
+      reason: "status",
+      answer: (_, response) => response.writeHead(500).end(),
+    },
+    { reason: "malformed", answer: (_, response) => response.end("<html>") },
+    {
+      reason: "malformed",
+      answer: (_, response) => response.end('{"version": "1"}'),
+    },
+    {
+      reason: "too_large",
+      answer: (_, response) => response.end("x".repeat(5_000_000)),
+    },
+    { reason: "connection", answer: (request) => request.socket.destroy() },
+    { reason: "timeout", answer: () => undefined },
+  ])("counts a failure with reason $reason", async ({ reason, answer }) => {
+    const { client, registry } = await createFor(answer);
+    const result = await client.readConfig({ after: 0, waitMs: 0 });
+    expect(result._unsafeUnwrapErr()).toBe(reason);
+    const failures = registry.counter("platform_read_failures_total", "");
+    expect(failures.read({ topic: "config", reason })).toBe(1);
+  });
+
+  // Guards against readers that see conflicting bytes for one host list.
+  test("gives equal host lists equal bytes", async () => {
+    const bodies = [
+      '{"sequence": 3, "hosts": [{"name": "b", "role": "entry"}, {"name": "a"}]}',
+      '{"hosts": [{"name": "a"}, {"role": "entry", "name": "b"}], "sequence": 3}',
+    ];
+    const { client } = await createFor((_, response) =>
+      response.end(bodies.shift()),
+    );
+    const first = await client.readHosts({ after: 0, waitMs: 0 });
+    const second = await client.readHosts({ after: 0, waitMs: 0 });
+    expect(first._unsafeUnwrap()).toEqual(second._unsafeUnwrap());
+  });
+
+  // Guards against a watch that never sees the query it depends on.
+  test("asks with the version and wait given, and takes 204 as no news", async () => {
+    const urls: (string | undefined)[] = [];
+    const { client } = await createFor((request, response) => {
+      urls.push(request.url);
+      response.writeHead(204).end();
+    });
+    const result = await client.readConfig({ after: 7, waitMs: 50 });
+    expect(result._unsafeUnwrap()).toBeUndefined();
+    expect(urls).toEqual(["/v1/config?after=7&wait_ms=50"]);
+  });
+});
--- /dev/null
+++ b/src/snapshots/snapshot_store_test.ts
@@ -0,0 +1,76 @@
+import { describe, expect, test } from "@jest/globals";
+import { err, ok } from "neverthrow";
+import { createRegistry } from "../metrics/mod.ts";
+import { SILENT_LOGGER } from "../node/testing/start_fleet.ts";
+import { createSnapshotStore } from "./mod.ts";
+import type { OfferedSnapshot } from "./mod.ts";
+
+const NOW_MS = 1_000_000;
+
+function createStore() {
+  const registry = createRegistry();
+  const store = createSnapshotStore("config", {
+    parse: (text) => (text === "bad" ? err(["1:1: bad"]) : ok(text)),
+    clock: { wallMs: () => NOW_MS, monotonicMs: () => 0 },
+    registry,
+    logger: SILENT_LOGGER,
+  });
+  const rejections = registry.counter("snapshot_rejections_total", "");
+  return {
+    store,
+    countRejections: (reason: string) =>
+      rejections.read({ topic: "config", reason }),
+  };
+}
+
+function offer(version: number, text: string): OfferedSnapshot {
+  const bytes = Buffer.from(text);
+  return { version, bytes, publishedAtMs: 0, confirmedAtMs: NOW_MS };
+}
+
+describe("snapshot store", () => {
+  // Guards against each way in which a held value could be lost or reverted.
+  test.each([
+    { reason: "older_version", offered: offer(4, "four") },
+    { reason: "conflicting_digest", offered: offer(5, "other") },
+    { reason: "invalid_document", offered: offer(6, "bad") },
+    { reason: "below_floor", offered: offer(8, "eight"), floor: 9 },
+    { reason: "too_large", offered: offer(6, "x".repeat(3_000_000)) },
+  ])("keeps its value on $reason", ({ reason, offered, floor }) => {
+    const { store, countRejections } = createStore();
+    store.release();
+    store.offer(offer(5, "five"));
+    store.raiseFloor(floor ?? 0);
+    expect(store.offer(offered)._unsafeUnwrapErr()).toBe(reason);
+    expect(countRejections(reason)).toBe(1);
+    expect(store.held()?.value).toBe("five");
+  });
+
+  // Guards against a confirmation of one version that counts for the next.
+  test("starts a new version with its own confirmation time", () => {
+    const { store } = createStore();
+    store.offer(offer(1, "one"));
+    expect(store.confirmedAtMs()).toBe(NOW_MS);
+    store.offer({ ...offer(2, "two"), confirmedAtMs: 7 });
+    expect(store.confirmedAtMs()).toBe(7);
+    store.confirm(1, NOW_MS);
+    expect(store.confirmedAtMs()).toBe(7);
+  });
+
+  // Guards against a peer's fast clock confirming a version for hours.
+  test("cuts confirmation times in the future", () => {
+    const { store } = createStore();
+    store.offer(offer(1, "one"));
+    store.confirm(1, NOW_MS + 3_600_000);
+    expect(store.confirmedAtMs()).toBeLessThanOrEqual(NOW_MS + 2_000);
+  });
+
+  // Guards against a value in force before the start rule allows it.
+  test("shows nothing before it is released", () => {
+    const { store } = createStore();
+    store.offer(offer(1, "one"));
+    expect(store.current()).toBeUndefined();
+    store.release();
+    expect(store.current()?.version).toBe(1);
+  });
+});
