--- /dev/null
+++ b/src/admission/admission_test.ts
@@ -0,0 +1,124 @@
+import { describe, expect, test } from "@jest/globals";
+import { createAdmission } from "./mod.ts";
+import type { Slot } from "./mod.ts";
+
+function create(limits = { coldConcurrency: 1, warmConcurrency: 4 }) {
+  let nowMs = 0;
+  const admission = createAdmission({
+    limits: () => ({ ...limits, maxQueued: 3 }),
+    monotonicMs: () => nowMs,
+  });
+  return {
+    admission,
+    advance: (durationMs: number) => void (nowMs += durationMs),
+  };
+}
+
+async function admitNow(admission: ReturnType<typeof create>["admission"]) {
+  const { result } = admission.admit({ priority: 0, remainingMs: 60_000 });
+  return (await result)._unsafeUnwrap();
+}
+
+describe("admission", () => {
+  // Guards against more work than a cold endpoint bears, and against a limit
+  // that never recovers.
+  test("rises with successes, halves on failure, restarts cold", async () => {
+    const { admission } = create();
+    admission.setCondition({ state: "cold" });
+    (await admitNow(admission)).release("succeeded");
+    expect(admission.limit()).toBe(1);
+    admission.setCondition({ state: "warm" });
+    for (let i = 0; i < 10; i += 1) {
+      (await admitNow(admission)).release("succeeded");
+    }
+    expect(admission.limit()).toBe(4);
+    (await admitNow(admission)).release("failed");
+    expect(admission.limit()).toBe(2);
+    admission.setCondition({ state: "cold" });
+    expect(admission.limit()).toBe(1);
+    admission.setCondition({ state: "warm" });
+    admission.startOver();
+    expect(admission.limit()).toBe(1);
+    admission.setCondition({
+      state: "closed",
+      refusal: { code: "c", message: "m" },
+    });
+    expect(admission.limit()).toBe(0);
+  });
+
+  // Guards against a low priority that holds up a high one.
+  test("higher priority first, then arrival; a full queue refuses", async () => {
+    const { admission } = create();
+    admission.setCondition({ state: "cold" });
+    const order: string[] = [];
+    const first = await admitNow(admission);
+    function add(name: string, priority: number) {
+      const ticket = admission.admit({ priority, remainingMs: 60_000 });
+      return ticket.result.then((result) => {
+        result.map((slot: Slot) => {
+          order.push(name);
+          slot.release("succeeded");
+        });
+        return result;
+      });
+    }
+    const waiting = [add("low", 0), add("high", 5), add("low2", 0)];
+    const refused = await add("extra", 9);
+    expect(refused._unsafeUnwrapErr().code).toBe("overloaded");
+    expect(refused._unsafeUnwrapErr().retryAfterMs).toBeGreaterThan(0);
+    first.release("succeeded");
+    await Promise.all(waiting);
+    expect(order).toEqual(["high", "low", "low2"]);
+  });
+
+  // Guards against a wait that cannot end in time, and against retry times
+  // that ignore how fast the endpoint is.
+  test("refuses at once by the measured service rate", async () => {
+    const { admission, advance } = create();
+    admission.setCondition({ state: "cold" });
+    for (let i = 0; i < 60; i += 1) {
+      const slot = await admitNow(admission);
+      advance(5_000);
+      slot.release("succeeded");
+    }
+    await admitNow(admission);
+    const { result } = admission.admit({ priority: 0, remainingMs: 3_000 });
+    const refusal = (await result)._unsafeUnwrapErr();
+    expect(refusal.code).toBe("overloaded");
+    expect(refusal.retryAfterMs).toBeGreaterThan(4_000);
+    expect(refusal.retryAfterMs).toBeLessThan(6_000);
+  });
+
+  // Guards against requests left waiting for an endpoint that is gone.
+  test("closing refuses all that wait, cancelling leaves the queue", async () => {
+    const { admission } = create();
+    admission.setCondition({ state: "cold" });
+    await admitNow(admission);
+    const waiting = admission.admit({ priority: 0, remainingMs: 60_000 });
+    const left = admission.admit({ priority: 0, remainingMs: 60_000 });
+    left.cancel();
+    expect((await left.result)._unsafeUnwrapErr().code).toBe("caller_left");
+    admission.setCondition({
+      state: "closed",
+      refusal: { code: "endpoint_leaving", message: "m", retryAfterMs: 1 },
+    });
+    const refusal = (await waiting.result)._unsafeUnwrapErr();
+    expect(refusal.code).toBe("endpoint_leaving");
+    expect(admission.queued()).toBe(0);
+  });
+
+  // Guards against a wait past the caller's deadline.
+  test("a request leaves the queue when its time runs out", async () => {
+    const { admission, advance } = create();
+    admission.setCondition({ state: "cold" });
+    const quick = await admitNow(admission);
+    advance(1);
+    quick.release("succeeded");
+    for (let i = 0; i < 80; i += 1) {
+      (await admitNow(admission)).release("succeeded");
+    }
+    await admitNow(admission);
+    const { result } = admission.admit({ priority: 0, remainingMs: 50 });
+    expect((await result)._unsafeUnwrapErr().code).toBe("deadline_exceeded");
+  });
+});
--- /dev/null
+++ b/src/agent/hand_off_test.ts
@@ -0,0 +1,124 @@
+import { describe, expect, test } from "@jest/globals";
+import { err, ok } from "neverthrow";
+import type { EndpointRequest } from "../engine/mod.ts";
+import { createKeyFloor, createKeyTable } from "../idempotency/mod.ts";
+import { createRegistry } from "../metrics/mod.ts";
+import type { Stream, Trailer } from "../wire/mod.ts";
+import { createAgentCounters } from "./agent_counters.ts";
+import { handOff } from "./hand_off.ts";
+import { createPauseGuard } from "./pause_guard.ts";
+import type { RequestContext } from "./request_context.ts";
+import { createHead, createTestClock } from "./testing/mod.ts";
+
+const KEY = "01940000-0000-7000-8000-000000000001";
+
+interface Case {
+  readonly name: string;
+  readonly pauseMs: number;
+  /** The timer of the wake check may or may not fire before the write. */
+  readonly ticksFirst: boolean;
+  readonly isStopped?: boolean;
+  readonly leaves?: boolean;
+  readonly expected: Trailer["outcome"];
+}
+
+async function runCase(options: Case) {
+  const { pauseMs, ticksFirst, isStopped = false, leaves = false } = options;
+  const clock = createTestClock();
+  const pauseGuard = createPauseGuard(clock);
+  const floor = createKeyFloor(0);
+  const keyTable = createKeyTable({ floor, maxKeys: () => 10 });
+  keyTable.take(KEY, 1e12, "f");
+  let written = 0;
+  let trailer: Trailer | undefined;
+  let lose: (reason: string) => void = () => undefined;
+  const context = {
+    node: {
+      identity: { incarnation: "i" },
+      view: { isWaking: () => false },
+    },
+    control: {
+      digest: () => undefined,
+      isStopped: () => isStopped,
+      onConnectionLost: () => undefined,
+    },
+    client: {
+      send({ mayWrite }: EndpointRequest) {
+        // Time in which the connection is set up.
+        clock.advance(pauseMs);
+        if (ticksFirst) pauseGuard.tick();
+        if (leaves) lose("caller_left");
+        if (!mayWrite!()) {
+          const reason = "hand_off_expired";
+          return Promise.resolve(err({ mayHaveRun: false, reason }));
+        }
+        written += 1;
+        return Promise.resolve(
+          ok({
+            status: 200,
+            headers: {},
+            isDelimited: true,
+            body: emptyBody(),
+          }),
+        );
+      },
+    },
+    crashWatch: { start: () => ({ end: () => undefined }) },
+    keyTable,
+    pauseGuard,
+    clock,
+    counters: createAgentCounters(createRegistry()),
+  } as unknown as RequestContext;
+  const stream = {
+    head: createHead({ idempotencyKey: KEY, fingerprint: "f" }),
+    send: () => ok(),
+    write: () => Promise.resolve(ok()),
+    end: (value: Trailer) => void (trailer ??= value),
+    onLost: (handler: (reason: string) => void) => void (lose = handler),
+  } as unknown as Stream;
+  await handOff(stream, {
+    context,
+    slot: { release: () => undefined },
+    body: Buffer.from("x"),
+    key: KEY,
+    remainingMs: 10_000,
+  });
+  pauseGuard.close();
+  return { written, trailer, held: keyTable.size() };
+}
+
+async function* emptyBody(): AsyncGenerator<Uint8Array> {
+  yield Buffer.from("ok");
+}
+
+describe("hand-off of a call that must not repeat", () => {
+  // Guards against a run after the entry has given the call up, and against
+  // "not run" for one that ran.
+  const cases: readonly Case[] = [
+    { name: "prompt", pauseMs: 900, ticksFirst: true, expected: "answered" },
+    { name: "late", pauseMs: 1_100, ticksFirst: true, expected: "not_run" },
+    { name: "paused", pauseMs: 1_100, ticksFirst: false, expected: "not_run" },
+    {
+      name: "superseded",
+      pauseMs: 0,
+      ticksFirst: true,
+      isStopped: true,
+      expected: "not_run",
+    },
+    {
+      name: "left alone before the first byte",
+      pauseMs: 0,
+      ticksFirst: true,
+      leaves: true,
+      expected: "unknown",
+    },
+  ];
+  test.each(cases)("$name", async (options) => {
+    const { written, trailer, held } = await runCase(options);
+    const hasRun = options.expected === "answered";
+    expect(trailer?.outcome).toBe(options.expected);
+    expect(written).toBe(hasRun ? 1 : 0);
+    // A key that did not run may run later.
+    expect(held).toBe(hasRun ? 1 : 0);
+  });
+});
--- /dev/null
+++ b/src/agent/key_faults_test.ts
@@ -0,0 +1,254 @@
+import { afterEach, describe, expect, test } from "@jest/globals";
+import { createEndpointClient } from "../engine/mod.ts";
+import type { RequestHead } from "../wire/mod.ts";
+import { createFakeEngine } from "./testing/fake_engine.ts";
+import {
+  ask,
+  createDocument,
+  createHead,
+  createRig,
+  openRequest,
+  PLAIN,
+} from "./testing/mod.ts";
+import type { Rig, RigOptions } from "./testing/mod.ts";
+
+const rigs: Rig[] = [];
+afterEach(async () => {
+  await Promise.all(rigs.splice(0).map((rig) => rig.close()));
+});
+
+async function start(options: RigOptions = {}): Promise<Rig> {
+  const rig = await createRig({ service: PLAIN, ...options });
+  rigs.push(rig);
+  await rig.until(() => rig.lastLoad()?.phase === "warm");
+  return rig;
+}
+
+let nextKey = 0;
+function createKey(atMs = Date.now()): string {
+  nextKey += 1;
+  const time = atMs.toString(16).padStart(12, "0");
+  const tail = nextKey.toString(16).padStart(12, "0");
+  return `${time.slice(0, 8)}-${time.slice(8)}-7000-8000-${tail}`;
+}
+
+function book(
+  idempotencyKey: string | undefined,
+  changes: Partial<RequestHead> = {},
+): Partial<RequestHead> {
+  return {
+    service: "ledger",
+    path: "/bookings",
+    repeatable: false,
+    fingerprint: "f",
+    ...(idempotencyKey === undefined ? {} : { idempotencyKey }),
+    ...changes,
+  };
+}
+
+describe("keys", () => {
+  // Guards against a second run under the same key, whatever the timing.
+  test("a repeated key never runs again", async () => {
+    const { entry, engine, until } = await start();
+    const key = createKey();
+    engine.onRequest(() => undefined);
+    const first = ask(entry, book(key));
+    const { response } = await engine.waitForRequest(0);
+    expect((await ask(entry, book(key))).trailer).toMatchObject({
+      outcome: "unknown",
+      code: "key_in_use",
+      status: 409,
+    });
+    response.writeHead(201, { "x-id": "7" }).end("booked");
+    expect((await first).trailer?.outcome).toBe("answered");
+    const again = await ask(entry, book(key.toUpperCase()));
+    expect(again.head).toMatchObject({ status: 201, headers: { "x-id": "7" } });
+    expect(again.body).toBe("booked");
+    const other = await ask(entry, book(key, { fingerprint: "g" }));
+    expect(other.trailer).toMatchObject({ outcome: "not_run", status: 422 });
+    await until(() => engine.requests.length === 1);
+  });
+
+  // Guards against an abort that leaves the outcome of a booking unknown.
+  test("a call goes on after its caller left, and is answered later", async () => {
+    const { entry, engine, until, lastLoad } = await start();
+    const key = createKey();
+    engine.onRequest(() => undefined);
+    const stream = openRequest(entry, createHead(book(key)));
+    const { response } = await engine.waitForRequest(0);
+    stream.reset("caller_left");
+    response.end("booked");
+    await until(() => lastLoad()?.inFlight === 0);
+    expect((await ask(entry, book(key))).body).toBe("booked");
+    expect(engine.requests).toHaveLength(1);
+  });
+
+  // Guards against a second run when the first one's answer is lost.
+  const lost = [
+    { name: "breaks", answer: undefined },
+    { name: "is too large to keep", answer: "x".repeat(65 * 1024) },
+  ];
+  test.each(lost)("an answer that $name is unknown", async ({ answer }) => {
+    const { entry, engine, until, lastLoad } = await start();
+    engine.onRequest(({ response }) =>
+      answer === undefined ? response.destroy() : response.end(answer),
+    );
+    const key = createKey();
+    await ask(entry, book(key));
+    await until(() => lastLoad()?.phase === "warm");
+    expect((await ask(entry, book(key))).trailer).toMatchObject({
+      outcome: "unknown",
+      code: "key_outcome_unknown",
+    });
+    expect(engine.requests).toHaveLength(1);
+  });
+
+  // Guards against "not run" for a key that an earlier process may have run.
+  test("a restarted agent does not run older keys", async () => {
+    const { entry, engine } = await start({ startedAgoMs: 0 });
+    const reply = await ask(entry, book(createKey(Date.now() - 5_000)));
+    expect(reply.trailer).toMatchObject({
+      outcome: "unknown",
+      code: "key_outcome_unknown",
+    });
+    expect(engine.requests).toHaveLength(0);
+  });
+
+  // Guards against one key running in two processes of one host name.
+  test("of two incarnations at most one runs a key", async () => {
+    const old = await start();
+    const replacement = await start({ startedAgoMs: 0, engine: old.engine });
+    const key = createKey();
+    const byNew = await ask(replacement.entry, book(key));
+    expect(byNew.trailer?.code).toBe("key_outcome_unknown");
+    expect((await ask(old.entry, book(key))).trailer?.outcome).toBe("answered");
+    expect(old.engine.requests).toHaveLength(1);
+    await old.connect("h1", { role: "agent", incarnation: "02" });
+    const later = await ask(old.entry, book(createKey()));
+    expect(later.trailer).toMatchObject({
+      outcome: "not_run",
+      code: "shutting_down",
+    });
+    expect(await old.agent.stopped).toBe("superseded");
+  });
+
+  // Guards against forgetting that an evicted key ran.
+  test("a full table raises the floor over the evicted keys", async () => {
+    const rig = await start();
+    const { entry, engine, setDocument } = rig;
+    setDocument(createDocument({ ...PLAIN, maxKeys: 2 }));
+    const nowMs = Date.now();
+    const keys = [1, 2, 3].map((i) => createKey(nowMs + i));
+    for (const key of keys) await ask(entry, book(key));
+    const evicted = await ask(entry, book(keys[0]));
+    expect(evicted.trailer?.code).toBe("key_outcome_unknown");
+    expect((await ask(entry, book(keys[2]))).trailer?.outcome).toBe("answered");
+    expect(engine.requests).toHaveLength(3);
+  });
+
+  // Guards against "not run" turning into a lost call: the key stays usable.
+  test("a key that was not handed off runs later", async () => {
+    const { entry, engine, fake } = await start();
+    const key = createKey();
+    fake.setWaking(true);
+    expect((await ask(entry, book(key))).trailer).toMatchObject({
+      outcome: "not_run",
+      code: "waking",
+    });
+    fake.setWaking(false);
+    expect((await ask(entry, book(key))).trailer?.outcome).toBe("answered");
+    expect(engine.requests).toHaveLength(1);
+  });
+
+  const refused: readonly {
+    name: string;
+    code: string;
+    key: () => string | undefined;
+    prepare?: (rig: Rig) => void;
+  }[] = [
+    { name: "a missing key", code: "key_required", key: () => undefined },
+    {
+      name: "a key of another version",
+      code: "key_not_time_ordered",
+      key: () => "4f9c2c1e-3b0a-4c63-9a53-8a2f7a6f9b11",
+    },
+    {
+      name: "a key from the future",
+      code: "key_not_time_ordered",
+      key: () => createKey(Date.now() + 60_000),
+    },
+    {
+      name: "a key of another runner",
+      code: "runner_unreachable",
+      key: createKey,
+      prepare: ({ setDocument }) =>
+        setDocument(
+          createDocument({
+            ...PLAIN,
+            runnerSets: [{ fromMs: 0, runners: ["h2"] }],
+          }),
+        ),
+    },
+    {
+      name: "a key beyond the runner lead",
+      code: "runner_unreachable",
+      key: createKey,
+      prepare: ({ fake }) =>
+        fake.setConfirmedAtMs(Date.now() - PLAIN_LEAD_MS - 1_000),
+    },
+  ];
+  const PLAIN_LEAD_MS = 86_400_000;
+  // Guards against runs that another runner or process could repeat.
+  test.each(refused)("refuses $name", async ({ code, key, prepare }) => {
+    const rig = await start();
+    prepare?.(rig);
+    const reply = await ask(rig.entry, book(key()));
+    expect(reply.trailer).toMatchObject({ outcome: "not_run", code });
+    expect(rig.engine.requests).toHaveLength(0);
+  });
+
+  // Guards against a route that the entry's older document calls repeatable.
+  test("the agent's own document decides what must not repeat", async () => {
+    const { entry } = await start();
+    const head = book(undefined, { repeatable: true });
+    expect((await ask(entry, head)).trailer?.code).toBe("key_required");
+  });
+});
+
+describe("endpoint client", () => {
+  // Guards against bytes that leave after the hand-off was called off.
+  test.each([true, false])(
+    "writes nothing if the hand-off is called off (%s)",
+    async (isRepeatable) => {
+      const engine = await createFakeEngine("d");
+      const client = createEndpointClient(engine.url);
+      const answer = await client.send({
+        method: "POST",
+        path: "/bookings",
+        headers: {},
+        body: Buffer.from("x"),
+        signal: new AbortController().signal,
+        isRepeatable,
+        mayWrite: () => false,
+      });
+      expect(answer._unsafeUnwrapErr()).toEqual({
+        mayHaveRun: false,
+        reason: "hand_off_expired",
+      });
+      expect(engine.requests).toHaveLength(0);
+      await client.close();
+      await engine.close();
+      const down = createEndpointClient(engine.url);
+      const failed = await down.send({
+        method: "POST",
+        path: "/",
+        headers: {},
+        body: Buffer.from("x"),
+        signal: new AbortController().signal,
+        isRepeatable,
+      });
+      expect(failed._unsafeUnwrapErr().mayHaveRun).toBe(false);
+      await down.close();
+    },
+  );
+});
--- /dev/null
+++ b/src/agent/language_faults_test.ts
@@ -0,0 +1,342 @@
+import { afterEach, describe, expect, test } from "@jest/globals";
+import {
+  ask,
+  createDocument,
+  createHead,
+  createRig,
+  DIGEST_1,
+  DIGEST_2,
+  LANGUAGE,
+  openRequest,
+  readReply,
+} from "./testing/mod.ts";
+import type { FakeRequest } from "./testing/fake_engine.ts";
+import type { Rig, RigOptions } from "./testing/mod.ts";
+
+let rig: Rig | undefined;
+afterEach(async () => {
+  await rig?.close();
+  rig = undefined;
+});
+
+async function start(options: RigOptions = {}): Promise<Rig> {
+  rig = await createRig(options);
+  const started = rig;
+  await started.until(() => started.lastLoad()?.phase === "warm");
+  return started;
+}
+
+const EVENTS = 'data: {"t":"a"}\n\ndata: {"t":"b"}\n\n';
+
+function startEvents({ response }: FakeRequest, digest = DIGEST_1) {
+  response.writeHead(200, {
+    "content-type": "text/event-stream",
+    "engine-version-digest": digest,
+  });
+  response.write(EVENTS);
+}
+
+describe("answers", () => {
+  // Guards against passing on part of an answer as a whole one.
+  const cases = [
+    {
+      name: "a stream with its end event is whole",
+      run(request: FakeRequest) {
+        startEvents(request);
+        request.response.end("data: [DONE]\n\n");
+      },
+      outcome: "answered",
+      body: `${EVENTS}data: [DONE]\n\n`,
+    },
+    {
+      name: "a stream without its end event is not whole",
+      run(request: FakeRequest) {
+        startEvents(request);
+        request.response.end();
+      },
+      outcome: "unknown",
+      body: EVENTS,
+    },
+    {
+      name: "part of an event is not passed on",
+      run(request: FakeRequest) {
+        startEvents(request);
+        request.response.end("data: [DO");
+      },
+      outcome: "unknown",
+      body: EVENTS,
+    },
+    {
+      name: "a connection that breaks before the first byte",
+      run: ({ response }: FakeRequest) => void response.destroy(),
+      outcome: "unknown",
+      body: "",
+    },
+    {
+      name: "a connection that breaks after the first event",
+      run(request: FakeRequest) {
+        startEvents(request);
+        request.response.write("data: {", () => request.response.destroy());
+      },
+      outcome: "unknown",
+      body: EVENTS,
+    },
+    {
+      name: "a body shorter than its length",
+      run({ response }: FakeRequest) {
+        response.writeHead(200, {
+          "content-length": "100",
+          "engine-version-digest": DIGEST_1,
+        });
+        response.write("short", () => response.destroy());
+      },
+      outcome: "unknown",
+      body: "short",
+    },
+    {
+      name: "an answer from another version is void",
+      run(request: FakeRequest) {
+        startEvents(request, DIGEST_2);
+        request.response.end("data: [DONE]\n\n");
+      },
+      outcome: "unknown",
+      body: "",
+    },
+    {
+      name: "an answer without a digest is void",
+      run: ({ response }: FakeRequest) => void response.end("{}"),
+      outcome: "unknown",
+      body: "",
+    },
+    {
+      name: "an error of the engine is an answer",
+      run: ({ response }: FakeRequest) =>
+        void response.writeHead(400).end("bad"),
+      outcome: "answered",
+      body: "bad",
+    },
+  ];
+  test.each(cases)("$name", async ({ run, outcome, body }) => {
+    const { entry, engine } = await start();
+    engine.onRequest(run);
+    const reply = await ask(entry);
+    expect(reply.trailer?.outcome).toBe(outcome);
+    expect(reply.body).toBe(body);
+  });
+
+  // Guards against a request that runs on for a caller that has left.
+  test("a caller that leaves cancels its request at the engine", async () => {
+    const { entry, engine, until, lastLoad } = await start();
+    engine.onRequest((request) => startEvents(request));
+    const stream = openRequest(entry, createHead({ requestId: "gone" }));
+    const { response } = await engine.waitForRequest(0);
+    const closed = new Promise((resolve) => response.once("close", resolve));
+    stream.reset("caller_left");
+    expect(await engine.waitForCancel()).toBe("gone");
+    await closed;
+    await until(() => lastLoad()?.inFlight === 0);
+  });
+
+  // Guards against streams that hold a slot beyond the caller's deadline.
+  test("the deadline ends and cancels a request", async () => {
+    const { entry, engine } = await start();
+    engine.onRequest((request) => startEvents(request));
+    const reply = await ask(entry, { remainingMs: 100 });
+    expect(reply.trailer).toMatchObject({
+      outcome: "unknown",
+      code: "deadline_exceeded",
+    });
+    await engine.waitForCancel();
+  });
+});
+
+describe("admission at a restart or a cold engine", () => {
+  // Guards against new work beside work of an earlier agent, and against
+  // trust in a report from before this process.
+  test("a restarted agent counts what its endpoint runs", async () => {
+    rig = await createRig({
+      prepare({ state }) {
+        state.inFlight = 2;
+        state.reportedAtMs = Date.now() - 120_000;
+      },
+    });
+    const { entry, engine, agent, until, lastLoad } = rig;
+    await until(() => lastLoad()?.phase === "warm");
+    expect(lastLoad()?.limit).toBe(2);
+    const reply = ask(entry);
+    await until(() => lastLoad()?.queued === 1);
+    expect(engine.requests).toHaveLength(0);
+    Object.assign(engine.state, { inFlight: 0, reportedAtMs: undefined });
+    expect((await reply).trailer?.outcome).toBe("answered");
+    expect(agent.isReady()).toBe(true);
+  });
+
+  // Guards against a warm limit that outlives the engine's warmth.
+  const changes = [
+    { name: "phase", change: { phase: "cold" as const } },
+    { name: "boot id", change: { bootId: "boot-2" } },
+    { name: "fencing", change: { fencing: [1, "0"] as const } },
+  ];
+  test.each(changes)("a new $name resets the limit", async ({ change }) => {
+    const { entry, engine, until, lastLoad } = await start();
+    for (let i = 0; i < 6; i += 1) await ask(entry);
+    await until(() => lastLoad()?.limit === 5);
+    Object.assign(engine.state, change);
+    await until(() => lastLoad()?.limit === 2);
+  });
+
+  // Guards against more work for an engine that just fell over.
+  test("an engine that falls over is down, then cold", async () => {
+    const { entry, engine, until, lastLoad } = await start();
+    engine.onRequest(({ response }) => void response.destroy());
+    Object.assign(engine.state, { bootId: "boot-2", phase: "cold" });
+    expect((await ask(entry)).trailer?.code).toBe("connection_lost");
+    await until(() => lastLoad()?.phase === "cold");
+    expect(lastLoad()?.limit).toBe(2);
+    await engine.close();
+    await until(() => lastLoad()?.phase === "down");
+    const refused = await ask(entry);
+    expect(refused.trailer).toMatchObject({
+      outcome: "not_run",
+      code: "endpoint_cold",
+    });
+    expect(refused.trailer?.retryAfterMs).toBeGreaterThan(0);
+  });
+});
+
+describe("refusals", () => {
+  const { dataCentres } = createDocument(LANGUAGE);
+  const leaving = {
+    sequence: 2,
+    hosts: [
+      {
+        name: "h1",
+        role: "endpoint" as const,
+        dataCentre: "d1",
+        peerAddress: "127.0.0.1:1",
+        state: "leaving" as const,
+      },
+    ],
+  };
+  const cases: readonly {
+    code: string;
+    cause: (rig: Rig) => unknown;
+    keepsWork?: boolean;
+  }[] = [
+    {
+      code: "data_centre_out",
+      cause: ({ setDocument }) =>
+        setDocument(
+          createDocument(LANGUAGE, {
+            dataCentres: dataCentres.map((dc) => ({ ...dc, out: true })),
+          }),
+        ),
+    },
+    { code: "endpoint_leaving", cause: ({ fake }) => fake.setHosts(leaving) },
+    { code: "shutting_down", cause: ({ agent }) => void agent.shutDown() },
+    { code: "waking", cause: ({ fake }) => fake.setWaking(true) },
+    { code: "waking", cause: ({ clock }) => clock.advance(1_500) },
+    {
+      code: "no_configuration",
+      cause: ({ fake }) => fake.setConfig(undefined),
+    },
+    {
+      code: "unknown_service",
+      cause: ({ setDocument }) =>
+        setDocument(createDocument(LANGUAGE, { services: [] })),
+    },
+    {
+      code: "shutting_down",
+      cause: ({ connect }) =>
+        connect("h1", { role: "agent", incarnation: "02" }),
+    },
+  ];
+  // Guards against new work after the cause is known, and against cutting off
+  // what already runs.
+  test.each(cases)("$code refuses new work only", async ({ code, cause }) => {
+    const started = await start();
+    const { entry, engine } = started;
+    engine.onRequest((request) => startEvents(request));
+    const running = openRequest(entry, createHead());
+    const { response } = await engine.waitForRequest(0);
+    await cause(started);
+    const refused = await ask(entry);
+    expect(refused.accepted).toBe(false);
+    expect(refused.trailer).toMatchObject({ outcome: "not_run", code });
+    response.end("data: [DONE]\n\n");
+    expect((await readReply(running)).trailer?.outcome).toBe("answered");
+    expect(engine.requests).toHaveLength(1);
+  });
+
+  // Guards against a decision by an older configuration than the entry's.
+  test("fetches a newer configuration from the entry first", async () => {
+    const { entry, fake } = await start();
+    fake.onFetch((version) =>
+      fake.setConfig({
+        version,
+        publishedAtMs: 0,
+        document: createDocument(LANGUAGE, {
+          dataCentres: dataCentres.map((dc) => ({ ...dc, out: true })),
+        }),
+      }),
+    );
+    const reply = await ask(entry, { configVersion: 7 });
+    expect(fake.fetched).toEqual([7]);
+    expect(reply.trailer?.code).toBe("data_centre_out");
+  });
+
+  // Guards against a shutdown that cuts off a stream in progress.
+  test("shutdown waits for streams in progress", async () => {
+    const { entry, engine, agent, lastLoad, until } = await start();
+    engine.onRequest((request) => startEvents(request));
+    const running = openRequest(entry, createHead());
+    const { response } = await engine.waitForRequest(0);
+    let isDone = false;
+    const shutDown = agent.shutDown().then(() => (isDone = true));
+    await until(() => lastLoad()?.phase === "leaving");
+    expect(isDone).toBe(false);
+    response.end("data: [DONE]\n\n");
+    expect((await readReply(running)).trailer?.outcome).toBe("answered");
+    await shutDown;
+  });
+});
+
+describe("requests that crash endpoints", () => {
+  // Guards against a third crash, and against harm to another client account.
+  test("two crashes quarantine only the request itself", async () => {
+    const { entry, engine, connect, notices, until } = await start();
+    const agent2 = await connect("h2", { role: "agent" });
+    agent2.sendNotice({
+      topic: "crash",
+      fingerprint: "poison",
+      endpoint: "h2",
+      expiresAtMs: Date.now() + 600_000,
+    });
+    await until(() => notices.some(({ topic }) => topic === "crash"));
+    engine.onRequest(() => undefined);
+    const poison = ask(entry, { fingerprint: "poison" });
+    const innocent = ask(entry, { fingerprint: "innocent" });
+    await engine.waitForRequest(1);
+    Object.assign(engine.state, { bootId: "boot-2" });
+    engine.breakConnections();
+    expect((await poison).trailer?.outcome).toBe("unknown");
+    expect((await innocent).trailer?.outcome).toBe("unknown");
+    await until(() =>
+      notices.some((n) => n.topic === "crash" && n.endpoint === "h1"),
+    );
+    expect(
+      notices.filter((n) => n.topic === "crash" && n.endpoint === "h1"),
+    ).toMatchObject([{ fingerprint: "poison" }, { fingerprint: "poison" }]);
+    engine.onRequest(({ response }) =>
+      response.writeHead(200, { "engine-version-digest": DIGEST_1 }).end("{}"),
+    );
+    const refused = await ask(entry, { fingerprint: "poison" });
+    expect(refused.trailer).toMatchObject({
+      outcome: "not_run",
+      code: "request_quarantined",
+    });
+    const served = await ask(entry, { fingerprint: "innocent" });
+    expect(served.trailer?.outcome).toBe("answered");
+    expect(engine.requests).toHaveLength(3);
+  });
+});
--- /dev/null
+++ b/src/agent/rollout_faults_test.ts
@@ -0,0 +1,172 @@
+import { afterEach, describe, expect, test } from "@jest/globals";
+import {
+  ask,
+  createDocument,
+  createHead,
+  createRig,
+  DIGEST_1,
+  DIGEST_2,
+  INCARNATION,
+  LANGUAGE,
+  openRequest,
+  readReply,
+} from "./testing/mod.ts";
+import type { Rig, RigOptions } from "./testing/mod.ts";
+
+let rig: Rig | undefined;
+afterEach(async () => {
+  await rig?.close();
+  rig = undefined;
+});
+
+async function start(options: RigOptions = {}): Promise<Rig> {
+  rig = await createRig(options);
+  const started = rig;
+  await started.until(() => started.lastLoad()?.phase === "warm");
+  return started;
+}
+
+function createServing(servingVersion: string) {
+  const { models } = createDocument(LANGUAGE);
+  return createDocument(LANGUAGE, {
+    models: models.map((model) => ({ ...model, servingVersion })),
+  });
+}
+
+describe("roll-out", () => {
+  // Guards against an order before the weights are whole, and against work in
+  // progress that is cut off by the load.
+  test("transfers, drains, orders and serves the new version", async () => {
+    const { setDocument, weights, engine, entry, agent, until, lastLoad } =
+      await start();
+    engine.onRequest(({ response }) => {
+      response.writeHead(200, { "engine-version-digest": DIGEST_1 });
+      response.write("{");
+    });
+    const running = openRequest(entry, createHead());
+    const { response } = await engine.waitForRequest(0);
+    setDocument(createServing("v2"));
+    await until(() => weights.wanted.at(-1)?.manifestDigest === DIGEST_2);
+    expect(lastLoad()?.phase).toBe("warm");
+    weights.complete(DIGEST_2);
+    await until(() => lastLoad()?.phase === "loading");
+    expect((await ask(entry)).trailer).toMatchObject({
+      outcome: "not_run",
+      code: "endpoint_cold",
+    });
+    expect(engine.orders).toHaveLength(0);
+    response.end("}");
+    expect((await readReply(running)).body).toBe("{}");
+    await until(() => lastLoad()?.phase === "cold");
+    expect(engine.orders).toEqual([
+      {
+        model: "m",
+        version_digest: DIGEST_2,
+        source_url: `http://${agent.httpAddress()}/v1/weights/${DIGEST_2}`,
+        fencing: [2, INCARNATION],
+      },
+    ]);
+    expect(lastLoad()).toMatchObject({ versionDigest: DIGEST_2, limit: 2 });
+  });
+
+  // Guards against answers from whatever an engine without fencing runs.
+  test("does not serve another version than the ordered one", async () => {
+    const { setDocument, weights, engine, entry, clock, until, lastLoad } =
+      await start();
+    engine.onOrder(() => 202);
+    setDocument(createServing("v2"));
+    weights.complete(DIGEST_2);
+    await until(() => engine.orders.length === 1);
+    expect((await ask(entry)).trailer?.code).toBe("endpoint_cold");
+    // An order that has no effect is repeated.
+    clock.advance(6_000);
+    await until(() => engine.orders.length === 2);
+    expect((await ask(entry)).accepted).toBe(false);
+    engine.state.versionDigest = DIGEST_2;
+    await until(() => lastLoad()?.versionDigest === DIGEST_2);
+    await until(() => lastLoad()?.phase === "warm");
+    expect((await ask(entry)).trailer?.outcome).toBe("answered");
+  });
+
+  // Guards against a version that is served although it was withdrawn.
+  test("a version withdrawn during its load is replaced", async () => {
+    const { setDocument, weights, engine, until, lastLoad } = await start();
+    engine.onOrder((order) => {
+      const isNew = order.version_digest === DIGEST_2;
+      engine.state.phase = isNew ? "loading" : "cold";
+      engine.state.versionDigest = String(order.version_digest);
+      return 202;
+    });
+    weights.complete(DIGEST_1);
+    setDocument(createServing("v2"));
+    weights.complete(DIGEST_2);
+    await until(() => engine.orders.length === 1);
+    setDocument(createServing("v1"));
+    await until(() => engine.orders.length === 2);
+    expect(engine.orders[1]).toMatchObject({
+      version_digest: DIGEST_1,
+      fencing: [3, INCARNATION],
+    });
+    await until(() => lastLoad()?.phase === "cold");
+    expect(lastLoad()?.versionDigest).toBe(DIGEST_1);
+  });
+
+  // Guards against going back behind an order of an earlier life, even if the
+  // platform only offers an older configuration.
+  test("an engine that knows a newer order raises the floor", async () => {
+    const older = ["00000000-0000-7000-8000-000000000000"] as const;
+    rig = await createRig({
+      prepare: ({ state }) => void (state.fencing = [9, older[0]]),
+    });
+    const { fake, engine, weights, entry, until, setDocument } = rig;
+    await until(() => fake.floors.includes(9));
+    weights.complete(DIGEST_2);
+    setDocument(createServing("v2"));
+    expect((await ask(entry)).trailer?.code).toBe("no_configuration");
+    expect(engine.orders).toHaveLength(0);
+    fake.setConfig({
+      version: 10,
+      publishedAtMs: 0,
+      document: createServing("v2"),
+    });
+    await until(() => engine.orders.length === 1);
+    expect(engine.orders[0]?.fencing).toEqual([10, INCARNATION]);
+  });
+
+  // Guards against an agent that serves or waits after its order was refused.
+  test("a refused order is given again under a newer version", async () => {
+    const { setDocument, weights, engine, fake, until, registry } =
+      await start();
+    engine.onOrder(() => {
+      engine.state.fencing = [5, "00000000-0000-7000-8000-000000000000"];
+      return 409;
+    });
+    setDocument(createServing("v2"));
+    weights.complete(DIGEST_2);
+    await until(() => fake.floors.includes(5));
+    const orders = registry.counter("agent_load_orders_total", "");
+    expect(orders.read({ result: "fenced" })).toBe(1);
+    engine.onOrder(() => 202);
+    fake.setConfig({
+      version: 6,
+      publishedAtMs: 0,
+      document: createServing("v2"),
+    });
+    await until(() => engine.orders.length === 2);
+    expect(engine.orders[1]?.fencing).toEqual([6, INCARNATION]);
+  });
+
+  // Guards against work for an engine that restarted without its model.
+  test("an engine that restarts empty is loaded again", async () => {
+    const { weights, engine, until, lastLoad } = await start();
+    weights.complete(DIGEST_1);
+    Object.assign(engine.state, {
+      bootId: "boot-2",
+      phase: "empty",
+      versionDigest: "",
+    });
+    await until(() => engine.orders.length === 1);
+    await until(() => lastLoad()?.phase === "cold");
+    expect(lastLoad()?.versionDigest).toBe(DIGEST_1);
+  });
+});
--- a/src/agent/testing/fake_engine.ts
+++ b/src/agent/testing/fake_engine.ts
@@ -34,6 +34,8 @@
   onRequest(handler: (request: FakeRequest) => void): void;
   /** Decides on a load order; by default it loads at once and is cold. */
   onOrder(handler: (order: Record<string, unknown>) => number): void;
+  /** Sets the clock of state reports. */
+  setClock(wallMs: () => number): void;
   /** Breaks all connections, as a crash does. */
   breakConnections(): void;
   close(): Promise<void>;
@@ -53,6 +55,7 @@
     fencing: undefined,
     reportedAtMs: undefined,
   };
+  let wallMs = () => Date.now();
   let onRequest: (request: FakeRequest) => void = answerWhole;
   let onOrder = (order: Record<string, unknown>) => {
     state.versionDigest = String(order.version_digest);
@@ -104,7 +107,7 @@
         in_flight: state.inFlight,
         queued: state.queued,
         fencing: state.fencing,
-        reported_at_ms: state.reportedAtMs ?? Date.now(),
+        reported_at_ms: state.reportedAtMs ?? wallMs(),
       }),
     );
   }
@@ -137,6 +140,7 @@
     },
     onRequest: (handler) => void (onRequest = handler),
     onOrder: (handler) => void (onOrder = handler),
+    setClock: (next) => void (wallMs = next),
     breakConnections: () => server.closeAllConnections(),
     close: () =>
       new Promise((resolve) => {
--- a/src/agent/testing/mod.ts
+++ b/src/agent/testing/mod.ts
@@ -1,6 +1,10 @@
 /** Starts an agent between a fake endpoint and a test that acts as entry. */
 
-import type { EnvironmentDocument, Service } from "../../document/mod.ts";
+import type {
+  EnvironmentDocument,
+  PlainService,
+  Service,
+} from "../../document/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import { createRegistry } from "../../metrics/mod.ts";
 import type { Registry } from "../../metrics/mod.ts";
@@ -42,7 +46,7 @@
   admission: { coldConcurrency: 2, warmConcurrency: 8, maxQueued: 4 },
 };
 
-export const PLAIN: Service = {
+export const PLAIN: PlainService = {
   kind: "plain",
   name: "ledger",
   admission: { coldConcurrency: 2, warmConcurrency: 8, maxQueued: 4 },
@@ -133,6 +137,7 @@
   const { service = LANGUAGE, startedAgoMs = 60_000 } = options;
   const clock = createTestClock();
   const engine = options.engine ?? (await createFakeEngine(DIGEST_1));
+  engine.setClock(clock.wallMs);
   options.prepare?.(engine);
   const fake = await createFakeNode({
     identity: {
