--- a/src/agent/key_check.ts
+++ b/src/agent/key_check.ts
@@ -1,7 +1,11 @@
 /** Decides whether a call that must not repeat may run at this agent. */
 
 import type { PlainService } from "../document/mod.ts";
-import { normalizeKey, readKeyTimeMs } from "../idempotency/mod.ts";
+import {
+  chooseRunner,
+  normalizeKey,
+  readKeyTimeMs,
+} from "../idempotency/mod.ts";
 import type {
   KeyDecision,
   KeyFloor,
@@ -10,7 +14,6 @@
 } from "../idempotency/mod.ts";
 import type { RequestHead, Trailer } from "../wire/mod.ts";
 import { refuseAs, unknownAs } from "./refusal.ts";
-import { findRunner } from "./service_config.ts";
 
 const RETRY_MS = 1_000;
 
@@ -63,7 +66,7 @@
       "The configuration is too old to tell the key's runner",
     );
   }
-  if (findRunner(service, key, keyTimeMs) !== host) {
+  if (chooseRunner(key, service.runnerSets) !== host) {
     return refuse("runner_unreachable", "Another host runs this key");
   }
   return { type: "new", key, keyTimeMs };
