Take over from agents that stall, sent corrupt chunks or do not want the version

An agent whose request stalled no longer counts as a holder until it sends a chunk again, and time without progress is kept for each agent instead of each chunk: before, every chunk of a stalled agent waited anew.

--- a/src/weights/retry_times.ts
+++ b/src/weights/retry_times.ts
@@ -10,6 +10,8 @@
   /** Exponential backoff with jitter. */
   backOff(name: string): void;
   succeed(name: string): void;
+  /** Failures since the last success. */
+  failures(name: string): number;
 }
 
 export function createRetryTimes(options: {
@@ -34,6 +36,7 @@
       const limitMs = Math.min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** count);
       delay(name, limitMs * (0.5 + random() / 2));
     },
+    failures: (name) => failures.get(name) ?? 0,
     succeed: (name) => void failures.delete(name),
   };
 }
--- a/src/weights/takeover.ts
+++ b/src/weights/takeover.ts
@@ -4,14 +4,19 @@
  */
 
 import type { Assignments, Level } from "./assignments.ts";
-import type { PeerHoldings } from "./peer_holdings.ts";
+import type { Holding } from "./peer_holdings.ts";
 
-/** Covers a reconnection and the spread of a new host list. */
+/**
+ * Covers a reconnection, and the time in which a new configuration reaches
+ * agents that do not want the version yet.
+ */
 const LOST_GRACE_MS = 1_000;
 /** Longer than the time within which a peer loses a stalled request. */
 const NO_PROGRESS_MS = 2_500;
 /** For an agent that makes progress, but not with this chunk. */
 const NO_CHUNK_MS = 10_000;
+/** Waiting tasks ask at least this often, or the wait for an agent is over. */
+const BLOCKED_GAP_MS = 1_000;
 
 export interface Takeover {
   mayFetch(level: Level, index: number): boolean;
@@ -19,32 +24,40 @@
 
 export interface TakeoverOptions {
   readonly assignments: () => Assignments;
-  readonly holdings: PeerHoldings;
+  /** A connected agent that wants the version. */
+  readonly findHolding: (host: string) => Holding | undefined;
+  /** When the connection to an agent that has none now was lost. */
+  readonly lostAtMs: (host: string) => number | undefined;
+  /** True for an agent that sent corrupt chunks or stalled. */
+  readonly isDistrusted: (host: string) => boolean;
   readonly startedAtMs: number;
   readonly nowMs: () => number;
   /** Runs once for each chunk and level taken over. */
   readonly onTakeover: (level: Level) => void;
 }
 
+interface Blocked {
+  /** Start of the time through which this agent had something to fetch. */
+  sinceMs: number;
+  lastMs: number;
+}
+
 export function createTakeover(options: TakeoverOptions): Takeover {
-  const { holdings, startedAtMs, nowMs, onTakeover } = options;
+  const { findHolding, isDistrusted, startedAtMs, nowMs } = options;
+  const blockedBy = new Map<string, Blocked>();
   // When the chunk could first have been fetched, as far as is known here.
   const possibleSince = new Map<string, number>();
   const taken = new Set<string>();
 
-  function isLate(host: string, key: string, rank: number): boolean {
-    const now = nowMs();
-    const since = Math.max(startedAtMs, possibleSince.get(key) ?? now);
-    const holding = holdings.find(host);
-    if (holding === undefined) {
-      const lostAtMs = holdings.lostAtMs(host) ?? startedAtMs;
-      return now - Math.max(lostAtMs, startedAtMs) > LOST_GRACE_MS;
+  /** Since when this connected agent has had something to fetch. */
+  function noteBlocked(host: string, now: number): number {
+    const blocked = blockedBy.get(host);
+    if (blocked === undefined || now - blocked.lastMs > BLOCKED_GAP_MS) {
+      blockedBy.set(host, { sinceMs: now, lastMs: now });
+      return now;
     }
-    const idleSince = Math.max(since, holding.progressAtMs);
-    return (
-      now - idleSince > rank * NO_PROGRESS_MS ||
-      now - since > rank * NO_CHUNK_MS
-    );
+    blocked.lastMs = now;
+    return blocked.sinceMs;
   }
 
   return {
@@ -52,14 +65,30 @@
       const earlier = options.assignments().earlier(level, index);
       if (earlier === undefined) return false;
       if (earlier.length === 0) return true;
+      const now = nowMs();
       const key = `${level}/${index}`;
-      if (!possibleSince.has(key)) possibleSince.set(key, nowMs());
-      const connected = earlier.filter(
-        (host) => holdings.find(host) !== undefined,
+      const possibleMs = possibleSince.get(key) ?? now;
+      possibleSince.set(key, possibleMs);
+      const present = earlier.filter(
+        (host) => findHolding(host) !== undefined && !isDistrusted(host),
       );
-      const rank = connected.length;
-      if (!earlier.every((host) => isLate(host, key, rank))) return false;
-      if (!taken.has(key)) onTakeover(level);
+      const isLate = present.every((host) => {
+        const idleSinceMs = Math.max(
+          noteBlocked(host, now),
+          findHolding(host)!.progressAtMs,
+        );
+        return (
+          now - idleSinceMs > present.length * NO_PROGRESS_MS ||
+          now - possibleMs > present.length * NO_CHUNK_MS
+        );
+      });
+      const isGone = earlier.every((host) => {
+        if (findHolding(host) !== undefined) return true;
+        const lostAtMs = options.lostAtMs(host) ?? startedAtMs;
+        return now - Math.max(lostAtMs, startedAtMs) > LOST_GRACE_MS;
+      });
+      if (!isLate || !isGone) return false;
+      if (!taken.has(key)) options.onTakeover(level);
       taken.add(key);
       return true;
     },
--- a/src/weights/transfer.ts
+++ b/src/weights/transfer.ts
@@ -102,7 +102,12 @@
 
   const takeover = createTakeover({
     assignments: readAssignments,
-    holdings,
+    findHolding(host) {
+      const holding = holdings.find(host);
+      return holding?.manifestDigest === manifestDigest ? holding : undefined;
+    },
+    lostAtMs: holdings.lostAtMs,
+    isDistrusted,
     startedAtMs,
     nowMs,
     onTakeover: (level) => counters.takeovers.increment({ level }),
@@ -149,13 +154,18 @@
     );
   }
 
+  /** Its chunks do not count as held until it has sent one again. */
+  function isDistrusted(host: string): boolean {
+    return avoided.has(host) || retries.failures(host) > 0;
+  }
+
   function readCounts(): HolderCounts {
     counts ??= countHolders({
       chunkCount: manifest?.chunks.length ?? 0,
       held,
       holdings: holdings
         .list()
-        .filter(isUsable)
+        .filter((holding) => isUsable(holding) && !isDistrusted(holding.host))
         .map((holding) => ({
           bitmap: holding.bitmap,
           distance: distanceOf(holding),
@@ -225,6 +235,7 @@
         (other) =>
           other.sentBytes < limit &&
           isUsable(other) &&
+          !isDistrusted(other.host) &&
           hasBit(other.bitmap, index) &&
           retries.readyAtMs(other.host) <= nowMs() &&
           distanceOf(other) === distance,
@@ -270,6 +281,7 @@
     counters.failedRequests.increment({ source, reason: result.reason });
     if (result.type === "corrupt") onCorrupt(name);
     else retries.backOff(name);
+    counts = undefined;
     return undefined;
   }
 
--- a/src/weights/weights_test.ts
+++ b/src/weights/weights_test.ts
@@ -241,6 +241,7 @@
     const socket = connect({ host: ip!, port: Number(port) });
     const closed = new Promise((resolve) => socket.once("close", resolve));
     socket.on("error", () => undefined);
+    socket.resume();
     socket.write(Buffer.from("0000000affffffffffffffffffff", "hex"));
     await closed;
     await waitUntil(() => second!.node.peers().length > 0);
@@ -292,7 +293,8 @@
     const { agents } = await start(["kolkata"], {
       store: {
         intercept(request, response) {
-          if (!isFirst || !request.url!.endsWith(digest)) return false;
+          if (!isFirst || !decodeURIComponent(request.url!).endsWith(digest))
+            return false;
           isFirst = false;
           const damaged = Buffer.from(bytes);
           damaged[0] = damaged[0]! ^ 1;
