--- a/src/entry/refusal.ts
+++ b/src/entry/refusal.ts
@@ -8,11 +8,13 @@
 export interface Refusal {
   readonly code: string;
   readonly message: string;
+  /** Finer than the code, for the metrics only. */
+  readonly reason?: string;
   readonly outcome: Exclude<Outcome, "answered">;
   /** Time after which another try makes sense, before jitter. */
   readonly retryAfterMs?: number;
   /** A new idempotency key whose runner is reachable. */
-  readonly suggestedKey?: string;
+  readonly suggestedKey?: string | undefined;
 }
 
 const STATUS_BY_CODE: Readonly<Record<string, number>> = {
@@ -88,7 +90,7 @@
 export function createNotRun(
   code: string,
   message: string,
-  more: { retryAfterMs?: number; suggestedKey?: string } = {},
+  more: Pick<Refusal, "retryAfterMs" | "suggestedKey"> = {},
 ): Refusal {
   return { code, message, outcome: "not_run", ...more };
 }
--- a/src/routing/choose_peers.ts
+++ b/src/routing/choose_peers.ts
@@ -1,7 +1,8 @@
 /**
  * The agents that one entry keeps connections to: all of a service while there
  * are few, otherwise a bounded subset. The subsets of all entries together
- * cover each agent about equally often.
+ * cover each agent about equally often. Runners of non-repeatable calls are
+ * always included, because no other host may stand in for them.
  */
 
 import type { FleetView, Host } from "../membership/mod.ts";
@@ -32,22 +33,49 @@
       (host) => host.role === "endpoint" && host.service === service.name,
     );
     if (agents.length <= MAX_AGENTS_PER_SERVICE) return agents;
-    const live = agents.filter((host) => host.state === "live");
-    const ranked = rankByHash(
-      service.name,
-      live.map((host) => host.name),
-    );
+    const ranked = rankLiveAgents(hosts, service.name);
     const chosen = new Set(
       listPositions(ranked.length, { rank, entries: names.length }).map(
         (position) => ranked[position]!,
       ),
     );
+    const runners = new Set(
+      service.kind === "plain"
+        ? service.runnerSets.flatMap((set) => set.runners)
+        : [],
+    );
     return agents.filter(
-      (host) => chosen.has(host.name) || options.isInUse(host.name),
+      ({ name }) =>
+        chosen.has(name) || runners.has(name) || options.isInUse(name),
     );
   });
 }
 
+/**
+ * Ranks by host list and service. The configuration changes far more often
+ * than the list, and thousands of hashes each time would cost milliseconds.
+ */
+const ranksOf = new WeakMap<readonly Host[], Map<string, readonly string[]>>();
+
+function rankLiveAgents(
+  hosts: readonly Host[],
+  service: string,
+): readonly string[] {
+  const ranks = ranksOf.get(hosts) ?? new Map<string, readonly string[]>();
+  ranksOf.set(hosts, ranks);
+  const found = ranks.get(service);
+  if (found !== undefined) return found;
+  const live = hosts.filter(
+    (host) => host.service === service && host.state === "live",
+  );
+  const ranked = rankByHash(
+    service,
+    live.map((host) => host.name),
+  );
+  ranks.set(service, ranked);
+  return ranked;
+}
+
 /**
  * Slot k of entry i is number `i + k * entries` of all slots, and all slots
  * are spread evenly over the agents: an entry's own positions lie far apart,
