--- a/src/agent/rollout_faults_test.ts
+++ b/src/agent/rollout_faults_test.ts
@@ -104,7 +104,7 @@
     setDocument(createServing("v1"));
     await until(() => engine.orders.length === 2);
     expect(engine.orders[1]).toMatchObject({
-      servingDigest: DIGEST_1,
+      version_digest: DIGEST_1,
       fencing: [3, INCARNATION],
     });
     await until(() => lastLoad()?.phase === "cold");
