Weights: keep a host's holding when a duplicate connection ends

Cause: two agents that dial each other keep one connection and retire the other after a grace time. A have notice that was still on the retired one replaced the holding of the kept one; when the retired connection closed, the host had no holding, and a complete host announces no more. Its chunks were then unknown for good: of 9 endpoints one or two stayed at 11 to 15 of 16 chunks in three of four starts. Ruled out: the takeover times (no chunk was missing in the data centre) and the store (no request was open).

--- a/src/weights/peer_holdings.ts
+++ b/src/weights/peer_holdings.ts
@@ -84,6 +84,10 @@
   }
 
   function onNotice(peer: Peer, notice: Notice) {
+    // A connection that is being given up still delivers what was sent on it
+    // before. Were it to replace the listed one here, its end would leave the
+    // host without a holding, and a host that is complete announces no more.
+    if (node.findPeer(peer.hello.host) !== peer) return;
     if (holdings.get(peer.hello.host)?.peer !== peer) add(peer);
     const holding = holdings.get(peer.hello.host);
     if (holding === undefined || holding.peer !== peer) return;
