--- a/src/node/platform_reader.ts
+++ b/src/node/platform_reader.ts
@@ -13,7 +13,7 @@
  * Each answer of a watch confirms the version, so this has to stay well below
  * the time after which other processes read for themselves.
  */
-const WATCH_WAIT_MS = 10_000;
+const DEFAULT_WATCH_WAIT_MS = 10_000;
 /** A platform that answers sooner doesn't wait; asking on would be a loop. */
 const SHORTEST_WATCH_MS = 1_000;
 const WATCH_BACKOFF = { firstMs: 200, maxMs: 2_000 };
@@ -31,10 +31,10 @@
 }
 
 type ReadOutcome =
-  /** A value newer than the one known before. */
+  /** A value newer than the one known before, valid or not. */
   | "newer"
   | "nothing_newer"
-  /** A value no newer than the one known; the platform is stale. */
+  /** A value that changes nothing, and that asking again would return. */
   | "stale"
   | "failed";
 
@@ -46,6 +46,8 @@
   readonly clock: Clock;
   /** Longest random delay before the read at start. */
   readonly startJitterMs: number;
+  /** Time that the platform holds a watch open; 10 s by default. */
+  readonly watchWaitMs?: number | undefined;
   /** Without a confirmation for this long, any process reads the platform. */
   readonly unconfirmedMs: number;
 }
@@ -54,6 +56,7 @@
   options: PlatformReaderOptions,
 ): PlatformReader {
   const { store, read, isWatcher, clock, unconfirmedMs } = options;
+  const watchWaitMs = options.watchWaitMs ?? DEFAULT_WATCH_WAIT_MS;
   const closing = new AbortController();
   let isSettled = false;
   /** Aborts the wait or watch in progress when the role changes. */
@@ -87,12 +90,12 @@
       confirmedAtMs,
       bytes: Buffer.from(text, "utf8"),
     });
-    return version > after ? "newer" : "stale";
+    return store.knownVersion() > after ? "newer" : "stale";
   }
 
   async function watch(signal: AbortSignal, backoff: Backoff) {
     const startedAtMs = clock.monotonicMs();
-    const outcome = await readOnce(WATCH_WAIT_MS, signal);
+    const outcome = await readOnce(watchWaitMs, signal);
     const tookMs = clock.monotonicMs() - startedAtMs;
     if (outcome === "newer") return backoff.reset();
     if (outcome === "nothing_newer" && tookMs >= SHORTEST_WATCH_MS) {
--- a/src/node/start_node.ts
+++ b/src/node/start_node.ts
@@ -61,6 +61,8 @@
   readonly startJitterMs?: number;
   /** Time without confirmation before any process reads the platform; 30 s. */
   readonly unconfirmedMs?: number;
+  /** Time that the platform holds a watch open; 10 s by default. */
+  readonly watchWaitMs?: number;
   readonly openSocket?: (address: string, port: number) => Socket;
 }
 
@@ -99,9 +101,11 @@
     string,
     (peer: Peer, notice: Notice) => void
   >();
+  const fetches = new Map<Peer, Promise<unknown>>();
   const connections = createConnections({ identity, logger });
   let neighbours: readonly Host[] = [];
   let neighbourNames: ReadonlySet<string> = new Set();
+  let wanted: readonly DialTarget[] = [];
   let isWatching = false;
   let peerAddress = options.peerAddress;
 
@@ -166,6 +170,7 @@
       clock,
       startJitterMs: options.startJitterMs ?? START_JITTER_MS,
       unconfirmedMs: options.unconfirmedMs ?? UNCONFIRMED_MS,
+      watchWaitMs: options.watchWaitMs,
     });
   }
 
@@ -187,11 +192,16 @@
       .map((address) => ({ address }));
   }
 
-  function updateTargets() {
+  /** Asks the choosers again, which can be slow with thousands of hosts. */
+  function updateWanted() {
     const chosen = choosers.flatMap((choose) => choose(view));
-    const wanted = [...neighbours, ...chosen]
+    wanted = [...neighbours, ...chosen]
       .filter(({ name }) => name !== identity.host)
       .map(({ name, peerAddress: address }) => ({ host: name, address }));
+    updateTargets();
+  }
+
+  function updateTargets() {
     dialler.setTargets([...wanted, ...listSeedTargets(wanted)]);
   }
 
@@ -208,7 +218,7 @@
     isWatching = isWatcher(identity, hostList.hosts);
     readers.forEach((reader) => reader.update());
     startRule.update();
-    updateTargets();
+    updateWanted();
     notifyChange();
   }
 
@@ -224,6 +234,14 @@
     };
   }
 
+  /** Requests that arrive together share one pull. */
+  function startFetch(peer: Peer): Promise<unknown> {
+    const fetch = gossip.compare(peer, "config");
+    fetches.set(peer, fetch);
+    void fetch.finally(() => fetches.delete(peer));
+    return fetch;
+  }
+
   const transport = {
     hello: createHello,
     counters: createWireCounters(registry),
@@ -263,7 +281,7 @@
   });
   hosts.onChange(onHostsChange);
   config.onChange(() => {
-    updateTargets();
+    updateWanted();
     notifyChange();
   });
   registerGauges();
@@ -283,8 +301,9 @@
     );
     registry.gauge(
       "config_confirmation_age_seconds",
-      "Time since the configuration was last known to be current",
-      () => (clock.wallMs() - config.confirmedAtMs()) / 1000,
+      "Time since the configuration was known to be current, or since start",
+      () =>
+        (clock.wallMs() - Math.max(config.confirmedAtMs(), startedAtMs)) / 1000,
     );
     registry.gauge(
       "peers_connected",
@@ -309,13 +328,15 @@
     onPeer: connections.onPeer,
     addPeerChooser(choose) {
       choosers.push(choose);
-      updateTargets();
+      updateWanted();
     },
     onStream: (kind, handler) => void streamHandlers.set(kind, handler),
     onNotice: (topic, handler) => void noticeHandlers.set(topic, handler),
     async fetchConfig(peer, version) {
+      // A fetch in progress may have started before the peer had the version.
+      await fetches.get(peer);
       if (config.knownVersion() >= version) return;
-      await gossip.compare(peer, "config");
+      await (fetches.get(peer) ?? startFetch(peer));
     },
     raiseConfigFloor(version) {
       const before = config.current()?.version;
--- a/src/node/start_node_test.ts
+++ b/src/node/start_node_test.ts
@@ -52,6 +52,11 @@
   return counter.read({ topic: "config", reason });
 }
 
+function countConfigReads(node: Node): number {
+  const counter = node.registry.counter("platform_reads_total", "");
+  return counter.read({ topic: "config" });
+}
+
 /** Drops what these connections send as notices, without an error. */
 function loseNotices(peers: readonly (Peer | undefined)[]) {
   let lost = 0;
@@ -145,6 +150,21 @@
   });
 });
 
+describe("confirmation", () => {
+  // Guards against processes that read the platform although peers confirm.
+  test("travels from watchers to the others", async () => {
+    const nodeOptions = { watchWaitMs: 1_100 };
+    const { nodes } = await startAt(1, { nodeOptions });
+    const others = nodes.filter((node) => !isWatching(node));
+    const reads = others.map(countConfigReads);
+    const startedAtMs = Date.now();
+    await until(() =>
+      others.every((n) => n.view.configConfirmedAtMs() > startedAtMs + 1_000),
+    );
+    expect(others.map(countConfigReads)).toEqual(reads);
+  });
+});
+
 describe("faults", () => {
   // Guards against a return to a version that was replaced.
   test("ignores a platform that falls back to an older version", async () => {
--- a/src/wire/transport.ts
+++ b/src/wire/transport.ts
@@ -24,6 +24,7 @@
   options: DialOptions,
 ): Promise<Result<Peer, string>> {
   const [ip, port] = splitAddress(address);
+  if (!isPort(port)) return err("bad_address");
   const open = options.openSocket ?? openTcp;
   const socket = open(ip, port);
   const failure = await waitForConnect(socket);
@@ -56,7 +57,8 @@
     void accept(socket, options);
   });
   return new Promise((resolve, reject) => {
-    server.once("error", reject);
+    // Stays in place: failures to accept come as errors too.
+    server.on("error", reject);
     server.listen(port, ip, () => {
       const bound = server.address() as AddressInfo;
       resolve({
@@ -101,3 +103,7 @@
   const at = address.lastIndexOf(":");
   return [address.slice(0, at), Number(address.slice(at + 1))];
 }
+
+function isPort(port: number): boolean {
+  return Number.isInteger(port) && port > 0 && port < 65_536;
+}
--- a/src/wire/transport_test.ts
+++ b/src/wire/transport_test.ts
@@ -162,4 +162,17 @@
       expect((await stream.read()).type).toBe("lost");
     },
   );
+
+  // Guards against a crash on an address from a faulty host list.
+  test.each(["127.0.0.1", "127.0.0.1:99999", "127.0.0.1:0"])(
+    "fails to connect to %s",
+    async (address) => {
+      const dialled = await connectPeer(address, {
+        hello: () => createHello("client"),
+        handlers: { onStream: () => undefined, onNotice: () => undefined },
+        counters: createWireCounters(createRegistry()),
+      });
+      expect(dialled._unsafeUnwrapErr()).toBe("bad_address");
+    },
+  );
 });
