Node: contain faults of parsers and handlers

A parser or handler that throws on one document or message would have stopped every process that receives it. A throwing parser now counts as an invalid document; a throwing handler is logged and counted.

--- a/src/node/start_node.ts
+++ b/src/node/start_node.ts
@@ -101,6 +101,10 @@
     string,
     (peer: Peer, notice: Notice) => void
   >();
+  const handlerFailures = registry.counter(
+    "handler_failures_total",
+    "Handlers of streams, notices and view changes that threw",
+  );
   const fetches = new Map<Peer, Promise<unknown>>();
   const connections = createConnections({ identity, logger });
   let neighbours: readonly Host[] = [];
@@ -206,7 +210,7 @@
   }
 
   function notifyChange() {
-    changeHandlers.forEach((handle) => handle());
+    changeHandlers.forEach((handle) => runHandler("view_change", handle));
   }
 
   function onHostsChange() {
@@ -234,6 +238,18 @@
     };
   }
 
+  /** One document or message must not stop every process that receives it. */
+  function runHandler(name: string, run: () => void): boolean {
+    try {
+      run();
+      return true;
+    } catch (error) {
+      handlerFailures.increment({ handler: name });
+      logger.error({ err: error, handler: name }, "Handler failed");
+      return false;
+    }
+  }
+
   /** Requests that arrive together share one pull. */
   function startFetch(peer: Peer): Promise<unknown> {
     const fetch = gossip.compare(peer, "config");
@@ -256,7 +272,8 @@
     if (kind === "snapshot") return gossip.onSnapshotStream(stream);
     const handle = streamHandlers.get(kind);
     if (handle === undefined) return stream.reset("no_handler");
-    handle(peer, stream);
+    const isRun = runHandler(kind, () => handle(peer, stream));
+    if (!isRun) stream.reset("internal_error");
   }
 
   function dispatchNotice(peer: Peer, notice: Notice) {
@@ -264,7 +281,8 @@
     if (notice.topic === "replaced") {
       return connections.noteIncarnation(notice.host, notice.incarnation);
     }
-    noticeHandlers.get(notice.topic)?.(peer, notice);
+    const handle = noticeHandlers.get(notice.topic);
+    runHandler(notice.topic, () => handle?.(peer, notice));
   }
 
   const dialler = createDialler({
--- a/src/node/start_node_test.ts
+++ b/src/node/start_node_test.ts
@@ -135,6 +135,22 @@
     await until(() => isEverywhere(nodes, 5), HEAL_MS);
   });
 
+  // Guards against one fault that stops a change or every process at once.
+  test("runs the other handlers when one throws", async () => {
+    const { platform, nodes } = await startAt(1);
+    const node = nodes[0]!;
+    const seen: number[] = [];
+    node.view.onChange(() => {
+      throw new Error("fault");
+    });
+    node.view.onChange(() => seen.push(versionOf(node)));
+    platform.publish("two");
+    await until(() => isEverywhere(nodes, 2), HEAL_MS);
+    expect(seen).toContain(2);
+    const failures = node.registry.counter("handler_failures_total", "");
+    expect(failures.read({ handler: "view_change" })).toBeGreaterThan(0);
+  });
+
   // Guards against dispatch by an older version than the entry's.
   test("fetches a newer version from the peer that names it", async () => {
     const { platform, nodes } = await startAt(1);
--- a/src/snapshots/snapshot_store.ts
+++ b/src/snapshots/snapshot_store.ts
@@ -120,6 +120,15 @@
     confirmedAtMs = Math.max(confirmedAtMs, Math.min(atMs, latestMs));
   }
 
+  /** A parser's fault must not stop every process that reads the document. */
+  function parseSafely(text: string): Result<T, readonly string[]> {
+    try {
+      return parse(text);
+    } catch (error) {
+      return err([`The parser failed: ${String(error)}`]);
+    }
+  }
+
   function noteConflict(version: number, digest: string) {
     const conflict = `${version} ${digest.slice(0, CONFLICT_DIGITS)}`;
     if (conflict === lastConflict) return;
@@ -161,7 +170,7 @@
         return ok("unchanged");
       }
       if (version < floor) return reject("below_floor", { version, floor });
-      const parsed = parse(bytes.toString("utf8"));
+      const parsed = parseSafely(bytes.toString("utf8"));
       if (parsed.isErr()) {
         invalidVersion = Math.max(invalidVersion, version);
         return reject("invalid_document", { version, findings: parsed.error });
--- a/src/snapshots/snapshot_store_test.ts
+++ b/src/snapshots/snapshot_store_test.ts
@@ -10,7 +10,10 @@
 function createStore() {
   const registry = createRegistry();
   const store = createSnapshotStore("config", {
-    parse: (text) => (text === "bad" ? err(["1:1: bad"]) : ok(text)),
+    parse(text) {
+      if (text === "throw") throw new Error("fault");
+      return text === "bad" ? err(["1:1: bad"]) : ok(text);
+    },
     clock: { wallMs: () => NOW_MS, monotonicMs: () => 0 },
     registry,
     logger: SILENT_LOGGER,
@@ -34,6 +37,7 @@
     { reason: "older_version", offered: offer(4, "four") },
     { reason: "conflicting_digest", offered: offer(5, "other") },
     { reason: "invalid_document", offered: offer(6, "bad") },
+    { reason: "invalid_document", offered: offer(6, "throw") },
     { reason: "below_floor", offered: offer(8, "eight"), floor: 9 },
     { reason: "too_large", offered: offer(6, "x".repeat(3_000_000)) },
   ])("keeps its value on $reason", ({ reason, offered, floor }) => {
