Node: ask peers again while the platform is silent after a pause

After a pause of 10 s all connections are closed, and the first round of questions failed; the second waited for the platform's timeout, so that the check ended by its 2 s limit although peers had reconnected. Peers and platform are now asked independently.

--- a/src/node/wake_check.ts
+++ b/src/node/wake_check.ts
@@ -13,9 +13,9 @@
 const PEERS_TO_COMPARE = 3;
 /** The configuration service may be down for hours, so work resumes then. */
 const WAKE_LIMIT_MS = 2_000;
-/** Peers are asked first: the platform may be stale. */
+/** Peers have this long to answer first: the platform may be stale. */
 const PLATFORM_DELAY_MS = 500;
-const RETRY_MS = 200;
+const RETRY_MS = 100;
 
 export interface WakeCheck {
   isWaking(): boolean;
@@ -51,42 +51,29 @@
     });
   }
 
-  async function compareWithPeers(): Promise<"peer"> {
+  async function compareWithPeers(): Promise<boolean> {
     const asked = [...peers()]
       .sort(() => Math.random() - 0.5)
       .slice(0, PEERS_TO_COMPARE);
-    await Promise.any(
-      asked.map(async (peer) => {
-        const result = await compare(peer);
-        if (result !== "compared") throw new Error(result);
-      }),
+    const compared = asked.map(async (peer) => {
+      if ((await compare(peer)) !== "compared") throw new Error("Not compared");
+    });
+    return Promise.any(compared).then(
+      () => true,
+      () => false,
     );
-    return "peer";
   }
 
-  async function compareWithPlatform(
-    peersFailed: Promise<unknown>,
-  ): Promise<"platform"> {
-    await Promise.race([waitMs(PLATFORM_DELAY_MS), peersFailed]);
-    if (!(await readPlatform())) throw new Error("Platform did not answer");
-    return "platform";
+  /** Peers close a silent connection, so they may have to reconnect first. */
+  async function askPeers(isCurrent: () => boolean): Promise<"peer"> {
+    while (isCurrent() && !(await compareWithPeers())) await waitMs(RETRY_MS);
+    return "peer";
   }
 
-  async function compareWithAny(isCurrent: () => boolean) {
-    while (isCurrent()) {
-      const byPeer = compareWithPeers();
-      const peersFailed = new Promise<void>((resolve) => {
-        byPeer.catch(() => resolve());
-      });
-      const outcome = await Promise.any([
-        byPeer,
-        compareWithPlatform(peersFailed),
-      ]).catch(() => undefined);
-      if (outcome !== undefined) return outcome;
-      // Peers close a silent connection, so they may have to reconnect first.
-      await waitMs(RETRY_MS);
-    }
-    return "superseded" as const;
+  async function askPlatform(isCurrent: () => boolean): Promise<"platform"> {
+    await waitMs(PLATFORM_DELAY_MS);
+    while (isCurrent() && !(await readPlatform())) await waitMs(RETRY_MS);
+    return "platform";
   }
 
   async function onWake(pausedMs: number) {
@@ -95,7 +82,11 @@
     logger.warn({ paused_ms: Math.round(pausedMs) }, "Resumed after a pause");
     const limit = waitMs(WAKE_LIMIT_MS).then(() => "limit" as const);
     const isCurrent = () => check === latestCheck && isWaking;
-    const outcome = await Promise.race([compareWithAny(isCurrent), limit]);
+    const outcome = await Promise.race([
+      askPeers(isCurrent),
+      askPlatform(isCurrent),
+      limit,
+    ]);
     if (check !== latestCheck) return;
     wakes.increment({ outcome });
     isWaking = false;
