--- a/src/node/start_node.ts
+++ b/src/node/start_node.ts
@@ -61,6 +61,8 @@
   readonly startJitterMs?: number;
   /** Time without confirmation before any process reads the platform; 30 s. */
   readonly unconfirmedMs?: number;
+  /** Time that the platform holds a watch open; 10 s by default. */
+  readonly watchWaitMs?: number;
   readonly openSocket?: (address: string, port: number) => Socket;
 }
 
@@ -99,9 +101,15 @@
     string,
     (peer: Peer, notice: Notice) => void
   >();
+  const handlerFailures = registry.counter(
+    "handler_failures_total",
+    "Handlers of streams, notices and view changes that threw",
+  );
+  const fetches = new Map<Peer, Promise<unknown>>();
   const connections = createConnections({ identity, logger });
   let neighbours: readonly Host[] = [];
   let neighbourNames: ReadonlySet<string> = new Set();
+  let wanted: readonly DialTarget[] = [];
   let isWatching = false;
   let peerAddress = options.peerAddress;
 
@@ -166,6 +174,7 @@
       clock,
       startJitterMs: options.startJitterMs ?? START_JITTER_MS,
       unconfirmedMs: options.unconfirmedMs ?? UNCONFIRMED_MS,
+      watchWaitMs: options.watchWaitMs,
     });
   }
 
@@ -187,16 +196,21 @@
       .map((address) => ({ address }));
   }
 
-  function updateTargets() {
+  /** Asks the choosers again, which can be slow with thousands of hosts. */
+  function updateWanted() {
     const chosen = choosers.flatMap((choose) => choose(view));
-    const wanted = [...neighbours, ...chosen]
+    wanted = [...neighbours, ...chosen]
       .filter(({ name }) => name !== identity.host)
       .map(({ name, peerAddress: address }) => ({ host: name, address }));
+    updateTargets();
+  }
+
+  function updateTargets() {
     dialler.setTargets([...wanted, ...listSeedTargets(wanted)]);
   }
 
   function notifyChange() {
-    changeHandlers.forEach((handle) => handle());
+    changeHandlers.forEach((handle) => runHandler("view_change", handle));
   }
 
   function onHostsChange() {
@@ -208,7 +222,7 @@
     isWatching = isWatcher(identity, hostList.hosts);
     readers.forEach((reader) => reader.update());
     startRule.update();
-    updateTargets();
+    updateWanted();
     notifyChange();
   }
 
@@ -224,6 +238,26 @@
     };
   }
 
+  /** One document or message must not stop every process that receives it. */
+  function runHandler(name: string, run: () => void): boolean {
+    try {
+      run();
+      return true;
+    } catch (error) {
+      handlerFailures.increment({ handler: name });
+      logger.error({ err: error, handler: name }, "Handler failed");
+      return false;
+    }
+  }
+
+  /** Requests that arrive together share one pull. */
+  function startFetch(peer: Peer): Promise<unknown> {
+    const fetch = gossip.compare(peer, "config");
+    fetches.set(peer, fetch);
+    void fetch.finally(() => fetches.delete(peer));
+    return fetch;
+  }
+
   const transport = {
     hello: createHello,
     counters: createWireCounters(registry),
@@ -238,7 +272,8 @@
     if (kind === "snapshot") return gossip.onSnapshotStream(stream);
     const handle = streamHandlers.get(kind);
     if (handle === undefined) return stream.reset("no_handler");
-    handle(peer, stream);
+    const isRun = runHandler(kind, () => handle(peer, stream));
+    if (!isRun) stream.reset("internal_error");
   }
 
   function dispatchNotice(peer: Peer, notice: Notice) {
@@ -246,7 +281,8 @@
     if (notice.topic === "replaced") {
       return connections.noteIncarnation(notice.host, notice.incarnation);
     }
-    noticeHandlers.get(notice.topic)?.(peer, notice);
+    const handle = noticeHandlers.get(notice.topic);
+    runHandler(notice.topic, () => handle?.(peer, notice));
   }
 
   const dialler = createDialler({
@@ -263,7 +299,7 @@
   });
   hosts.onChange(onHostsChange);
   config.onChange(() => {
-    updateTargets();
+    updateWanted();
     notifyChange();
   });
   registerGauges();
@@ -283,8 +319,9 @@
     );
     registry.gauge(
       "config_confirmation_age_seconds",
-      "Time since the configuration was last known to be current",
-      () => (clock.wallMs() - config.confirmedAtMs()) / 1000,
+      "Time since the configuration was known to be current, or since start",
+      () =>
+        (clock.wallMs() - Math.max(config.confirmedAtMs(), startedAtMs)) / 1000,
     );
     registry.gauge(
       "peers_connected",
@@ -309,13 +346,15 @@
     onPeer: connections.onPeer,
     addPeerChooser(choose) {
       choosers.push(choose);
-      updateTargets();
+      updateWanted();
     },
     onStream: (kind, handler) => void streamHandlers.set(kind, handler),
     onNotice: (topic, handler) => void noticeHandlers.set(topic, handler),
     async fetchConfig(peer, version) {
+      // A fetch in progress may have started before the peer had the version.
+      await fetches.get(peer);
       if (config.knownVersion() >= version) return;
-      await gossip.compare(peer, "config");
+      await (fetches.get(peer) ?? startFetch(peer));
     },
     raiseConfigFloor(version) {
       const before = config.current()?.version;
--- a/src/node/start_node_test.ts
+++ b/src/node/start_node_test.ts
@@ -52,6 +52,11 @@
   return counter.read({ topic: "config", reason });
 }
 
+function countConfigReads(node: Node): number {
+  const counter = node.registry.counter("platform_reads_total", "");
+  return counter.read({ topic: "config" });
+}
+
 /** Drops what these connections send as notices, without an error. */
 function loseNotices(peers: readonly (Peer | undefined)[]) {
   let lost = 0;
@@ -130,6 +135,22 @@
     await until(() => isEverywhere(nodes, 5), HEAL_MS);
   });
 
+  // Guards against one fault that stops a change or every process at once.
+  test("runs the other handlers when one throws", async () => {
+    const { platform, nodes } = await startAt(1);
+    const node = nodes[0]!;
+    const seen: number[] = [];
+    node.view.onChange(() => {
+      throw new Error("fault");
+    });
+    node.view.onChange(() => seen.push(versionOf(node)));
+    platform.publish("two");
+    await until(() => isEverywhere(nodes, 2), HEAL_MS);
+    expect(seen).toContain(2);
+    const failures = node.registry.counter("handler_failures_total", "");
+    expect(failures.read({ handler: "view_change" })).toBeGreaterThan(0);
+  });
+
   // Guards against dispatch by an older version than the entry's.
   test("fetches a newer version from the peer that names it", async () => {
     const { platform, nodes } = await startAt(1);
@@ -145,6 +166,21 @@
   });
 });
 
+describe("confirmation", () => {
+  // Guards against processes that read the platform although peers confirm.
+  test("travels from watchers to the others", async () => {
+    const nodeOptions = { watchWaitMs: 1_100 };
+    const { nodes } = await startAt(1, { nodeOptions });
+    const others = nodes.filter((node) => !isWatching(node));
+    const reads = others.map(countConfigReads);
+    const startedAtMs = Date.now();
+    await until(() =>
+      others.every((n) => n.view.configConfirmedAtMs() > startedAtMs + 1_000),
+    );
+    expect(others.map(countConfigReads)).toEqual(reads);
+  });
+});
+
 describe("faults", () => {
   // Guards against a return to a version that was replaced.
   test("ignores a platform that falls back to an older version", async () => {
