--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -3,6 +3,7 @@
  * on retries, until one answers or the caller is told why none did.
  */
 
+import { setTimeout as delay } from "node:timers/promises";
 import type { EnvironmentDocument, PlainService } from "../document/mod.ts";
 import type { AcceptedConfig } from "../membership/mod.ts";
 import { listCandidates } from "../routing/mod.ts";
@@ -16,6 +17,7 @@
 import { createNotRun } from "./refusal.ts";
 import type { Refusal } from "./refusal.ts";
 
+const WAKE_POLL_MS = 20;
 const MAX_ATTEMPTS = 3;
 /** A request that loses this many endpoints may be what crashes them. */
 const MAX_LOST_ENDPOINTS = 2;
@@ -74,6 +76,7 @@
   };
   budget.onRequest();
   for (;;) {
+    await waitWhileWaking(context, call);
     const config = context.node.view.config();
     const continued =
       caller.isStarted() && call.stopReason() === undefined
@@ -101,6 +104,20 @@
   }
 }
 
+/**
+ * A request that has not started is refused while the process wakes; one that
+ * has can only wait, because a refusal would cost its caller the answer.
+ */
+async function waitWhileWaking({ node }: EntryContext, call: Call) {
+  while (
+    call.caller.isStarted() &&
+    call.stopReason() === undefined &&
+    node.view.isWaking()
+  ) {
+    await delay(WAKE_POLL_MS);
+  }
+}
+
 interface AttemptInput {
   readonly peer: Peer;
   readonly config: AcceptedConfig;
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -17,13 +17,13 @@
   createLoadHints,
 } from "../routing/mod.ts";
 import type { ChoicePolicy } from "../routing/mod.ts";
-import type { CrashNotice, LoadNotice } from "../wire/mod.ts";
 import { createApp } from "./create_app.ts";
 import { createCrashBook } from "./crash_book.ts";
 import type { EntryContext } from "./entry_context.ts";
 import { createEntryMetrics } from "./entry_metrics.ts";
 import type { EntrySettings } from "./entry_settings.ts";
 import { createMemoryPool } from "./memory_pool.ts";
+import { parseCrashNotice, parseLoadNotice } from "./parse_notice.ts";
 import { refuseMalformed } from "./refuse_malformed.ts";
 import { createUncertainKeys } from "./uncertain_keys.ts";
 
@@ -134,12 +134,14 @@
       },
     }),
   );
-  node.onNotice("load", (peer, notice) =>
-    hints.onReport(peer, notice as LoadNotice),
-  );
+  node.onNotice("load", (peer, notice) => {
+    const report = parseLoadNotice(notice);
+    if (report !== undefined) hints.onReport(peer, report);
+  });
   node.onNotice("crash", (from, notice) => {
     // Only news is passed on, so a notice crosses each connection once.
-    if (!crashBook.add(notice as CrashNotice)) return;
+    const crash = parseCrashNotice(notice);
+    if (crash === undefined || !crashBook.add(crash)) return;
     metrics.crashNotices.increment();
     node
       .peers()
--- a/src/entry/faults_test.ts
+++ b/src/entry/faults_test.ts
@@ -297,6 +297,20 @@
     expect(fleet.counter("cut_streams_total", labels)).toBe(1);
   });
 
+  // Guards against streams that are cut because the entry was paused.
+  test("continues when the entry has woken", async () => {
+    const fleet = await startFleet({
+      agents: createAgents((stream, request, agent) => {
+        fleet.view.isWaking = true;
+        setTimeout(() => (fleet.view.isWaking = false), 100);
+        return breakAfter(TEXT.slice(0, 1))(stream, request, agent);
+      }, continueText),
+    });
+    const text = await (await post(fleet)).text();
+    expect(readText(text)).toBe("abc");
+    expect(fleet.counter("continued_streams_total")).toBe(1);
+  });
+
   // Guards against a text of two versions.
   test("does not continue on an endpoint of another digest", async () => {
     const fleet = await startFleet({
--- a/src/routing/list_candidates.ts
+++ b/src/routing/list_candidates.ts
@@ -40,11 +40,7 @@
   options: CandidateOptions,
 ): readonly Candidate[] {
   const { document, hosts, peers, hints, digests, tried } = options;
-  const leaving = new Set(
-    hosts.hosts
-      .filter((host) => host.state === "leaving")
-      .map((host) => host.name),
-  );
+  const leaving = listLeaving(hosts);
   const regions = new Map(
     document.dataCentres
       .filter(({ name, out }) => !out && !options.outDataCentres.has(name))
@@ -77,6 +73,21 @@
     }));
 }
 
+const leavingOf = new WeakMap<HostList, ReadonlySet<string>>();
+
+/** Kept for one host list, which holds thousands of hosts. */
+function listLeaving(list: HostList): ReadonlySet<string> {
+  const found = leavingOf.get(list);
+  if (found !== undefined) return found;
+  const leaving = new Set(
+    list.hosts
+      .filter((host) => host.state === "leaving")
+      .map((host) => host.name),
+  );
+  leavingOf.set(list, leaving);
+  return leaving;
+}
+
 function isUsable(
   { report, isLeaving }: LoadHint,
   digests: ReadonlySet<string> | undefined,
