Entry: spread retry times over whole seconds, bound bodies as they arrive

Retry-After has whole seconds, so a jitter of less than a second let refused callers return together. A refusal by an agent that had begun its answer is reported as unknown with the code connection_lost. Tests were added for faults that changes to the code had shown to go unnoticed.

--- a/src/entry/answer_sink.ts
+++ b/src/entry/answer_sink.ts
@@ -5,7 +5,7 @@
 import type { EntryMetrics } from "./entry_metrics.ts";
 import {
   DONE_EVENT,
-  endsWithDone,
+  findDone,
   findWholeEvents,
   rewriteEvents,
 } from "./event_stream.ts";
@@ -66,9 +66,10 @@
           : Buffer.from(all.subarray(wholeBytes));
       if (tail.length > MAX_EVENT_BYTES) return "event_too_large";
       let events = all.subarray(0, wholeBytes);
-      if (endsWithDone(events)) {
+      const doneBytes = findDone(events);
+      if (doneBytes > 0) {
         hasDone = true;
-        events = events.subarray(0, events.length - DONE_EVENT.length);
+        events = events.subarray(0, events.length - doneBytes);
       }
       if (progress !== undefined) events = rewriteEvents(events, progress);
       if (events.length === 0) return undefined;
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -164,10 +164,7 @@
     };
     return { type: "refused", refusal };
   }
-  return createLost("no_answer", {
-    code: code ?? "connection_lost",
-    ...(message !== undefined && { message }),
-  });
+  return createLost("no_answer", outcome === "unknown" ? trailer : undefined);
 }
 
 const LOSS_MESSAGES: Readonly<Record<LossReason, string>> = {
@@ -181,7 +178,7 @@
 
 function createLost(
   reason: LossReason,
-  { code, message }: { code?: string; message?: string } = {},
+  { code, message }: Pick<Trailer, "code" | "message"> = {},
 ): AttemptResult {
   return {
     type: "lost",
--- a/src/entry/bad_input_test.ts
+++ b/src/entry/bad_input_test.ts
@@ -281,5 +281,6 @@
     const other = { ...request, prompt: "q" };
     expect((await post("/v1/completions", other)).status).toBe(200);
     expect(agents[0]!.notices).toEqual([]);
+    expect(agents[1]!.notices).toHaveLength(2);
   });
 });
--- a/src/entry/create_app.ts
+++ b/src/entry/create_app.ts
@@ -52,6 +52,7 @@
 
 const BODY_MESSAGES: Readonly<Record<BodyError, string>> = {
   body_too_large: "The request body is too large",
+  overloaded: "The entry holds too many request bodies",
   slow_request: "The request body did not arrive in time",
   caller_left: "The caller closed the connection",
 };
@@ -64,7 +65,7 @@
 };
 
 export function createApp(context: EntryContext, options: AppOptions): App {
-  const { node, settings, metrics, hints, random } = context;
+  const { node, settings, metrics, hints, random, bodyPool } = context;
   const { registry, isDraining, readInFlight, addInFlight } = options;
   const { view, logger } = node;
   const app: App = new Hono<{ Bindings: HttpBindings }>();
@@ -83,6 +84,7 @@
     const body = await readBody(incoming, {
       maxBytes: settings.maxBodyBytes,
       timeoutMs: settings.bodyTimeoutMs,
+      pool: bodyPool,
     });
     if (body.isErr()) {
       return err(createNotRun(body.error, BODY_MESSAGES[body.error]));
@@ -105,20 +107,15 @@
       ...options,
     });
     if (admitted.isErr()) return refuse(caller, admitted.error);
-    const bodyBytes = readDeclaredBytes(incoming, settings.maxBodyBytes);
-    if (!context.bodyPool.take(bodyBytes)) {
-      const message = "The entry holds too many request bodies";
-      return refuse(caller, createNotRun("overloaded", message));
-    }
+    const input = await readInput(exchange, admitted.value);
+    const request = input.andThen((read) =>
+      readCall(read.input, read.admitted),
+    );
     try {
-      const input = await readInput(exchange, admitted.value);
-      const request = input.andThen((read) =>
-        readCall(read.input, read.admitted),
-      );
       if (request.isErr()) return refuse(caller, request.error);
       await answerCall(caller, request.value);
     } finally {
-      context.bodyPool.release(bodyBytes);
+      if (input.isOk()) bodyPool.release(input.value.input.body.length);
     }
   }
 
@@ -149,6 +146,7 @@
     });
     if (admitted.isErr()) return refuse(caller, admitted.error);
     const read = await readInput(exchange, admitted.value);
+    if (read.isOk()) bodyPool.release(read.value.input.body.length);
     const service = read.andThen(({ input, admitted: { config } }) =>
       findKeyService(input, config.document.services),
     );
@@ -229,16 +227,6 @@
   return app;
 }
 
-/** Bytes that the body may take; the most there can be if none are declared. */
-function readDeclaredBytes(
-  { headers }: IncomingMessage,
-  maxBytes: number,
-): number {
-  const declared = headers["content-length"];
-  const isChunked = headers["transfer-encoding"] !== undefined;
-  return isChunked ? maxBytes : Math.min(Number(declared ?? 0), maxBytes);
-}
-
 /** The body may name the service; it need not if there is only one. */
 function findKeyService(
   { body }: HttpInput,
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -63,8 +63,8 @@
   context: EntryContext,
   call: Call,
 ): Promise<Outcome> {
-  const { budget, uncertainKeys } = context;
-  const { request, caller } = call;
+  const { budget } = context;
+  const { caller } = call;
   const history: History = {
     tried: new Set(),
     outDataCentres: new Set(),
@@ -100,7 +100,6 @@
       continued,
     });
     if (result === "answered") return "answered";
-    if (request.key && history.loss) uncertainKeys.add(request.key.text);
   }
 }
 
--- a/src/entry/event_stream.ts
+++ b/src/entry/event_stream.ts
@@ -7,6 +7,7 @@
 export const DONE_EVENT = Buffer.from("data: [DONE]\n\n");
 const LF = 10;
 const CR = 13;
+const BRACKET = "]".charCodeAt(0);
 
 /** Length of the part that consists of whole events. */
 export function findWholeEvents(bytes: Buffer): number {
@@ -23,13 +24,17 @@
   return bytes[at - 1] === LF || (bytes[at - 1] === CR && bytes[at - 2] === LF);
 }
 
-export function endsWithDone(bytes: Buffer): boolean {
+/** Length of the final `[DONE]` event; 0 if there is none. */
+export function findDone(bytes: Buffer): number {
   // Most events end in "}\n\n", so one comparison settles most calls.
-  if (bytes[bytes.length - 3] !== DONE_EVENT[DONE_EVENT.length - 3]) {
-    return false;
-  }
-  const start = bytes.length - DONE_EVENT.length;
-  return start >= 0 && bytes.compare(DONE_EVENT, 0, undefined, start) === 0;
+  const last = bytes.length - 1;
+  const bracketAt = bytes[last - 1] === CR ? last - 4 : last - 2;
+  if (bytes[bracketAt] !== BRACKET) return 0;
+  const line = "data: [DONE]";
+  const start = bracketAt + 1 - line.length;
+  if (start < 0) return 0;
+  const isDone = bytes.toString("latin1", start, bracketAt + 1) === line;
+  return isDone ? bytes.length - start : 0;
 }
 
 export interface Progress {
--- /dev/null
+++ b/src/entry/event_stream_test.ts
@@ -0,0 +1,103 @@
+import { describe, expect, test } from "@jest/globals";
+import fc from "fast-check";
+import { createEventSink } from "./answer_sink.ts";
+import type { Call } from "./call.ts";
+import { createEntryMetrics } from "./entry_metrics.ts";
+import { readProgress, rewriteEvents } from "./event_stream.ts";
+import { createKeptEvents } from "./kept_events.ts";
+import { createMemoryPool } from "./memory_pool.ts";
+import { createRegistry } from "../metrics/mod.ts";
+import { DONE, formatEvent } from "./testing/fake_fleet.ts";
+
+const SEED = Date.now() % 1_000_000;
+const HEAD = { kind: "response_head", status: 200, headers: {} } as const;
+
+function createSink() {
+  const kept = createKeptEvents(createMemoryPool(2 ** 20));
+  const written: Buffer[] = [];
+  const call = {
+    request: { service: { kind: "language" } },
+    kept,
+    takeLapMs: () => 0,
+    caller: {
+      isStarted: () => written.length > 0,
+      start: () => undefined,
+      write: (bytes: Buffer) => void written.push(Buffer.from(bytes)),
+    },
+  } as unknown as Call;
+  const metrics = createEntryMetrics(createRegistry());
+  return { kept, written, sink: createEventSink(call, HEAD, { metrics }) };
+}
+
+describe("event stream", () => {
+  // Guards against tokens that are lost, repeated or split wherever the wire
+  // cuts the data and wherever it breaks.
+  test("forwards and counts exactly the whole events", () => {
+    console.log(`seed ${SEED}`);
+    const texts = fc.array(fc.string({ minLength: 1, unit: "grapheme" }), {
+      maxLength: 8,
+    });
+    const cuts = fc.array(fc.integer({ min: 1, max: 40 }), { maxLength: 30 });
+    const newline = fc.constantFrom("\n", "\r\n");
+    fc.assert(
+      fc.property(texts, cuts, newline, (tokens, sizes, separator) => {
+        const events = tokens.map((token) =>
+          formatEvent(token).replaceAll("\n", separator),
+        );
+        const done = DONE.replaceAll("\n", separator);
+        const bytes = Buffer.from(events.join("") + done);
+        const { kept, written, sink } = createSink();
+        let offset = 0;
+        sizes.forEach((size) => {
+          sink.push(bytes.subarray(offset, offset + size));
+          offset = Math.min(bytes.length, offset + size);
+        });
+        let wholeBytes = 0;
+        const whole = events.filter((event) => {
+          wholeBytes += Buffer.byteLength(event);
+          return wholeBytes <= offset;
+        });
+        expect(Buffer.concat(written).toString()).toBe(whole.join(""));
+        expect(readProgress(kept.read()!)).toMatchObject({
+          text: tokens.slice(0, whole.length).join(""),
+          tokens: whole.length,
+        });
+      }),
+      { seed: SEED },
+    );
+  });
+
+  // Guards against a second completion id, and a second opening, in one answer.
+  test("gives continued events the first identity", () => {
+    const progress = readProgress(Buffer.from(formatEvent("a", "first")));
+    const opening = `data: ${JSON.stringify({
+      id: "second",
+      choices: [{ index: 0, delta: { role: "assistant" } }],
+    })}\n\n`;
+    const usage = `data: ${JSON.stringify({
+      id: "second",
+      choices: [],
+      usage: { completion_tokens: 2 },
+    })}\n\n`;
+    const events = Buffer.from(
+      opening + formatEvent("b", "second") + usage + ": comment\n\n",
+    );
+    const rewritten = rewriteEvents(events, progress).toString();
+    expect(rewritten).not.toContain("second");
+    expect(rewritten.split("\n\n").slice(0, -1)).toEqual([
+      formatEvent("b", "first").trimEnd(),
+      `data: {"id":"first","choices":[],"usage":{"completion_tokens":2},"created":1}`,
+      ": comment",
+    ]);
+  });
+
+  // Guards against a continuation that mixes several texts, or calls a tool
+  // with half of its arguments.
+  test.each([
+    { index: 1, delta: { content: "a" } },
+    { index: 0, delta: { tool_calls: [{ index: 0 }] } },
+  ])("does not resume %j", (choice) => {
+    const event = `data: ${JSON.stringify({ choices: [choice] })}\n\n`;
+    expect(readProgress(Buffer.from(event)).isResumable).toBe(false);
+  });
+});
--- a/src/entry/faults_test.ts
+++ b/src/entry/faults_test.ts
@@ -167,6 +167,17 @@
     requests: [1, 1],
     retries: { connection_lost: 1 },
   },
+  {
+    name: "not run reported by an agent that had begun its answer",
+    agents: [
+      (stream) => {
+        sendHead(stream, { type: "application/json" });
+        stream.end({ outcome: "not_run", code: "overloaded" });
+      },
+    ],
+    expected: { status: 502, outcome: "unknown", code: "connection_lost" },
+    requests: [1],
+  },
   {
     name: "an answer of a version that the document does not list",
     agents: [WRONG_DIGEST, OK],
@@ -275,7 +286,8 @@
     expect(text.split(DONE)).toHaveLength(2);
     expect(text).not.toContain("c2");
     const [resumed] = fleet.agents[1]!.requests;
-    if (resumed === undefined) return;
+    if (sent.includes(FINISH)) return expect(resumed).toBeUndefined();
+    if (resumed === undefined) throw new Error("not continued");
     const { resume, versionDigest } = resumed.head;
     expect(versionDigest).toBe(DIGEST);
     expect(resume!.tokens).toBe(resume!.text.length);
@@ -332,6 +344,36 @@
     expect(text).toContain("event: error");
   });
 
+  // Guards against attempts that are spent on endpoints of another version.
+  test("passes over endpoints that report another digest", async () => {
+    const agents = createAgents(
+      breakAfter(TEXT.slice(0, 1)),
+      continueText,
+      continueText,
+    );
+    const fleet = await startFleet({ agents });
+    const document = createDocument();
+    const [model] = document.models;
+    const versions = [
+      ...model!.versions,
+      { name: "v2", digest: OTHER_DIGEST, sizeBytes: 1 },
+    ];
+    fleet.view.document = { ...document, models: [{ ...model!, versions }] };
+    fleet.agents[1]!.notify({
+      topic: "load",
+      sequence: 1,
+      service: "assistant",
+      phase: "warm",
+      versionDigest: OTHER_DIGEST,
+      inFlight: 0,
+      queued: 0,
+      limit: 8,
+    });
+    await fleet.waitForReport("b");
+    expect(readText(await (await post(fleet)).text())).toBe("abc");
+    expect(fleet.agents[1]!.requests).toEqual([]);
+  });
+
   // Guards against frames of an abandoned stream in the continued answer.
   test("forwards nothing of a stream that was reset", async () => {
     const late: Behaviour = async (stream) => {
--- a/src/entry/read_body.ts
+++ b/src/entry/read_body.ts
@@ -3,24 +3,28 @@
 import type { IncomingMessage } from "node:http";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
+import type { MemoryPool } from "./memory_pool.ts";
 
-export type BodyError = "body_too_large" | "slow_request" | "caller_left";
+export type BodyError =
+  "body_too_large" | "slow_request" | "caller_left" | "overloaded";
 
 export interface BodyLimits {
   readonly maxBytes: number;
   readonly timeoutMs: number;
+  /** Memory for all bodies; the caller of this function gives it back. */
+  readonly pool: MemoryPool;
 }
 
 export function readBody(
   incoming: IncomingMessage,
-  { maxBytes, timeoutMs }: BodyLimits,
+  { maxBytes, timeoutMs, pool }: BodyLimits,
 ): Promise<Result<Buffer, BodyError>> {
   if (Number(incoming.headers["content-length"] ?? 0) > maxBytes) {
     return Promise.resolve(err("body_too_large"));
   }
   return new Promise((resolve) => {
     const parts: Buffer[] = [];
-    let sizeBytes = 0;
+    let takenBytes = 0;
     const timer = setTimeout(() => settle(err("slow_request")), timeoutMs);
 
     function settle(result: Result<Buffer, BodyError>) {
@@ -28,13 +32,19 @@
       incoming.off("data", onData);
       incoming.off("end", onEnd);
       incoming.off("close", onClose);
-      if (result.isErr()) incoming.pause();
+      if (result.isErr()) {
+        incoming.pause();
+        pool.release(takenBytes);
+      }
       resolve(result);
     }
 
     function onData(part: Buffer) {
-      sizeBytes += part.length;
-      if (sizeBytes > maxBytes) return settle(err("body_too_large"));
+      if (takenBytes + part.length > maxBytes) {
+        return settle(err("body_too_large"));
+      }
+      if (!pool.take(part.length)) return settle(err("overloaded"));
+      takenBytes += part.length;
       parts.push(part);
     }
 
--- a/src/entry/refusal.ts
+++ b/src/entry/refusal.ts
@@ -38,6 +38,12 @@
 const NOT_RUN_STATUS = 503;
 const UNKNOWN_STATUS = 502;
 const DEFAULT_RETRY_AFTER_MS = 1_000;
+/**
+ * Callers that were refused together return over a span of time. It covers
+ * several values of Retry-After, which has whole seconds only.
+ */
+const MIN_SPAN_MS = 2_000;
+const MAX_SPAN_MS = 10_000;
 
 /**
  * A status of 502 or 504 always means an unknown outcome, and a status of 503
@@ -58,9 +64,9 @@
 ): number | undefined {
   const status = readStatus(refusal);
   if (status !== 429 && status !== NOT_RUN_STATUS) return undefined;
-  // Callers that were refused together return over a span as long as the wait.
   const waitMs = Math.max(1, refusal.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS);
-  return Math.ceil(waitMs * (1 + random()));
+  const spanMs = Math.min(Math.max(waitMs, MIN_SPAN_MS), MAX_SPAN_MS);
+  return Math.ceil(waitMs + random() * spanMs);
 }
 
 export function createErrorBody(
--- a/src/entry/testing/fake_fleet.ts
+++ b/src/entry/testing/fake_fleet.ts
@@ -138,6 +138,8 @@
     isWaking: boolean;
   };
   changeView(): void;
+  /** Resolves when the entry has got a load report from this host. */
+  waitForReport(host: string): Promise<void>;
   /** Resolves when the entry has logged this message. */
   waitForLog(message: string): Promise<void>;
   counter(name: string, labels?: Record<string, string>): number;
@@ -235,8 +237,12 @@
     (options.agents ?? []).map((place) =>
       startAgent(place, {
         counters,
-        onNotice: (peer, notice) =>
-          noticeHandlers.get(notice.topic)?.(peer, notice),
+        onNotice: (peer, notice) => {
+          noticeHandlers.get(notice.topic)?.(peer, notice);
+          if (notice.topic === "load") {
+            findGate(`report of ${peer.hello.host}`).open();
+          }
+        },
       }),
     ),
   );
@@ -249,6 +255,7 @@
     view,
     fetchedVersions,
     agents: started.map(({ agent }) => agent),
+    waitForReport: (host) => findGate(`report of ${host}`).promise,
     waitForLog: (message) => findGate(message).promise,
     changeView: () => changeHandlers.forEach((handler) => handler()),
     counter: (name, labels) => registry.counter(name, "").read(labels),
