--- a/src/entry/bad_input_test.ts
+++ b/src/entry/bad_input_test.ts
@@ -109,7 +109,15 @@
   },
   {
     name: "a path that hides its route",
-    path: "/services/booking/x%2f..%2fbookings",
+    path: "/services/booking/x%2fbookings",
+    body: "",
+    status: 400,
+    code: "bad_request",
+    message: "The path has empty, relative or encoded segments",
+  },
+  {
+    name: "a path with an empty segment",
+    path: "/services/booking//bookings",
     body: "",
     status: 400,
     code: "bad_request",
--- a/src/entry/faults_test.ts
+++ b/src/entry/faults_test.ts
@@ -102,6 +102,13 @@
   stream.end({ outcome: "answered" });
 };
 
+const NO_DIGEST: Behaviour = async (stream) => {
+  const headers = { "content-type": "application/json" };
+  stream.send({ kind: "response_head", status: 200, headers });
+  await stream.write(Buffer.from("{}"));
+  stream.end({ outcome: "answered" });
+};
+
 const NO_END_MARK: Behaviour = async (stream, request, agent) => {
   sendHead(stream, { type: "application/json" });
   await stream.write(Buffer.from(JSON.stringify({ text: "ok" })));
@@ -185,6 +192,13 @@
     requests: [1, 1],
     retries: { wrong_digest: 1 },
   },
+  {
+    name: "an answer that does not say its version",
+    agents: [NO_DIGEST, OK],
+    expected: { status: 200, outcome: "answered" },
+    requests: [1, 1],
+    retries: { wrong_digest: 1 },
+  },
   {
     name: "an answer of a wrong version passed on for want of another endpoint",
     agents: [WRONG_DIGEST],
@@ -239,6 +253,8 @@
     const retries = fleet.counter("retries_total", { reason: "overloaded" });
     expect(retries).toBe(10);
     expect(fleet.counter("retries_denied_total", { cause: "budget" })).toBe(50);
+    const sent = fleet.agents.flatMap(({ requests }) => requests);
+    expect(sent).toHaveLength(70);
   });
 
   // Guards against new work for a data centre that this entry believes is in.
@@ -445,6 +461,24 @@
     await slow.body!.cancel();
   });
 
+  // Guards against a caller that does not read and so holds up a shutdown.
+  test("closes a stalled connection at the time limit", async () => {
+    const stalled = createGate();
+    const fleet = await startFleet({
+      agents: createAgents(async (stream) => {
+        sendHead(stream);
+        const event = Buffer.from(formatEvent("x".repeat(50_000)));
+        while ((await stream.write(event)).isOk());
+        stalled.open();
+      }),
+      settings: { requestTimeoutMs: 300 },
+    });
+    const response = await post(fleet);
+    await stalled.promise;
+    await fleet.entry.shutDown();
+    await expect(response.text()).rejects.toThrow();
+  });
+
   // Guards against a request that holds its endpoint for ever.
   test("ends at the time limit", async () => {
     const fleet = await startFleet({
--- a/src/routing/routing_test.ts
+++ b/src/routing/routing_test.ts
@@ -130,7 +130,11 @@
 });
 
 describe("choosePeers", () => {
-  function createView(entries: number, agents: number): FleetView {
+  function createView(
+    entries: number,
+    agents: number,
+    document = createDocument([]),
+  ): FleetView {
     const hosts = [
       ...Array.from({ length: entries }, (_, i) => createHost("entry", i)),
       ...Array.from({ length: agents }, (_, i) => createHost("endpoint", i)),
@@ -139,7 +143,7 @@
       config: () => ({
         version: 1,
         publishedAtMs: 0,
-        document: createDocument([]),
+        document,
       }),
       hosts: () => ({ sequence: 1, hosts }),
     } as unknown as FleetView;
@@ -182,6 +186,20 @@
     },
   );
 
+  // Guards against keys whose only runner no entry is connected to.
+  test("includes every runner", () => {
+    const document = createDocument(["endpoint-3", "endpoint-9"]);
+    const services = document.services.map((service) =>
+      service.kind === "plain" ? { ...service, name: "assistant" } : service,
+    );
+    const view = createView(400, 3_700, { ...document, services });
+    const names = choosePeers(view, {
+      entry: "entry-0",
+      isInUse: () => false,
+    }).map(({ name }) => name);
+    expect(names).toEqual(expect.arrayContaining(["endpoint-3", "endpoint-9"]));
+  });
+
   // Guards against streams that are cut when the subset moves.
   test("keeps agents that are in use", () => {
     const names = choosePeers(createView(400, 3_700), {
