--- a/src/entry/bad_input_test.ts
+++ b/src/entry/bad_input_test.ts
@@ -109,7 +109,15 @@
   },
   {
     name: "a path that hides its route",
-    path: "/services/booking/x%2f..%2fbookings",
+    path: "/services/booking/x%2fbookings",
+    body: "",
+    status: 400,
+    code: "bad_request",
+    message: "The path has empty, relative or encoded segments",
+  },
+  {
+    name: "a path with an empty segment",
+    path: "/services/booking//bookings",
     body: "",
     status: 400,
     code: "bad_request",
@@ -281,5 +289,6 @@
     const other = { ...request, prompt: "q" };
     expect((await post("/v1/completions", other)).status).toBe(200);
     expect(agents[0]!.notices).toEqual([]);
+    expect(agents[1]!.notices).toHaveLength(2);
   });
 });
--- a/src/entry/faults_test.ts
+++ b/src/entry/faults_test.ts
@@ -102,6 +102,13 @@
   stream.end({ outcome: "answered" });
 };
 
+const NO_DIGEST: Behaviour = async (stream) => {
+  const headers = { "content-type": "application/json" };
+  stream.send({ kind: "response_head", status: 200, headers });
+  await stream.write(Buffer.from("{}"));
+  stream.end({ outcome: "answered" });
+};
+
 const NO_END_MARK: Behaviour = async (stream, request, agent) => {
   sendHead(stream, { type: "application/json" });
   await stream.write(Buffer.from(JSON.stringify({ text: "ok" })));
@@ -167,6 +174,17 @@
     requests: [1, 1],
     retries: { connection_lost: 1 },
   },
+  {
+    name: "not run reported by an agent that had begun its answer",
+    agents: [
+      (stream) => {
+        sendHead(stream, { type: "application/json" });
+        stream.end({ outcome: "not_run", code: "overloaded" });
+      },
+    ],
+    expected: { status: 502, outcome: "unknown", code: "connection_lost" },
+    requests: [1],
+  },
   {
     name: "an answer of a version that the document does not list",
     agents: [WRONG_DIGEST, OK],
@@ -174,6 +192,13 @@
     requests: [1, 1],
     retries: { wrong_digest: 1 },
   },
+  {
+    name: "an answer that does not say its version",
+    agents: [NO_DIGEST, OK],
+    expected: { status: 200, outcome: "answered" },
+    requests: [1, 1],
+    retries: { wrong_digest: 1 },
+  },
   {
     name: "an answer of a wrong version passed on for want of another endpoint",
     agents: [WRONG_DIGEST],
@@ -228,6 +253,8 @@
     const retries = fleet.counter("retries_total", { reason: "overloaded" });
     expect(retries).toBe(10);
     expect(fleet.counter("retries_denied_total", { cause: "budget" })).toBe(50);
+    const sent = fleet.agents.flatMap(({ requests }) => requests);
+    expect(sent).toHaveLength(70);
   });
 
   // Guards against new work for a data centre that this entry believes is in.
@@ -275,7 +302,8 @@
     expect(text.split(DONE)).toHaveLength(2);
     expect(text).not.toContain("c2");
     const [resumed] = fleet.agents[1]!.requests;
-    if (resumed === undefined) return;
+    if (sent.includes(FINISH)) return expect(resumed).toBeUndefined();
+    if (resumed === undefined) throw new Error("not continued");
     const { resume, versionDigest } = resumed.head;
     expect(versionDigest).toBe(DIGEST);
     expect(resume!.tokens).toBe(resume!.text.length);
@@ -297,6 +325,20 @@
     expect(fleet.counter("cut_streams_total", labels)).toBe(1);
   });
 
+  // Guards against streams that are cut because the entry was paused.
+  test("continues when the entry has woken", async () => {
+    const fleet = await startFleet({
+      agents: createAgents((stream, request, agent) => {
+        fleet.view.isWaking = true;
+        setTimeout(() => (fleet.view.isWaking = false), 100);
+        return breakAfter(TEXT.slice(0, 1))(stream, request, agent);
+      }, continueText),
+    });
+    const text = await (await post(fleet)).text();
+    expect(readText(text)).toBe("abc");
+    expect(fleet.counter("continued_streams_total")).toBe(1);
+  });
+
   // Guards against a text of two versions.
   test("does not continue on an endpoint of another digest", async () => {
     const fleet = await startFleet({
@@ -318,6 +360,36 @@
     expect(text).toContain("event: error");
   });
 
+  // Guards against attempts that are spent on endpoints of another version.
+  test("passes over endpoints that report another digest", async () => {
+    const agents = createAgents(
+      breakAfter(TEXT.slice(0, 1)),
+      continueText,
+      continueText,
+    );
+    const fleet = await startFleet({ agents });
+    const document = createDocument();
+    const [model] = document.models;
+    const versions = [
+      ...model!.versions,
+      { name: "v2", digest: OTHER_DIGEST, sizeBytes: 1 },
+    ];
+    fleet.view.document = { ...document, models: [{ ...model!, versions }] };
+    fleet.agents[1]!.notify({
+      topic: "load",
+      sequence: 1,
+      service: "assistant",
+      phase: "warm",
+      versionDigest: OTHER_DIGEST,
+      inFlight: 0,
+      queued: 0,
+      limit: 8,
+    });
+    await fleet.waitForReport("b");
+    expect(readText(await (await post(fleet)).text())).toBe("abc");
+    expect(fleet.agents[1]!.requests).toEqual([]);
+  });
+
   // Guards against frames of an abandoned stream in the continued answer.
   test("forwards nothing of a stream that was reset", async () => {
     const late: Behaviour = async (stream) => {
@@ -389,6 +461,24 @@
     await slow.body!.cancel();
   });
 
+  // Guards against a caller that does not read and so holds up a shutdown.
+  test("closes a stalled connection at the time limit", async () => {
+    const stalled = createGate();
+    const fleet = await startFleet({
+      agents: createAgents(async (stream) => {
+        sendHead(stream);
+        const event = Buffer.from(formatEvent("x".repeat(50_000)));
+        while ((await stream.write(event)).isOk());
+        stalled.open();
+      }),
+      settings: { requestTimeoutMs: 300 },
+    });
+    const response = await post(fleet);
+    await stalled.promise;
+    await fleet.entry.shutDown();
+    await expect(response.text()).rejects.toThrow();
+  });
+
   // Guards against a request that holds its endpoint for ever.
   test("ends at the time limit", async () => {
     const fleet = await startFleet({
