--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -13,10 +13,10 @@
 import type { Node } from "../node/mod.ts";
 import { createQuarantine } from "../quarantine/mod.ts";
 import { createRollout, createSwitchOrder } from "../rollout/mod.ts";
-import type { RolloutTarget } from "../rollout/mod.ts";
 import type { Weights } from "../weights/mod.ts";
 import type { CrashNotice, Notice, Peer } from "../wire/mod.ts";
 import { createAgentCounters } from "./agent_counters.ts";
+import { readAgentStatus, registerAgentGauges } from "./agent_status.ts";
 import { SYSTEM_CLOCK } from "./clock.ts";
 import type { Clock } from "./clock.ts";
 import { createCrashWatch } from "./crash_watch.ts";
@@ -24,9 +24,11 @@
 import { handleRequest } from "./handle_request.ts";
 import { createHttpApp } from "./http_app.ts";
 import { createLoadReports } from "./load_reports.ts";
+import { findOwnListing, isListedElsewhere } from "./own_listing.ts";
 import { createPauseGuard } from "./pause_guard.ts";
 import type { RequestContext } from "./request_context.ts";
-import { findService, findServingVersion } from "./service_config.ts";
+import { readSwitchView, readTarget } from "./rollout_view.ts";
+import { findService } from "./service_config.ts";
 
 /** Used until the document gives a service's own limit. */
 const DEFAULT_MAX_KEYS = 10_000;
@@ -67,6 +69,7 @@
   const { node, weights, settings, registry, logger } = options;
   const clock = options.clock ?? SYSTEM_CLOCK;
   const { identity, view } = node;
+  const { service } = settings;
   const counters = createAgentCounters(registry);
   const client = createEndpointClient(settings.endpointUrl);
   const pauseGuard = createPauseGuard(clock);
@@ -88,7 +91,7 @@
   });
   const control = createEndpointControl({
     identity,
-    service: settings.service,
+    service,
     view,
     monitor,
     admission,
@@ -101,7 +104,7 @@
   });
   const reports = createLoadReports({
     read: () => ({
-      service: settings.service,
+      service,
       phase: control.phase(),
       ...withDigest(control.digest()),
       inFlight: admission.inFlight(),
@@ -132,8 +135,8 @@
     admission,
     control,
     order: createSwitchOrder(clock.monotonicMs),
-    readTarget,
-    readSwitchView,
+    readTarget: () => readTarget(node, service),
+    readSwitchView: () => readSwitchView(node, weights, service),
     incarnation: identity.incarnation,
     sourceUrl: (digest) => `http://${httpAddress}/v1/weights/${digest}`,
     monotonicMs: clock.monotonicMs,
@@ -143,7 +146,7 @@
   });
   const context: RequestContext = {
     node,
-    service: settings.service,
+    service,
     client,
     control,
     admission,
@@ -165,53 +168,12 @@
 
   function readService() {
     const config = view.config();
-    return config && findService(config.document, settings.service);
+    return config && findService(config.document, service);
   }
 
   function readMaxKeys(): number {
-    const service = readService();
-    return service?.kind === "plain" ? service.maxKeys : DEFAULT_MAX_KEYS;
-  }
-
-  function readTarget(): RolloutTarget | undefined {
-    const config = view.config();
-    const service = readService();
-    if (config === undefined || service?.kind !== "language") return undefined;
-    const version = findServingVersion(config.document, service);
-    if (version === undefined) return undefined;
-    return {
-      model: service.model,
-      manifestDigest: version.digest,
-      sizeBytes: version.sizeBytes,
-      configVersion: config.version,
-    };
-  }
-
-  function readSwitchView() {
-    const names = view
-      .hosts()
-      .hosts.filter(
-        (host) =>
-          host.role === "endpoint" &&
-          host.state === "live" &&
-          host.service === settings.service &&
-          host.dataCentre === identity.dataCentre,
-      )
-      .map(({ name }) => name);
-    return {
-      ownHost: identity.host,
-      hosts: [...new Set([...names, identity.host])],
-      members: weights
-        .peers()
-        .filter((peer) => peer.host !== identity.host)
-        .map((peer) => ({
-          host: peer.host,
-          isWarm: peer.phase === "warm",
-          ...(peer.servingDigest === undefined
-            ? {}
-            : { servingDigest: peer.servingDigest }),
-        })),
-    };
+    const found = readService();
+    return found?.kind === "plain" ? found.maxKeys : DEFAULT_MAX_KEYS;
   }
 
   function tellPeers() {
@@ -243,13 +205,13 @@
     quarantine.notices().forEach((notice) => peer.sendNotice(notice));
   });
   // Another address under the own name may belong to a later incarnation.
-  node.addPeerChooser(({ hosts }) =>
-    hosts().hosts.filter(
-      ({ name, peerAddress }) =>
-        name === identity.host && peerAddress !== node.peerAddress,
+  node.addPeerChooser(() =>
+    [findOwnListing(node)].flatMap((host) =>
+      host !== undefined && isListedElsewhere(node) ? [host] : [],
     ),
   );
-  monitor.onStatus(({ fencing }) => {
+  monitor.onStatus(({ phase, fencing }, previous) => {
+    if (phase !== previous.phase) counters.phases.increment({ phase });
     if (fencing !== undefined) checkIncarnation(fencing[1], "engine");
   });
   node.onNotice("crash", (peer, notice) => forwardCrash(peer, notice));
@@ -263,7 +225,13 @@
       .finally(() => ongoing.delete(handled));
     ongoing.add(handled);
   });
-  registerGauges();
+  const sources = {
+    context,
+    weights,
+    readTarget: () => readTarget(node, service),
+    rolloutPhase: rollout.phase,
+  };
+  registerAgentGauges(registry, sources);
 
   function forwardCrash(from: Peer, notice: Notice) {
     if (!quarantine.accept(notice as CrashNotice)) return;
@@ -274,56 +242,10 @@
       .forEach((peer) => peer.sendNotice(notice));
   }
 
-  function registerGauges() {
-    registry.gauge("agent_in_flight", "Requests that run at the endpoint", () =>
-      admission.inFlight(),
-    );
-    registry.gauge("agent_queued", "Requests that wait for a slot", () =>
-      admission.queued(),
-    );
-    registry.gauge("agent_limit", "Slots that may be used now", () =>
-      admission.limit(),
-    );
-    registry.gauge("agent_keys_held", "Idempotency keys in the table", () =>
-      keyTable.size(),
-    );
-    registry.gauge("agent_key_floor_ms", "Time of the key floor", () =>
-      keyFloor.valueMs(),
-    );
-    registry.gauge("agent_phase", "1 for the current phase", () => [
-      { labels: { phase: control.phase() }, value: 1 },
-    ]);
-  }
-
   function isReady(): boolean {
     return view.config() !== undefined && !control.isLeaving();
   }
 
-  function readStatus() {
-    const target = readTarget();
-    return {
-      host: identity.host,
-      data_centre: identity.dataCentre,
-      service: settings.service,
-      incarnation: identity.incarnation,
-      config_version: view.config()?.version ?? 0,
-      config_floor: control.configFloor(),
-      host_list_sequence: view.hosts().sequence,
-      phase: control.phase(),
-      version_digest: control.digest() ?? null,
-      target_digest: target?.manifestDigest ?? null,
-      transfer: target ? weights.progress(target.manifestDigest) : null,
-      rollout: rollout.phase(),
-      closed: control.closure()?.code ?? null,
-      in_flight: admission.inFlight(),
-      queued: admission.queued(),
-      limit: admission.limit(),
-      keys: keyTable.size(),
-      key_floor_ms: keyFloor.valueMs(),
-      quarantined_fingerprints: quarantine.size(),
-    };
-  }
-
   async function waitForOngoing() {
     const deadline = createTimeout(settings.drainTimeoutMs);
     await Promise.race([Promise.all([...ongoing]), deadline.promise]);
@@ -338,7 +260,12 @@
     isReady,
     httpAddress: () => httpAddress,
     async start() {
-      const app = createHttpApp({ weights, registry, isReady, readStatus });
+      const app = createHttpApp({
+        weights,
+        registry,
+        isReady,
+        readStatus: () => readAgentStatus(sources),
+      });
       const at = settings.httpAddress.lastIndexOf(":");
       server = await listen(app.fetch, {
         hostname: settings.httpAddress.slice(0, at),
--- a/src/agent/agent_counters.ts
+++ b/src/agent/agent_counters.ts
@@ -10,6 +10,7 @@
   readonly crashes: Counter;
   readonly keys: Counter;
   readonly orders: Counter;
+  readonly phases: Counter;
   readonly handOffMs: Latency;
 }
 
@@ -43,6 +44,10 @@
       "agent_load_orders_total",
       "Load orders by result",
     ),
+    phases: registry.counter(
+      "agent_phase_changes_total",
+      "Changes of the endpoint's phase, by the new one",
+    ),
     handOffMs: registry.latency(
       "agent_hand_off_ms",
       "Time from the arrival of a request to its hand-off",
--- a/src/agent/agent_test.ts
+++ b/src/agent/agent_test.ts
@@ -1,4 +1,7 @@
 import { afterEach, describe, expect, test } from "@jest/globals";
+import { err, ok } from "neverthrow";
+import { runAgent } from "./mod.ts";
+import { createFakeWeights } from "./testing/fake_weights.ts";
 import { ask, createRig, DIGEST_1 } from "./testing/mod.ts";
 import type { Rig, RigOptions } from "./testing/mod.ts";
 
@@ -59,3 +62,59 @@
     });
   });
 });
+
+describe("binary", () => {
+  const finding = { file: "f", line: 1, column: 1, path: "p" };
+  const cases = [
+    { args: ["--help"], code: 0 },
+    { args: ["--version"], code: 0 },
+    { args: ["--settings", "good", "--check"], code: 0 },
+    { args: ["--settings", "bad", "--check"], code: 1 },
+    { args: ["--settings", "bad"], code: 1 },
+    { args: [], code: 2 },
+    { args: ["--settings", "good", "--unknown"], code: 2 },
+    { args: ["--settings", "good"], code: 0, isStarted: true },
+  ];
+  // Guards against exit codes that scripts cannot rely on, and against a
+  // SIGTERM that does not end the process.
+  test.each(cases)(
+    "$args exits with $code",
+    async ({ args, code, isStarted }) => {
+      const { fake, engine } = await start();
+      const settings = {
+        host: "h1",
+        dataCentre: "d1",
+        service: "assistant",
+        httpAddress: "127.0.0.1:0",
+        peerAddress: "127.0.0.1:0",
+        platformUrl: "http://127.0.0.1:1",
+        seedPeers: [],
+        endpointUrl: engine.url,
+        weightStoreUrl: "http://127.0.0.1:1",
+        weightsMemoryBytes: 1,
+        weightsPolicy: "swarm" as const,
+        drainTimeoutMs: 1_000,
+      };
+      let starts = 0;
+      const exit = await runAgent(["node", "agent", ...args], {
+        version: "0",
+        loadSettings: (file) =>
+          Promise.resolve(
+            file === "good"
+              ? ok(settings)
+              : err([{ ...finding, message: "m", fix: "x" }]),
+          ),
+        startNode() {
+          starts += 1;
+          return Promise.resolve(fake.node);
+        },
+        createWeights() {
+          setImmediate(() => process.emit("SIGTERM"));
+          return createFakeWeights(() => undefined);
+        },
+      });
+      expect(exit).toBe(code);
+      expect(starts).toBe(isStarted === true ? 1 : 0);
+    },
+  );
+});
--- a/src/agent/endpoint_control.ts
+++ b/src/agent/endpoint_control.ts
@@ -8,6 +8,7 @@
 import type { AcceptedConfig, FleetView } from "../membership/mod.ts";
 import type { NodeIdentity } from "../node/mod.ts";
 import type { Phase, Trailer } from "../wire/mod.ts";
+import { findOwnListing } from "./own_listing.ts";
 import { createOwnLoad } from "./own_load.ts";
 import { refuseAs } from "./refusal.ts";
 import {
@@ -85,8 +86,7 @@
   }
 
   function isListedLeaving(): boolean {
-    const own = view.hosts().hosts.find(({ name }) => name === identity.host);
-    return own?.state === "leaving";
+    return findOwnListing({ view, identity })?.state === "leaving";
   }
 
   function isServable(digest: string | undefined): boolean {
--- a/src/agent/hand_off.ts
+++ b/src/agent/hand_off.ts
@@ -10,6 +10,7 @@
 import type { RequestHead, Stream, Trailer } from "../wire/mod.ts";
 import { isWaking } from "./check_request.ts";
 import { elapsedMs, readBoth } from "./pause_guard.ts";
+import { isListedElsewhere } from "./own_listing.ts";
 import { refuseAs, unknownAs } from "./refusal.ts";
 import { relayAnswer } from "./relay_answer.ts";
 import type { RelayResult } from "./relay_answer.ts";
@@ -116,12 +117,11 @@
   { signal, isDetached }: Pick<Aborter, "signal" | "isDetached">,
   { context, body, key }: HandOffOptions,
 ): Promise<Ending> {
-  const { client, control, clock } = context;
+  const { client, control, clock, node } = context;
   const head = stream.head as RequestHead;
   const digest = control.digest();
   const acceptedAt = readBoth(clock);
   const isLate = () =>
-    key !== undefined &&
     elapsedMs(acceptedAt, readBoth(clock)) > MAX_HAND_OFF_AGE_MS;
   const aborter = new AbortController();
   const answer = await client.send({
@@ -132,7 +132,10 @@
     signal: AbortSignal.any([signal, aborter.signal]),
     isRepeatable: key === undefined,
     mayWrite: () =>
-      !isWaking(context) && !isLate() && !isDetached() && !control.isStopped(),
+      !isWaking(context) &&
+      !control.isStopped() &&
+      (key === undefined ||
+        (!isLate() && !isDetached() && !isListedElsewhere(node))),
   });
   if (answer.isErr()) return explainFailure(answer.error);
   const isStored = key !== undefined;
--- a/src/agent/handle_request.ts
+++ b/src/agent/handle_request.ts
@@ -10,6 +10,7 @@
 import { handOff } from "./hand_off.ts";
 import { checkKey, explainKey } from "./key_check.ts";
 import type { KeyCheck, KeyCheckOptions, TimedKey } from "./key_check.ts";
+import { isListedElsewhere } from "./own_listing.ts";
 import { refuseAs } from "./refusal.ts";
 import { addEngineFields, drainBody, readBody } from "./request_body.ts";
 import type { RequestContext } from "./request_context.ts";
@@ -34,7 +35,7 @@
   if (keyCheck !== undefined && endByKey(stream, keyCheck, context)) return;
   const early =
     checkRequest(head, context) ??
-    checkAge(head, keyed !== undefined, context) ??
+    (keyed && checkRunner(head, context)) ??
     checkAdmission(head, readRemainingMs(), context);
   if (early !== undefined) return refuse(stream, early, context);
 
@@ -147,19 +148,25 @@
 }
 
 /**
- * A call that must not repeat is refused while the entry is known to have a
- * newer configuration, because that one may name another runner.
+ * A call that must not repeat is refused while another process may be its
+ * runner: the entry's newer configuration may name another host, and the host
+ * list may name a replacement of this one.
  */
-function checkAge(
+function checkRunner(
   head: RequestHead,
-  isKeyed: boolean,
   { node }: RequestContext,
 ): Trailer | undefined {
-  const held = node.view.config()?.version ?? 0;
-  if (!isKeyed || head.configVersion <= held) return undefined;
+  if (head.configVersion > (node.view.config()?.version ?? 0)) {
+    return refuseAs(
+      "no_configuration",
+      "The agent could not get the entry's configuration",
+      RETRY_MS,
+    );
+  }
+  if (!isListedElsewhere(node)) return undefined;
   return refuseAs(
-    "no_configuration",
-    "The agent could not get the entry's configuration",
+    "runner_unreachable",
+    "The host list gives this host another address",
     RETRY_MS,
   );
 }
--- a/src/agent/key_faults_test.ts
+++ b/src/agent/key_faults_test.ts
@@ -132,6 +132,24 @@
     expect(await old.agent.stopped).toBe("superseded");
   });
 
+  // Guards against a run beside a replacement that the host list knows.
+  test("a host listed at another address runs no keys", async () => {
+    const { entry, fake, engine } = await start();
+    const listing = {
+      name: "h1",
+      role: "endpoint" as const,
+      dataCentre: "d1",
+      peerAddress: "127.0.0.1:1",
+      state: "live" as const,
+    };
+    fake.setHosts({ sequence: 2, hosts: [listing] });
+    expect((await ask(entry, book(createKey()))).trailer).toMatchObject({
+      outcome: "not_run",
+      code: "runner_unreachable",
+    });
+    expect(engine.requests).toHaveLength(0);
+  });
+
   // Guards against forgetting that an evicted key ran.
   test("a full table raises the floor over the evicted keys", async () => {
     const rig = await start();
--- a/src/agent/testing/fake_engine.ts
+++ b/src/agent/testing/fake_engine.ts
@@ -28,6 +28,8 @@
   readonly requests: readonly FakeRequest[];
   readonly cancelled: readonly string[];
   readonly orders: readonly Record<string, unknown>[];
+  /** Runs after each call to the engine. */
+  onActivity(handler: () => void): void;
   /** Resolves with the request of this number, counted from 0. */
   waitForRequest(index: number): Promise<FakeRequest>;
   waitForCancel(): Promise<string>;
@@ -46,6 +48,7 @@
   const cancelled: string[] = [];
   const orders: Record<string, unknown>[] = [];
   const waiters: (() => void)[] = [];
+  const listeners: (() => void)[] = [];
   const state: FakeEngineState = {
     bootId: "boot-1",
     phase: "warm",
@@ -66,6 +69,7 @@
 
   function wake() {
     waiters.splice(0).forEach((waiter) => waiter());
+    listeners.forEach((listener) => listener());
   }
 
   function answerWhole({ response }: FakeRequest) {
@@ -99,6 +103,7 @@
   }
 
   function sendState(response: ServerResponse) {
+    wake();
     response.end(
       JSON.stringify({
         boot_id: state.bootId,
@@ -126,6 +131,7 @@
     requests,
     cancelled,
     orders,
+    onActivity: (handler) => void listeners.push(handler),
     async waitForRequest(index) {
       while (requests.length <= index) {
         await new Promise<void>((resolve) => waiters.push(resolve));
--- a/src/agent/testing/fake_node.ts
+++ b/src/agent/testing/fake_node.ts
@@ -1,17 +1,33 @@
 /** A node for tests: a real peer listener and a view set by the test. */
 
-import type {
-  AgentSettingsLike,
-  FakeNode,
-  FakeNodeOptions,
-} from "./fake_types.ts";
 import type { AcceptedConfig, HostList } from "../../membership/mod.ts";
 import { createRegistry } from "../../metrics/mod.ts";
-import type { Node } from "../../node/mod.ts";
+import type { Logger } from "../../logging/mod.ts";
+import type { Node, NodeIdentity } from "../../node/mod.ts";
 import { createWireCounters, listenForPeers } from "../../wire/mod.ts";
 import type { Hello, Notice, Peer, Stream } from "../../wire/mod.ts";
 
-export type { AgentSettingsLike, FakeNode };
+export interface FakeNodeOptions {
+  readonly identity: NodeIdentity;
+  readonly config: AcceptedConfig | undefined;
+  readonly confirmedAtMs: number;
+  readonly logger: Logger;
+  /** Runs after each call that tests wait for. */
+  readonly notify: () => void;
+}
+
+export interface FakeNode {
+  readonly node: Node;
+  /** Versions asked for with `fetchConfig`. */
+  readonly fetched: readonly number[];
+  /** Floors given to `raiseConfigFloor`. */
+  readonly floors: readonly number[];
+  setConfig(config: AcceptedConfig | undefined): void;
+  setHosts(hosts: HostList): void;
+  setWaking(isWaking: boolean): void;
+  setConfirmedAtMs(atMs: number): void;
+  onFetch(handler: (version: number) => void): void;
+}
 
 export async function createFakeNode(
   options: FakeNodeOptions,
@@ -24,7 +40,7 @@
   const noticeHandlers = new Map<string, (p: Peer, n: Notice) => void>();
   const changeHandlers: (() => void)[] = [];
   let config: AcceptedConfig | undefined = options.config;
-  let hosts: HostList = options.hosts ?? { sequence: 1, hosts: [] };
+  let hosts: HostList = { sequence: 1, hosts: [] };
   let waking = false;
   let confirmedAtMs = options.confirmedAtMs;
   const fetched: number[] = [];
@@ -85,7 +101,10 @@
       onFetch(version);
       return Promise.resolve();
     },
-    raiseConfigFloor: (version) => void floors.push(version),
+    raiseConfigFloor(version) {
+      floors.push(version);
+      options.notify();
+    },
     close: () => listener.close(),
   };
 
--- a/src/agent/testing/fake_weights.ts
+++ b/src/agent/testing/fake_weights.ts
@@ -8,7 +8,7 @@
   setPeers(peers: readonly WeightPeer[]): void;
 }
 
-export function createFakeWeights(): FakeWeights {
+export function createFakeWeights(notify: () => void): FakeWeights {
   const wanted: (WantedVersion | undefined)[] = [];
   const held = new Set<string>();
   const handlers: ((manifestDigest: string) => void)[] = [];
@@ -18,6 +18,7 @@
     want(version) {
       const last = wanted.at(-1)?.manifestDigest;
       if (last !== version?.manifestDigest) wanted.push(version);
+      notify();
     },
     progress: (manifestDigest) => ({
       manifestDigest,
--- a/src/agent/testing/mod.ts
+++ b/src/agent/testing/mod.ts
@@ -23,7 +23,7 @@
 import { createFakeEngine } from "./fake_engine.ts";
 import type { FakeEngine } from "./fake_engine.ts";
 import { createFakeNode } from "./fake_node.ts";
-import type { FakeNode } from "./fake_types.ts";
+import type { FakeNode } from "./fake_node.ts";
 import { createFakeWeights } from "./fake_weights.ts";
 import type { FakeWeights } from "./fake_weights.ts";
 
@@ -31,7 +31,7 @@
 
 export const DIGEST_1 = `sha256:${"1".repeat(64)}`;
 export const DIGEST_2 = `sha256:${"2".repeat(64)}`;
-const SILENT: Logger = {
+export const SILENT: Logger = {
   debug: () => true,
   info: () => true,
   warn: () => true,
@@ -111,7 +111,7 @@
   readonly notices: readonly Notice[];
   connect(host: string, changes?: ConnectChanges): Promise<Peer>;
   setDocument(document: EnvironmentDocument): void;
-  /** Resolves when the condition holds; it is checked on a short interval. */
+  /** Resolves when the condition holds; checked on each event of the fakes. */
   until(condition: () => boolean): Promise<void>;
   lastLoad(): LoadNotice | undefined;
   close(): Promise<void>;
@@ -137,6 +137,9 @@
   const { service = LANGUAGE, startedAgoMs = 60_000 } = options;
   const clock = createTestClock();
   const engine = options.engine ?? (await createFakeEngine(DIGEST_1));
+  const waiters: (() => void)[] = [];
+  const notify = () => waiters.splice(0).forEach((wake) => wake());
+  engine.onActivity(notify);
   engine.setClock(clock.wallMs);
   options.prepare?.(engine);
   const fake = await createFakeNode({
@@ -155,8 +158,9 @@
     },
     confirmedAtMs: Date.now(),
     logger: SILENT,
+    notify,
   });
-  const weights = createFakeWeights();
+  const weights = createFakeWeights(notify);
   const registry = createRegistry();
   const agent = createAgent({
     node: fake.node,
@@ -189,7 +193,10 @@
       }),
       handlers: {
         onStream: () => undefined,
-        onNotice: (_, notice) => void notices.push(notice),
+        onNotice(_, notice) {
+          notices.push(notice);
+          notify();
+        },
       },
       counters: createWireCounters(createRegistry()),
     });
@@ -203,7 +210,7 @@
 
   async function until(condition: () => boolean) {
     while (!condition()) {
-      await new Promise((resolve) => setTimeout(resolve, 5));
+      await new Promise<void>((resolve) => waiters.push(resolve));
     }
   }
 
