--- a/src/agent/hand_off.ts
+++ b/src/agent/hand_off.ts
@@ -9,6 +9,7 @@
 import type { StoredAnswer } from "../idempotency/mod.ts";
 import type { RequestHead, Stream, Trailer } from "../wire/mod.ts";
 import { isWaking } from "./check_request.ts";
+import type { Turn } from "./crash_watch.ts";
 import { elapsedMs, readBoth } from "./pause_guard.ts";
 import { isListedElsewhere } from "./own_listing.ts";
 import { refuseAs, unknownAs } from "./refusal.ts";
@@ -19,6 +20,11 @@
 /** A later hand-off could come after the entry has given the request up. */
 const MAX_HAND_OFF_AGE_MS = 1_000;
 const RETRY_MS = 500;
+/** Reasons that say nothing about the endpoint. */
+const NOT_SENT: ReadonlySet<string> = new Set([
+  "hand_off_expired",
+  "invalid_request",
+]);
 /** Frees the slot of a call whose endpoint stalls without closing. */
 const DETACHED_LIMIT_MS = 60_000;
 /** Statuses with which an endpoint says that it has too much work. */
@@ -27,6 +33,7 @@
 export interface HandOffOptions {
   readonly context: RequestContext;
   readonly slot: Slot;
+  readonly turn: Turn;
   readonly body: Uint8Array;
   /** Key of a call that must not repeat; such a call is never aborted. */
   readonly key: string | undefined;
@@ -52,7 +59,7 @@
   const head = stream.head as RequestHead;
   const aborter = createAborter(stream, options);
   stream.send({ kind: "accepted", incarnation: node.identity.incarnation });
-  const running = crashWatch.start(head.fingerprint);
+  const running = crashWatch.start(head.fingerprint, options.turn);
 
   const run = runAtEndpoint(stream, aborter, options);
   const ending = await Promise.race([run, aborter.aborted]);
@@ -168,9 +175,7 @@
 function explainEnding(ending: Ending): Trailer {
   switch (ending.type) {
     case "not_written":
-      return ending.reason === "hand_off_expired"
-        ? refuseAs("waking", "The hand-off came too late", RETRY_MS)
-        : refuseAs("endpoint_cold", "The endpoint is not reachable", RETRY_MS);
+      return explainNotWritten(ending.reason);
     case "aborted":
       return unknownAs(ending.reason, "The request was cancelled");
     case "broken":
@@ -180,6 +185,21 @@
   }
 }
 
+function explainNotWritten(reason: string): Trailer {
+  switch (reason) {
+    case "hand_off_expired":
+      return refuseAs("waking", "The hand-off came too late", RETRY_MS);
+    case "invalid_request":
+      return refuseAs("bad_request", "The request is not valid HTTP");
+    default:
+      return refuseAs(
+        "endpoint_cold",
+        "The endpoint is not reachable",
+        RETRY_MS,
+      );
+  }
+}
+
 function explainResult(result: RelayResult): Trailer {
   switch (result.type) {
     case "whole":
@@ -203,7 +223,7 @@
     return "neutral";
   }
   if (ending.type === "not_written") {
-    if (ending.reason === "hand_off_expired") return "neutral";
+    if (NOT_SENT.has(ending.reason)) return "neutral";
     counters.failures.increment({ kind: "endpoint_unreachable" });
     control.onConnectionLost();
     return "failed";
--- a/src/agent/hand_off_test.ts
+++ b/src/agent/hand_off_test.ts
@@ -79,6 +79,7 @@
   await handOff(stream, {
     context,
     slot: { release: () => undefined },
+    turn: { release: () => undefined },
     body: Buffer.from("x"),
     key: KEY,
     remainingMs: 10_000,
--- a/src/agent/handle_request.ts
+++ b/src/agent/handle_request.ts
@@ -31,7 +31,12 @@
 
   await catchUp(peer, head, context);
   const keyed = findKeyedService(head, context);
-  const keyCheck = keyed && checkKey(head, createKeyOptions(keyed, context));
+  // Without a document only the entry knows that the call must not repeat.
+  const isBlind = context.node.view.config() === undefined && !head.repeatable;
+  const keyCheck =
+    keyed !== undefined || isBlind
+      ? checkKey(head, createKeyOptions(keyed, context))
+      : undefined;
   if (keyCheck !== undefined && endByKey(stream, keyCheck, context)) return;
   const early =
     checkRequest(head, context) ??
@@ -82,8 +87,14 @@
     context.counters.keys.increment({ decision: taken.type });
     if (endByKey(stream, explainKey(taken, timed), context)) return;
   }
+  const turn = await context.crashWatch.waitForTurn(
+    head.fingerprint,
+    arrived.readRemainingMs(),
+  );
   const slot = await waitForSlot(stream, arrived);
-  if (slot === undefined) {
+  if (slot === undefined || turn === undefined) {
+    slot?.release("neutral");
+    turn?.release();
     if (timed !== undefined) context.keyTable.release(timed.key);
     return;
   }
@@ -93,6 +104,7 @@
   await handOff(stream, {
     context,
     slot,
+    turn,
     body: arrived.body,
     key: timed?.key,
     remainingMs: arrived.readRemainingMs(),
@@ -124,7 +136,7 @@
     refuse(stream, refuseAs(code, message, retryAfterMs), context);
     return undefined;
   }
-  const late = checkRequest(head, context) ?? checkSuspect(head, context);
+  const late = checkRequest(head, context);
   if (late === undefined) return admitted.value;
   admitted.value.release("neutral");
   refuse(stream, late, context);
@@ -182,18 +194,6 @@
   return refuseAs(refusal.code, refusal.message, refusal.retryAfterMs);
 }
 
-function checkSuspect(
-  head: RequestHead,
-  { crashWatch }: RequestContext,
-): Trailer | undefined {
-  if (crashWatch.mayStart(head.fingerprint)) return undefined;
-  return refuseAs(
-    "overloaded",
-    "Another request that crashed an endpoint runs here",
-    RETRY_MS,
-  );
-}
-
 function findKeyedService(
   head: RequestHead,
   { node, service }: RequestContext,
@@ -208,7 +208,7 @@
 }
 
 function createKeyOptions(
-  service: PlainService,
+  service: PlainService | undefined,
   context: RequestContext,
 ): KeyCheckOptions {
   const { node, keyTable, keyFloor, clock } = context;
--- a/src/agent/key_check.ts
+++ b/src/agent/key_check.ts
@@ -25,7 +25,8 @@
   | { readonly type: "replay"; readonly answer: StoredAnswer };
 
 export interface KeyCheckOptions {
-  readonly service: PlainService;
+  /** Undefined while no configuration is known. */
+  readonly service: PlainService | undefined;
   readonly host: string;
   readonly table: KeyTable;
   readonly floor: KeyFloor;
@@ -55,6 +56,7 @@
   if (floor.isTooNew(keyTimeMs, wallMs())) {
     return refuse("key_not_time_ordered", "The key's time is in the future");
   }
+  if (service === undefined) return { type: "new", key, keyTimeMs };
   const leadEndsMs =
     options.configConfirmedAtMs() + service.runnerLeadS * 1_000;
   if (keyTimeMs > leadEndsMs) {
--- a/src/agent/rollout_view.ts
+++ b/src/agent/rollout_view.ts
@@ -28,7 +28,7 @@
   { view, identity }: Node,
   weights: Weights,
   serviceName: string,
-): Omit<SwitchView, "isOwnWarm" | "targetDigest"> {
+): Omit<SwitchView, "ownState" | "targetDigest"> {
   const names = view
     .hosts()
     .hosts.filter(
@@ -47,6 +47,7 @@
       .filter((peer) => peer.host !== identity.host)
       .map(({ host, phase, servingDigest }) => ({
         host,
+        isServing: phase === "cold" || phase === "warm",
         isWarm: phase === "warm",
         ...(servingDigest === undefined ? {} : { servingDigest }),
       })),
--- a/src/engine/endpoint_client.ts
+++ b/src/engine/endpoint_client.ts
@@ -136,7 +136,10 @@
           body: answer.body,
         });
       } catch (error) {
-        return err({ reason: readErrorCode(error), mayHaveRun: wasStarted });
+        const code = readErrorCode(error);
+        const isInvalid = !wasStarted && code === "UND_ERR_INVALID_ARG";
+        const reason = isInvalid ? "invalid_request" : code;
+        return err({ reason, mayHaveRun: wasStarted });
       }
     },
     async readState() {
--- a/src/rollout/rollout.ts
+++ b/src/rollout/rollout.ts
@@ -47,7 +47,7 @@
   readonly readTarget: () => RolloutTarget | undefined;
   readonly readSwitchView: (
     target: RolloutTarget,
-  ) => Omit<SwitchView, "isOwnWarm" | "targetDigest">;
+  ) => Omit<SwitchView, "ownState" | "targetDigest">;
   readonly incarnation: string;
   readonly sourceUrl: (digest: string) => string;
   readonly monotonicMs: () => number;
@@ -109,11 +109,16 @@
     return isReachable && target.configVersion >= control.configFloor();
   }
 
+  function readOwnState() {
+    const { phase: engine } = monitor.status();
+    return engine === "cold" || engine === "warm" ? engine : "none";
+  }
+
   function decide(target: RolloutTarget) {
     return order.decide({
       ...options.readSwitchView(target),
       targetDigest: target.manifestDigest,
-      isOwnWarm: monitor.status().phase === "warm",
+      ownState: readOwnState(),
     });
   }
 
--- a/src/rollout/switch_order.ts
+++ b/src/rollout/switch_order.ts
@@ -8,9 +8,13 @@
 const GROUP_SHARE = 0.25;
 /** A group that does not finish in this time no longer holds up the next. */
 const GROUP_LIMIT_MS = 60_000;
+/** Time after which an endpoint that serves while cold counts as well. */
+const WARM_LIMIT_MS = 60_000;
 
 export interface SwitchMember {
   readonly host: string;
+  /** Serves some version, but may still be cold. */
+  readonly isServing: boolean;
   readonly isWarm: boolean;
   readonly servingDigest?: string;
 }
@@ -22,8 +26,8 @@
   readonly hosts: readonly string[];
   /** What is known of the other agents; a missing one counts as not warm. */
   readonly members: readonly SwitchMember[];
-  /** True while the own endpoint serves some version warm. */
-  readonly isOwnWarm: boolean;
+  /** How the own endpoint serves whatever version it has. */
+  readonly ownState: "none" | "cold" | "warm";
 }
 
 export type SwitchDecision = "switch" | "wait_for_group" | "wait_for_warm";
@@ -49,7 +53,14 @@
       if (!isSettled && !isLate) return "wait_for_group";
     }
     const groupNames = ranked.slice(ownGroup * size, (ownGroup + 1) * size);
-    return leavesOneWarm(view, groupNames) ? "switch" : "wait_for_warm";
+    const ownStartedMs = (turnStartedMs[ownGroup] ??= monotonicMs());
+    // Without traffic the others may stay cold, which must not stop a roll-out.
+    const mayBeCold =
+      view.ownState === "cold" || monotonicMs() - ownStartedMs >= WARM_LIMIT_MS;
+    const isEnough = (member: SwitchMember) =>
+      mayBeCold ? member.isServing : member.isWarm;
+    const isSafe = leavesOne(view, groupNames, isEnough);
+    return isSafe ? "switch" : "wait_for_warm";
   }
 
   return {
@@ -59,7 +70,7 @@
         turnStartedMs = [];
       }
       // An endpoint that serves nothing takes no capacity away.
-      return view.isOwnWarm ? decideGroup(view) : "switch";
+      return view.ownState === "none" ? "switch" : decideGroup(view);
     },
   };
 }
@@ -75,14 +86,15 @@
  * endpoints that will not switch meanwhile: those outside the group, those of
  * the group that have switched, and those ranked after it, which wait for it.
  */
-function leavesOneWarm(
+function leavesOne(
   view: SwitchView,
   groupNames: readonly string[],
+  isEnough: (member: SwitchMember) => boolean,
 ): boolean {
   if (view.hosts.length <= 1) return true;
   const ownRank = groupNames.indexOf(view.ownHost);
   return view.members
-    .filter(({ host, isWarm }) => isWarm && view.hosts.includes(host))
+    .filter((member) => isEnough(member) && view.hosts.includes(member.host))
     .some(({ host, servingDigest }) => {
       const rank = groupNames.indexOf(host);
       const isOutside = rank === -1;
--- a/src/rollout/switch_order_test.ts
+++ b/src/rollout/switch_order_test.ts
@@ -8,7 +8,7 @@
 const RANKED = rankByHash(TARGET, HOSTS);
 
 function createMember(host: string, servingDigest = "old"): SwitchMember {
-  return { host, isWarm: true, servingDigest };
+  return { host, isServing: true, isWarm: true, servingDigest };
 }
 
 function createView(ownHost: string, members: readonly SwitchMember[]) {
@@ -17,7 +17,7 @@
     targetDigest: TARGET,
     hosts: HOSTS,
     members: members.filter(({ host }) => host !== ownHost),
-    isOwnWarm: true,
+    ownState: "warm" as const,
   };
 }
 
@@ -59,7 +59,11 @@
 
   // Guards against a data centre without a warm endpoint.
   const rest = RANKED.slice(2);
-  const cold = rest.map((host) => ({ host, isWarm: false }));
+  const cold = rest.map((host) => ({
+    host,
+    isServing: false,
+    isWarm: false,
+  }));
   const [first, second] = RANKED as readonly [string, string];
   const cases = [
     { name: "nobody else is warm", own: first, members: cold, wait: true },
@@ -95,7 +99,7 @@
     const order = createSwitchOrder(() => 0);
     const single = { ...createView("a", []), hosts: ["a"] };
     expect(order.decide(single)).toBe("switch");
-    const empty = { ...createView(RANKED[7]!, old), isOwnWarm: false };
+    const empty = { ...createView(RANKED[7]!, old), ownState: "none" as const };
     expect(order.decide(empty)).toBe("switch");
   });
 });
