Bound the total size of stored answers

A table of 10,000 keys with answers of 64 KiB would hold 640 MB. The oldest answers are dropped beyond 16 MiB; their keys are then answered unknown.

--- a/src/agent/agent_test.ts
+++ b/src/agent/agent_test.ts
@@ -1,6 +1,7 @@
 import { afterEach, describe, expect, test } from "@jest/globals";
 import { err, ok } from "neverthrow";
 import { runAgent } from "./mod.ts";
+import type { AgentSettings } from "./mod.ts";
 import { createFakeWeights } from "./testing/fake_weights.ts";
 import { ask, createRig, DIGEST_1 } from "./testing/mod.ts";
 import type { Rig, RigOptions } from "./testing/mod.ts";
@@ -82,19 +83,11 @@
     async ({ args, code, isStarted }) => {
       const { fake, engine } = await start();
       const settings = {
-        host: "h1",
-        dataCentre: "d1",
         service: "assistant",
         httpAddress: "127.0.0.1:0",
-        peerAddress: "127.0.0.1:0",
-        platformUrl: "http://127.0.0.1:1",
-        seedPeers: [],
         endpointUrl: engine.url,
-        weightStoreUrl: "http://127.0.0.1:1",
-        weightsMemoryBytes: 1,
-        weightsPolicy: "swarm" as const,
         drainTimeoutMs: 1_000,
-      };
+      } as AgentSettings;
       let starts = 0;
       const exit = await runAgent(["node", "agent", ...args], {
         version: "0",
--- a/src/agent/handle_request.ts
+++ b/src/agent/handle_request.ts
@@ -18,6 +18,10 @@
 
 const FETCH_CONFIG_LIMIT_MS = 2_000;
 const RETRY_MS = 500;
+const NO_TURN = refuseAs(
+  "deadline_exceeded",
+  "Other requests that crashed an endpoint run here",
+);
 
 export async function handleRequest(
   peer: Peer,
@@ -91,11 +95,11 @@
     head.fingerprint,
     arrived.readRemainingMs(),
   );
-  const slot = await waitForSlot(stream, arrived);
+  const slot = turn && (await waitForSlot(stream, arrived));
   if (slot === undefined || turn === undefined) {
-    slot?.release("neutral");
     turn?.release();
     if (timed !== undefined) context.keyTable.release(timed.key);
+    if (turn === undefined) refuse(stream, NO_TURN, context);
     return;
   }
   context.counters.handOffMs.record(
--- a/src/agent/language_faults_test.ts
+++ b/src/agent/language_faults_test.ts
@@ -28,95 +28,88 @@
 
 const EVENTS = 'data: {"t":"a"}\n\ndata: {"t":"b"}\n\n';
 
+const ENGINE = { "engine-version-digest": DIGEST_1 };
+
 function startEvents({ response }: FakeRequest, digest = DIGEST_1) {
   response.writeHead(200, {
     "content-type": "text/event-stream",
     "engine-version-digest": digest,
   });
   response.write(EVENTS);
+  return response;
 }
 
 describe("answers", () => {
   // Guards against passing on part of an answer as a whole one.
-  const cases = [
-    {
-      name: "a stream with its end event is whole",
-      run(request: FakeRequest) {
-        startEvents(request);
-        request.response.end("data: [DONE]\n\n");
-      },
-      outcome: "answered",
-      body: `${EVENTS}data: [DONE]\n\n`,
-    },
-    {
-      name: "a stream without its end event is not whole",
-      run(request: FakeRequest) {
-        startEvents(request);
-        request.response.end();
-      },
-      outcome: "unknown",
-      body: EVENTS,
-    },
-    {
-      name: "part of an event is not passed on",
-      run(request: FakeRequest) {
-        startEvents(request);
-        request.response.end("data: [DO");
-      },
-      outcome: "unknown",
-      body: EVENTS,
-    },
-    {
-      name: "a connection that breaks before the first byte",
-      run: ({ response }: FakeRequest) => void response.destroy(),
-      outcome: "unknown",
-      body: "",
-    },
-    {
-      name: "a connection that breaks after the first event",
-      run(request: FakeRequest) {
-        startEvents(request);
-        request.response.write("data: {", () => request.response.destroy());
+  const DONE = "data: [DONE]\n\n";
+  const cases: readonly [
+    name: string,
+    run: (request: FakeRequest) => unknown,
+    outcome: string,
+    body: string,
+  ][] = [
+    [
+      "a stream with its end event is whole",
+      (request) => startEvents(request).end(DONE),
+      "answered",
+      EVENTS + DONE,
+    ],
+    [
+      "a stream without its end event is not whole",
+      (request) => startEvents(request).end(),
+      "unknown",
+      EVENTS,
+    ],
+    [
+      "part of an event is not passed on",
+      (request) => startEvents(request).end("data: [DO"),
+      "unknown",
+      EVENTS,
+    ],
+    [
+      "a connection breaks before the first byte",
+      ({ response }) => response.destroy(),
+      "unknown",
+      "",
+    ],
+    [
+      "a connection breaks after the first event",
+      (request) => {
+        const response = startEvents(request);
+        response.write("data: {", () => response.destroy());
       },
-      outcome: "unknown",
-      body: EVENTS,
-    },
-    {
-      name: "a body shorter than its length",
-      run({ response }: FakeRequest) {
-        response.writeHead(200, {
-          "content-length": "100",
-          "engine-version-digest": DIGEST_1,
-        });
+      "unknown",
+      EVENTS,
+    ],
+    [
+      "a body is shorter than its length",
+      ({ response }) => {
+        response.writeHead(200, { ...ENGINE, "content-length": "100" });
         response.write("short", () => response.destroy());
       },
-      outcome: "unknown",
-      body: "short",
-    },
-    {
-      name: "an answer from another version is void",
-      run(request: FakeRequest) {
-        startEvents(request, DIGEST_2);
-        request.response.end("data: [DONE]\n\n");
-      },
-      outcome: "unknown",
-      body: "",
-    },
-    {
-      name: "an answer without a digest is void",
-      run: ({ response }: FakeRequest) => void response.end("{}"),
-      outcome: "unknown",
-      body: "",
-    },
-    {
-      name: "an error of the engine is an answer",
-      run: ({ response }: FakeRequest) =>
-        void response.writeHead(400).end("bad"),
-      outcome: "answered",
-      body: "bad",
-    },
+      "unknown",
+      "short",
+    ],
+    [
+      "an answer from another version is void",
+      (request) => startEvents(request, DIGEST_2).end(DONE),
+      "unknown",
+      "",
+    ],
+    [
+      "an answer without a digest is void",
+      ({ response }) => response.end("{}"),
+      "unknown",
+      "",
+    ],
+    [
+      "an error of the engine is an answer",
+      ({ response }) => response.writeHead(400).end("bad"),
+      "answered",
+      "bad",
+    ],
   ];
-  test.each(cases)("$name", async ({ run, outcome, body }) => {
+  test.each(cases)("%s", async (...[, run, outcome, body]) => {
     const { entry, engine } = await start();
     engine.onRequest(run);
     const reply = await ask(entry);
--- a/src/agent/testing/fake_engine.ts
+++ b/src/agent/testing/fake_engine.ts
@@ -22,28 +22,9 @@
   readonly response: ServerResponse;
 }
 
-export interface FakeEngine {
-  readonly url: string;
-  readonly state: FakeEngineState;
-  readonly requests: readonly FakeRequest[];
-  readonly cancelled: readonly string[];
-  readonly orders: readonly Record<string, unknown>[];
-  /** Runs after each call to the engine. */
-  onActivity(handler: () => void): void;
-  /** Resolves with the request of this number, counted from 0. */
-  waitForRequest(index: number): Promise<FakeRequest>;
-  waitForCancel(): Promise<string>;
-  onRequest(handler: (request: FakeRequest) => void): void;
-  /** Decides on a load order; by default it loads at once and is cold. */
-  onOrder(handler: (order: Record<string, unknown>) => number): void;
-  /** Sets the clock of state reports. */
-  setClock(wallMs: () => number): void;
-  /** Breaks all connections, as a crash does. */
-  breakConnections(): void;
-  close(): Promise<void>;
-}
+export type FakeEngine = Awaited<ReturnType<typeof createFakeEngine>>;
 
-export async function createFakeEngine(digest: string): Promise<FakeEngine> {
+export async function createFakeEngine(digest: string) {
   const requests: FakeRequest[] = [];
   const cancelled: string[] = [];
   const orders: Record<string, unknown>[] = [];
@@ -131,8 +112,10 @@
     requests,
     cancelled,
     orders,
-    onActivity: (handler) => void listeners.push(handler),
-    async waitForRequest(index) {
+    /** Runs after each call to the engine. */
+    onActivity: (handler: () => void) => void listeners.push(handler),
+    /** Resolves with the request of this number, counted from 0. */
+    async waitForRequest(index: number) {
       while (requests.length <= index) {
         await new Promise<void>((resolve) => waiters.push(resolve));
       }
@@ -144,12 +127,15 @@
       }
       return cancelled[0]!;
     },
-    onRequest: (handler) => void (onRequest = handler),
-    onOrder: (handler) => void (onOrder = handler),
-    setClock: (next) => void (wallMs = next),
+    onRequest: (handler: (request: FakeRequest) => void) =>
+      void (onRequest = handler),
+    /** By default an order loads at once and leaves the engine cold. */
+    onOrder: (handler: typeof onOrder) => void (onOrder = handler),
+    /** Sets the clock of state reports. */
+    setClock: (next: () => number) => void (wallMs = next),
     breakConnections: () => server.closeAllConnections(),
     close: () =>
-      new Promise((resolve) => {
+      new Promise<void>((resolve) => {
         server.close(() => resolve());
         server.closeAllConnections();
       }),
--- a/src/agent/testing/fake_node.ts
+++ b/src/agent/testing/fake_node.ts
@@ -16,22 +16,9 @@
   readonly notify: () => void;
 }
 
-export interface FakeNode {
-  readonly node: Node;
-  /** Versions asked for with `fetchConfig`. */
-  readonly fetched: readonly number[];
-  /** Floors given to `raiseConfigFloor`. */
-  readonly floors: readonly number[];
-  setConfig(config: AcceptedConfig | undefined): void;
-  setHosts(hosts: HostList): void;
-  setWaking(isWaking: boolean): void;
-  setConfirmedAtMs(atMs: number): void;
-  onFetch(handler: (version: number) => void): void;
-}
+export type FakeNode = Awaited<ReturnType<typeof createFakeNode>>;
 
-export async function createFakeNode(
-  options: FakeNodeOptions,
-): Promise<FakeNode> {
+export async function createFakeNode(options: FakeNodeOptions) {
   const { identity, logger } = options;
   const registry = createRegistry();
   const peers = new Set<Peer>();
@@ -112,21 +99,21 @@
     node,
     fetched,
     floors,
-    setConfig(next) {
+    setConfig(next: AcceptedConfig | undefined) {
       config = next;
       changed();
     },
-    setHosts(next) {
+    setHosts(next: HostList) {
       hosts = next;
       changed();
     },
-    setWaking(next) {
+    setWaking(next: boolean) {
       waking = next;
     },
-    setConfirmedAtMs(next) {
+    setConfirmedAtMs(next: number) {
       confirmedAtMs = next;
     },
-    onFetch(handler) {
+    onFetch(handler: (version: number) => void) {
       onFetch = handler;
     },
   };
--- a/src/agent/testing/mod.ts
+++ b/src/agent/testing/mod.ts
@@ -7,10 +7,8 @@
 } from "../../document/mod.ts";
 import type { Logger } from "../../logging/mod.ts";
 import { createRegistry } from "../../metrics/mod.ts";
-import type { Registry } from "../../metrics/mod.ts";
 import { connectPeer, createWireCounters } from "../../wire/mod.ts";
 import type {
-  LoadNotice,
   Notice,
   Peer,
   RequestHead,
@@ -19,15 +17,10 @@
   Trailer,
 } from "../../wire/mod.ts";
 import { createAgent } from "../agent.ts";
-import type { Agent } from "../agent.ts";
 import { createFakeEngine } from "./fake_engine.ts";
 import type { FakeEngine } from "./fake_engine.ts";
 import { createFakeNode } from "./fake_node.ts";
-import type { FakeNode } from "./fake_node.ts";
 import { createFakeWeights } from "./fake_weights.ts";
-import type { FakeWeights } from "./fake_weights.ts";
-
-export type { FakeEngine, FakeNode, FakeWeights };
 
 export const DIGEST_1 = `sha256:${"1".repeat(64)}`;
 export const DIGEST_2 = `sha256:${"2".repeat(64)}`;
@@ -82,40 +75,19 @@
   };
 }
 
-export interface TestClock {
-  wallMs: () => number;
-  monotonicMs: () => number;
-  /** Moves both clocks forward, as a pause of the process does. */
-  advance(durationMs: number): void;
-}
-
-export function createTestClock(): TestClock {
+export function createTestClock() {
   let offsetMs = 0;
   return {
     wallMs: () => Date.now() + offsetMs,
     monotonicMs: () => performance.now() + offsetMs,
-    advance(durationMs) {
+    /** Moves both clocks forward, as a pause of the process does. */
+    advance(durationMs: number) {
       offsetMs += durationMs;
     },
   };
 }
 
-export interface Rig {
-  readonly agent: Agent;
-  readonly engine: FakeEngine;
-  readonly weights: FakeWeights;
-  readonly fake: FakeNode;
-  readonly clock: TestClock;
-  readonly registry: Registry;
-  readonly entry: Peer;
-  readonly notices: readonly Notice[];
-  connect(host: string, changes?: ConnectChanges): Promise<Peer>;
-  setDocument(document: EnvironmentDocument): void;
-  /** Resolves when the condition holds; checked on each event of the fakes. */
-  until(condition: () => boolean): Promise<void>;
-  lastLoad(): LoadNotice | undefined;
-  close(): Promise<void>;
-}
+export type Rig = Awaited<ReturnType<typeof createRig>>;
 
 interface ConnectChanges {
   readonly role?: "entry" | "agent";
@@ -126,14 +98,13 @@
   readonly service?: Service;
   /** Start of the process relative to now; the key floor lies 2 s later. */
   readonly startedAgoMs?: number;
-  readonly configVersion?: number;
   readonly prepare?: (engine: FakeEngine) => void;
   readonly engine?: FakeEngine;
 }
 
 export const INCARNATION = "01940000-0000-7000-8000-000000000001";
 
-export async function createRig(options: RigOptions = {}): Promise<Rig> {
+export async function createRig(options: RigOptions = {}) {
   const { service = LANGUAGE, startedAgoMs = 60_000 } = options;
   const clock = createTestClock();
   const engine = options.engine ?? (await createFakeEngine(DIGEST_1));
@@ -152,7 +123,7 @@
       startedAtMs: Date.now() - startedAgoMs,
     },
     config: {
-      version: options.configVersion ?? 1,
+      version: 1,
       document: createDocument(service),
       publishedAtMs: 0,
     },
@@ -208,6 +179,7 @@
     return notices.findLast((notice) => notice.topic === "load");
   }
 
+  /** Resolves when the condition holds; checked on each event of the fakes. */
   async function until(condition: () => boolean) {
     while (!condition()) {
       await new Promise<void>((resolve) => waiters.push(resolve));
@@ -227,7 +199,7 @@
     connect,
     until,
     lastLoad,
-    setDocument(document) {
+    setDocument(document: EnvironmentDocument) {
       const version = (fake.node.view.config()?.version ?? 0) + 1;
       fake.setConfig({ version, document, publishedAtMs: 0 });
     },
--- a/src/idempotency/key_table.ts
+++ b/src/idempotency/key_table.ts
@@ -9,6 +9,9 @@
 /** Bookings and unlocks answer with far less; a table of 10,000 stays small. */
 export const MAX_STORED_ANSWER_BYTES = 64 * 1024;
 
+/** Keeps the process within its memory; older answers become unknown. */
+const MAX_STORED_BYTES = 16 * 1024 * 1024;
+
 export interface StoredAnswer {
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
@@ -53,11 +56,15 @@
 export interface KeyTableOptions {
   readonly maxKeys: () => number;
   readonly floor: KeyFloor;
+  readonly maxStoredBytes?: number;
 }
 
 export function createKeyTable(options: KeyTableOptions): KeyTable {
   const { maxKeys, floor } = options;
+  const maxStoredBytes = options.maxStoredBytes ?? MAX_STORED_BYTES;
+  // In order of arrival.
   const entries = new Map<string, Entry>();
+  let storedBytes = 0;
 
   function hasRoom(): boolean {
     return entries.size < Math.max(1, maxKeys()) || evictOldest();
@@ -71,12 +78,28 @@
     const excess = entries.size - Math.max(1, maxKeys()) + 1;
     const count = Math.max(excess, Math.floor(maxKeys() / 10));
     finished.slice(0, count).forEach((entry) => {
+      storeAnswer(entry, undefined);
       entries.delete(entry.key);
       floor.raise(entry.keyTimeMs);
     });
     return finished.length >= excess;
   }
 
+  function storeAnswer(entry: Entry, answer: StoredAnswer | undefined) {
+    storedBytes += measure(answer) - measure(entry.answer);
+    entry.answer = answer;
+  }
+
+  function dropOldestAnswers() {
+    if (storedBytes <= maxStoredBytes) return;
+    [...entries.values()]
+      .filter((entry) => entry.answer !== undefined)
+      .some((entry) => {
+        storeAnswer(entry, undefined);
+        return storedBytes <= maxStoredBytes;
+      });
+  }
+
   function look(
     key: string,
     keyTimeMs: number,
@@ -109,10 +132,10 @@
       const entry = entries.get(key);
       if (entry === undefined) return;
       entry.state = "finished";
-      entry.answer =
-        answer !== undefined && answer.body.length <= MAX_STORED_ANSWER_BYTES
-          ? answer
-          : undefined;
+      if (measure(answer) <= MAX_STORED_ANSWER_BYTES) {
+        storeAnswer(entry, answer);
+        dropOldestAnswers();
+      }
     },
     release(key) {
       if (entries.get(key)?.state === "running") entries.delete(key);
@@ -120,6 +143,10 @@
   };
 }
 
+function measure(answer: StoredAnswer | undefined): number {
+  return answer?.body.length ?? 0;
+}
+
 function decideRepeated(entry: Entry, fingerprint: string): KeyDecision {
   if (entry.fingerprint !== fingerprint) return { type: "mismatch" };
   if (entry.state === "running") return { type: "in_use" };
--- a/src/idempotency/key_table_test.ts
+++ b/src/idempotency/key_table_test.ts
@@ -168,4 +168,18 @@
     expect(table.look("b", 2, "f")?.type).toBe("unknown");
     expect(table.look("c", 3, "g")?.type).toBe("mismatch");
   });
+
+  // Guards against answers that take the memory of the process.
+  test("drops the oldest answers beyond the stored size", () => {
+    const floor = createKeyFloor(-2_000);
+    const options = { floor, maxKeys: () => 9, maxStoredBytes: 5 };
+    const table = createKeyTable(options);
+    ["a", "b"].forEach((key) => {
+      table.take(key, 1, "f");
+      const body = Buffer.from("xxx");
+      table.finish(key, { status: 200, headers: {}, body });
+    });
+    expect(table.look("a", 1, "f")?.type).toBe("unknown");
+    expect(table.look("b", 1, "f")?.type).toBe("answered");
+  });
 });
