--- a/src/agent/agent_test.ts
+++ b/src/agent/agent_test.ts
@@ -66,15 +66,17 @@
 
 describe("binary", () => {
   const finding = { file: "f", line: 1, column: 1, path: "p" };
+  const good = ["--settings", "good"];
+  const bad = ["--settings", "bad"];
   const cases = [
     { args: ["--help"], code: 0 },
     { args: ["--version"], code: 0 },
-    { args: ["--settings", "good", "--check"], code: 0 },
-    { args: ["--settings", "bad", "--check"], code: 1 },
-    { args: ["--settings", "bad"], code: 1 },
+    { args: [...good, "--check"], code: 0 },
+    { args: [...bad, "--check"], code: 1 },
+    { args: bad, code: 1 },
     { args: [], code: 2 },
-    { args: ["--settings", "good", "--unknown"], code: 2 },
-    { args: ["--settings", "good"], code: 0, isStarted: true },
+    { args: [...good, "--unknown"], code: 2 },
+    { args: good, code: 0, isStarted: true },
   ];
   // Guards against exit codes that scripts cannot rely on, and against a
   // SIGTERM that does not end the process.
--- a/src/agent/hand_off_test.ts
+++ b/src/agent/hand_off_test.ts
@@ -13,17 +13,15 @@
 const KEY = "01940000-0000-7000-8000-000000000001";
 
 interface Case {
-  readonly name: string;
-  readonly pauseMs: number;
-  /** The timer of the wake check may or may not fire before the write. */
-  readonly ticksFirst: boolean;
+  /** Time in which the connection is set up. */
+  readonly pauseMs?: number;
+  /** The timer of the wake check may fire only after the write. */
+  readonly isTickLate?: boolean;
   readonly isStopped?: boolean;
   readonly leaves?: boolean;
-  readonly expected: Trailer["outcome"];
 }
 
 async function runCase(options: Case) {
-  const { pauseMs, ticksFirst, isStopped = false, leaves = false } = options;
   const clock = createTestClock();
   const pauseGuard = createPauseGuard(clock);
   const floor = createKeyFloor(0);
@@ -39,15 +37,14 @@
     },
     control: {
       digest: () => undefined,
-      isStopped: () => isStopped,
+      isStopped: () => options.isStopped === true,
       onConnectionLost: () => undefined,
     },
     client: {
       send({ mayWrite }: EndpointRequest) {
-        // Time in which the connection is set up.
-        clock.advance(pauseMs);
-        if (ticksFirst) pauseGuard.tick();
-        if (leaves) lose("caller_left");
+        clock.advance(options.pauseMs ?? 0);
+        if (options.isTickLate !== true) pauseGuard.tick();
+        if (options.leaves === true) lose("caller_left");
         if (!mayWrite!()) {
           const reason = "hand_off_expired";
           return Promise.resolve(err({ mayHaveRun: false, reason }));
@@ -95,29 +92,17 @@
 describe("hand-off of a call that must not repeat", () => {
   // Guards against a run after the entry has given the call up, and against
   // "not run" for one that ran.
-  const cases: readonly Case[] = [
-    { name: "prompt", pauseMs: 900, ticksFirst: true, expected: "answered" },
-    { name: "late", pauseMs: 1_100, ticksFirst: true, expected: "not_run" },
-    { name: "paused", pauseMs: 1_100, ticksFirst: false, expected: "not_run" },
-    {
-      name: "superseded",
-      pauseMs: 0,
-      ticksFirst: true,
-      isStopped: true,
-      expected: "not_run",
-    },
-    {
-      name: "left alone before the first byte",
-      pauseMs: 0,
-      ticksFirst: true,
-      leaves: true,
-      expected: "unknown",
-    },
+  const cases: readonly [Case, outcome: string][] = [
+    [{ pauseMs: 900 }, "answered"],
+    [{ pauseMs: 1_100 }, "not_run"],
+    [{ pauseMs: 1_100, isTickLate: true }, "not_run"],
+    [{ isStopped: true }, "not_run"],
+    [{ leaves: true }, "unknown"],
   ];
-  test.each(cases)("$name", async (options) => {
+  test.each(cases)("%j is %s", async (options, outcome) => {
     const { written, trailer, held } = await runCase(options);
-    const hasRun = options.expected === "answered";
-    expect(trailer?.outcome).toBe(options.expected);
+    const hasRun = outcome === "answered";
+    expect(trailer?.outcome).toBe(outcome);
     expect(written).toBe(hasRun ? 1 : 0);
     // A key that did not run may run later.
     expect(held).toBe(hasRun ? 1 : 0);
--- a/src/agent/key_faults_test.ts
+++ b/src/agent/key_faults_test.ts
@@ -6,6 +6,7 @@
   ask,
   createDocument,
   createHead,
+  createListing,
   createRig,
   openRequest,
   PLAIN,
@@ -135,14 +136,7 @@
   // Guards against a run beside a replacement that the host list knows.
   test("a host listed at another address runs no keys", async () => {
     const { entry, fake, engine } = await start();
-    const listing = {
-      name: "h1",
-      role: "endpoint" as const,
-      dataCentre: "d1",
-      peerAddress: "127.0.0.1:1",
-      state: "live" as const,
-    };
-    fake.setHosts({ sequence: 2, hosts: [listing] });
+    fake.setHosts(createListing("live"));
     expect((await ask(entry, book(createKey()))).trailer).toMatchObject({
       outcome: "not_run",
       code: "runner_unreachable",
@@ -178,49 +172,43 @@
     expect(engine.requests).toHaveLength(1);
   });
 
-  const refused: readonly {
-    name: string;
-    code: string;
-    key: () => string | undefined;
-    prepare?: (rig: Rig) => void;
-  }[] = [
-    { name: "a missing key", code: "key_required", key: () => undefined },
-    {
-      name: "a key of another version",
-      code: "key_not_time_ordered",
-      key: () => "4f9c2c1e-3b0a-4c63-9a53-8a2f7a6f9b11",
-    },
-    {
-      name: "a key from the future",
-      code: "key_not_time_ordered",
-      key: () => createKey(Date.now() + 60_000),
-    },
-    {
-      name: "a key of another runner",
-      code: "runner_unreachable",
-      key: createKey,
-      prepare: ({ setDocument }) =>
-        setDocument(
-          createDocument({
-            ...PLAIN,
-            runnerSets: [{ fromMs: 0, runners: ["h2"] }],
-          }),
-        ),
-    },
-    {
-      name: "a key beyond the runner lead",
-      code: "runner_unreachable",
-      key: createKey,
-      prepare: ({ fake }) =>
-        fake.setConfirmedAtMs(Date.now() - PLAIN_LEAD_MS - 1_000),
-    },
+  const otherRunner = [{ fromMs: 0, runners: ["h2"] }];
+  const refused: readonly [
+    name: string,
+    code: string,
+    key: string | undefined,
+    prepare?: (rig: Rig) => void,
+  ][] = [
+    ["a missing key", "key_required", undefined],
+    [
+      "a key of another version",
+      "key_not_time_ordered",
+      "4f9c2c1e-3b0a-4c63-9a53-8a2f7a6f9b11",
+    ],
+    [
+      "a key from the future",
+      "key_not_time_ordered",
+      createKey(Date.now() + 600_000),
+    ],
+    [
+      "a key of another runner",
+      "runner_unreachable",
+      createKey(),
+      ({ setDocument }) =>
+        setDocument(createDocument({ ...PLAIN, runnerSets: otherRunner })),
+    ],
+    [
+      "a key beyond the runner lead",
+      "runner_unreachable",
+      createKey(),
+      ({ fake }) => fake.setConfirmedAtMs(Date.now() - 90_000_000),
+    ],
   ];
-  const PLAIN_LEAD_MS = 86_400_000;
   // Guards against runs that another runner or process could repeat.
-  test.each(refused)("refuses $name", async ({ code, key, prepare }) => {
+  test.each(refused)("refuses %s", async (...[, code, key, prepare]) => {
     const rig = await start();
     prepare?.(rig);
-    const reply = await ask(rig.entry, book(key()));
+    const reply = await ask(rig.entry, book(key));
     expect(reply.trailer).toMatchObject({ outcome: "not_run", code });
     expect(rig.engine.requests).toHaveLength(0);
   });
@@ -240,33 +228,24 @@
     async (isRepeatable) => {
       const engine = await createFakeEngine("d");
       const client = createEndpointClient(engine.url);
-      const answer = await client.send({
+      const request = {
         method: "POST",
         path: "/bookings",
         headers: {},
         body: Buffer.from("x"),
         signal: new AbortController().signal,
         isRepeatable,
-        mayWrite: () => false,
-      });
-      expect(answer._unsafeUnwrapErr()).toEqual({
+      };
+      const refused = await client.send({ ...request, mayWrite: () => false });
+      expect(refused._unsafeUnwrapErr()).toEqual({
         mayHaveRun: false,
         reason: "hand_off_expired",
       });
       expect(engine.requests).toHaveLength(0);
-      await client.close();
       await engine.close();
-      const down = createEndpointClient(engine.url);
-      const failed = await down.send({
-        method: "POST",
-        path: "/",
-        headers: {},
-        body: Buffer.from("x"),
-        signal: new AbortController().signal,
-        isRepeatable,
-      });
+      const failed = await client.send(request);
       expect(failed._unsafeUnwrapErr().mayHaveRun).toBe(false);
-      await down.close();
+      await client.close();
     },
   );
 });
--- a/src/agent/language_faults_test.ts
+++ b/src/agent/language_faults_test.ts
@@ -3,6 +3,7 @@
   ask,
   createDocument,
   createHead,
+  createListing,
   createRig,
   DIGEST_1,
   DIGEST_2,
@@ -199,54 +200,29 @@
 
 describe("refusals", () => {
   const { dataCentres } = createDocument(LANGUAGE);
-  const leaving = {
-    sequence: 2,
-    hosts: [
-      {
-        name: "h1",
-        role: "endpoint" as const,
-        dataCentre: "d1",
-        peerAddress: "127.0.0.1:1",
-        state: "leaving" as const,
-      },
-    ],
-  };
-  const cases: readonly {
-    code: string;
-    cause: (rig: Rig) => unknown;
-    keepsWork?: boolean;
-  }[] = [
-    {
-      code: "data_centre_out",
-      cause: ({ setDocument }) =>
-        setDocument(
-          createDocument(LANGUAGE, {
-            dataCentres: dataCentres.map((dc) => ({ ...dc, out: true })),
-          }),
-        ),
-    },
-    { code: "endpoint_leaving", cause: ({ fake }) => fake.setHosts(leaving) },
-    { code: "shutting_down", cause: ({ agent }) => void agent.shutDown() },
-    { code: "waking", cause: ({ fake }) => fake.setWaking(true) },
-    { code: "waking", cause: ({ clock }) => clock.advance(1_500) },
-    {
-      code: "no_configuration",
-      cause: ({ fake }) => fake.setConfig(undefined),
-    },
-    {
-      code: "unknown_service",
-      cause: ({ setDocument }) =>
+  const outDocument = createDocument(LANGUAGE, {
+    dataCentres: dataCentres.map((centre) => ({ ...centre, out: true })),
+  });
+  const cases: readonly [code: string, cause: (rig: Rig) => unknown][] = [
+    ["data_centre_out", ({ setDocument }) => setDocument(outDocument)],
+    ["endpoint_leaving", ({ fake }) => fake.setHosts(createListing("leaving"))],
+    ["shutting_down", ({ agent }) => void agent.shutDown()],
+    ["waking", ({ fake }) => fake.setWaking(true)],
+    ["waking", ({ clock }) => clock.advance(1_500)],
+    ["no_configuration", ({ fake }) => fake.setConfig(undefined)],
+    [
+      "unknown_service",
+      ({ setDocument }) =>
         setDocument(createDocument(LANGUAGE, { services: [] })),
-    },
-    {
-      code: "shutting_down",
-      cause: ({ connect }) =>
-        connect("h1", { role: "agent", incarnation: "02" }),
-    },
+    ],
+    [
+      "shutting_down",
+      ({ connect }) => connect("h1", { role: "agent", incarnation: "02" }),
+    ],
   ];
   // Guards against new work after the cause is known, and against cutting off
   // what already runs.
-  test.each(cases)("$code refuses new work only", async ({ code, cause }) => {
+  test.each(cases)("%s refuses new work only", async (code, cause) => {
     const started = await start();
     const { entry, engine } = started;
     engine.onRequest((request) => startEvents(request));
@@ -263,16 +239,8 @@
 
   // Guards against a decision by an older configuration than the entry's.
   test("fetches a newer configuration from the entry first", async () => {
-    const { entry, fake } = await start();
-    fake.onFetch((version) =>
-      fake.setConfig({
-        version,
-        publishedAtMs: 0,
-        document: createDocument(LANGUAGE, {
-          dataCentres: dataCentres.map((dc) => ({ ...dc, out: true })),
-        }),
-      }),
-    );
+    const { entry, fake, setDocument } = await start();
+    fake.onFetch((version) => setDocument(outDocument, version));
     const reply = await ask(entry, { configVersion: 7 });
     expect(fake.fetched).toEqual([7]);
     expect(reply.trailer?.code).toBe("data_centre_out");
--- a/src/agent/rollout_faults_test.ts
+++ b/src/agent/rollout_faults_test.ts
@@ -126,11 +126,7 @@
     setDocument(createServing("v2"));
     expect((await ask(entry)).trailer?.code).toBe("no_configuration");
     expect(engine.orders).toHaveLength(0);
-    fake.setConfig({
-      version: 10,
-      publishedAtMs: 0,
-      document: createServing("v2"),
-    });
+    setDocument(createServing("v2"), 10);
     await until(() => engine.orders.length === 1);
     expect(engine.orders[0]?.fencing).toEqual([10, INCARNATION]);
   });
@@ -149,11 +145,7 @@
     const orders = registry.counter("agent_load_orders_total", "");
     expect(orders.read({ result: "fenced" })).toBe(1);
     engine.onOrder(() => 202);
-    fake.setConfig({
-      version: 6,
-      publishedAtMs: 0,
-      document: createServing("v2"),
-    });
+    setDocument(createServing("v2"), 6);
     await until(() => engine.orders.length === 2);
     expect(engine.orders[1]?.fencing).toEqual([6, INCARNATION]);
   });
--- a/src/agent/testing/mod.ts
+++ b/src/agent/testing/mod.ts
@@ -49,6 +49,13 @@
   maxKeys: 100,
 };
 
+/** A host list that gives this agent's host another address. */
+export function createListing(state: "live" | "leaving") {
+  const address = { dataCentre: "d1", peerAddress: "127.0.0.1:1" };
+  const host = { name: "h1", role: "endpoint" as const, ...address, state };
+  return { sequence: 2, hosts: [host] };
+}
+
 export function createDocument(
   service: Service,
   changes: Partial<EnvironmentDocument> = {},
@@ -199,8 +206,9 @@
     connect,
     until,
     lastLoad,
-    setDocument(document: EnvironmentDocument) {
-      const version = (fake.node.view.config()?.version ?? 0) + 1;
+    setDocument(document: EnvironmentDocument, newVersion?: number) {
+      const held = fake.node.view.config()?.version ?? 0;
+      const version = newVersion ?? held + 1;
       fake.setConfig({ version, document, publishedAtMs: 0 });
     },
     async close() {
