--- a/src/agent/endpoint_control.ts
+++ b/src/agent/endpoint_control.ts
@@ -253,7 +253,7 @@
       if (isSwitching) return "loading";
       const { phase } = monitor.status();
       const isServing = phase === "cold" || phase === "warm";
-      if (isServing && closeForEndpoint() !== undefined) return "unknown";
+      if (isServing && closure() !== undefined) return "unknown";
       return phase;
     },
     beginSwitch() {
--- a/src/agent/hand_off.ts
+++ b/src/agent/hand_off.ts
@@ -13,7 +13,7 @@
 import { elapsedMs, readBoth } from "./pause_guard.ts";
 import { isListedElsewhere } from "./own_listing.ts";
 import { refuseAs, unknownAs } from "./refusal.ts";
-import { relayAnswer } from "./relay_answer.ts";
+import { OVERLOAD_STATUSES, relayAnswer } from "./relay_answer.ts";
 import type { RelayResult } from "./relay_answer.ts";
 import type { RequestContext } from "./request_context.ts";
 
@@ -27,8 +27,6 @@
 ]);
 /** Frees the slot of a call whose endpoint stalls without closing. */
 const DETACHED_LIMIT_MS = 60_000;
-/** Statuses with which an endpoint says that it has too much work. */
-const OVERLOAD_STATUSES: ReadonlySet<number> = new Set([429, 503, 504]);
 
 export interface HandOffOptions {
   readonly context: RequestContext;
@@ -204,6 +202,8 @@
   switch (result.type) {
     case "whole":
       return { outcome: "answered" };
+    case "overloaded":
+      return unknownAs("overloaded", "The engine turned the request away");
     case "wrong_digest":
       return unknownAs("endpoint_cold", "The answer is from another version");
     case "broken":
@@ -240,6 +240,10 @@
     await cancelAtEngine(head, context);
     return "failed";
   }
+  if (result.type === "overloaded") {
+    counters.failures.increment({ kind: "engine_overloaded" });
+    return "failed";
+  }
   if (result.type === "broken") {
     counters.failures.increment({ kind: result.reason });
     control.onConnectionLost();
--- a/src/agent/language_faults_test.ts
+++ b/src/agent/language_faults_test.ts
@@ -103,6 +103,12 @@
       "unknown",
       "",
     ],
+    [
+      "an overloaded engine is left to a retry elsewhere",
+      ({ response }) => response.writeHead(503, ENGINE).end("busy"),
+      "unknown",
+      "",
+    ],
     [
       "an error of the engine is an answer",
       ({ response }) => response.writeHead(400).end("bad"),
--- a/src/agent/relay_answer.ts
+++ b/src/agent/relay_answer.ts
@@ -12,10 +12,14 @@
 export const DIGEST_HEADER = "engine-version-digest";
 
 const DRAIN_LIMIT_MS = 1_000;
+/** Statuses with which an endpoint says that it has too much work. */
+export const OVERLOAD_STATUSES: ReadonlySet<number> = new Set([429, 503, 504]);
 
 export type RelayResult =
   | { readonly type: "whole"; readonly stored?: StoredAnswer }
   | { readonly type: "wrong_digest" }
+  /** The engine turned the request away; another one may take it. */
+  | { readonly type: "overloaded" }
   | { readonly type: "broken"; readonly reason: string };
 
 export interface RelayOptions {
@@ -33,6 +37,9 @@
   const { digest } = options;
   const actual = answer.headers[DIGEST_HEADER];
   const isSuccess = answer.status < 300;
+  if (digest !== undefined && OVERLOAD_STATUSES.has(answer.status)) {
+    return { type: "overloaded" };
+  }
   if (digest !== undefined && actual !== digest) {
     // An error answer need not come from a model.
     if (isSuccess || actual !== undefined) return { type: "wrong_digest" };
--- a/src/rollout/rollout.ts
+++ b/src/rollout/rollout.ts
@@ -18,6 +18,8 @@
 const RETRY_MS = 1_000;
 /** An engine that neither loads nor serves after this time is ordered again. */
 const LOAD_START_LIMIT_MS = 5_000;
+/** Far above the time of a load; frees an engine that stalls in one. */
+const LOAD_LIMIT_MS = 10 * 60 * 1_000;
 
 export type RolloutPhase =
   "idle" | "transferring" | "waiting" | "draining" | "loading";
@@ -124,7 +126,12 @@
 
   async function run() {
     while (!isClosed) {
-      await step();
+      try {
+        await step();
+      } catch (error) {
+        orders.increment({ result: "error" });
+        logger.error({ err: error }, "roll-out step failed");
+      }
       await tick();
     }
   }
@@ -158,9 +165,12 @@
     logger.info({ digest: target.manifestDigest }, "switching version");
     control.beginSwitch();
     phase = "draining";
-    await drain(target);
-    if (isStillWanted(target)) await load(target);
-    control.endSwitch();
+    try {
+      await drain(target);
+      if (isStillWanted(target)) await load(target);
+    } finally {
+      control.endSwitch();
+    }
   }
 
   /** Waits for own work and for work of an earlier agent at the engine. */
@@ -202,7 +212,8 @@
   }
 
   async function waitUntilLoaded(target: RolloutTarget) {
-    let seenLoadingMs = monotonicMs();
+    const orderedMs = monotonicMs();
+    let seenLoadingMs = orderedMs;
     while (isStillWanted(target)) {
       if (isServing(target)) {
         logger.info({ digest: target.manifestDigest }, "version loaded");
@@ -210,8 +221,9 @@
       }
       const { phase: engine } = monitor.status();
       if (engine === "loading") seenLoadingMs = monotonicMs();
-      const idleMs = monotonicMs() - seenLoadingMs;
-      if (engine === "down" || idleMs > LOAD_START_LIMIT_MS) {
+      const isIdle = monotonicMs() - seenLoadingMs > LOAD_START_LIMIT_MS;
+      const isStuck = monotonicMs() - orderedMs > LOAD_LIMIT_MS;
+      if (engine === "down" || isIdle || isStuck) {
         orders.increment({ result: "not_loaded" });
         return;
       }
