--- a/src/agent/crash_watch.ts
+++ b/src/agent/crash_watch.ts
@@ -128,11 +128,10 @@
 
 function judge(call: BrokenCall, status: EndpointStatus): Verdict {
   if (status.phase === "unknown") return "undecided";
-  if (call.bootId === undefined) {
-    // A plain service has no boot id; it crashed if it no longer listens.
-    if (status.phase === "down") return "crashed";
-    return status.bootId === undefined ? "alive" : "undecided";
-  }
+  // A plain service has no boot id; it crashed if it no longer listens.
+  const isPlain = call.bootId === undefined;
+  if (status.phase === "down") return isPlain ? "crashed" : "undecided";
+  if (isPlain) return status.bootId === undefined ? "alive" : "undecided";
   if (status.bootId === undefined) return "undecided";
   if (status.bootId !== call.bootId) return "crashed";
   return status.reportedAtMs > call.brokenAtMs ? "alive" : "undecided";
