--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -32,6 +32,11 @@
 
 /** Used until the document gives a service's own limit. */
 const DEFAULT_MAX_KEYS = 10_000;
+/**
+ * Time in which entries learn of a shutdown by a load report. A request that
+ * they send meanwhile gets a refusal, not a closed connection.
+ */
+const LEAVING_NOTICE_MS = 500;
 
 export interface AgentProcessSettings {
   readonly service: string;
@@ -248,7 +253,11 @@
 
   async function waitForOngoing() {
     const deadline = createTimeout(settings.drainTimeoutMs);
-    await Promise.race([Promise.all([...ongoing]), deadline.promise]);
+    let isOver = false;
+    void deadline.promise.then(() => (isOver = true));
+    while (ongoing.size > 0 && !isOver) {
+      await Promise.race([Promise.all([...ongoing]), deadline.promise]);
+    }
     deadline.clear();
     if (ongoing.size > 0) {
       logger.warn({ requests: ongoing.size }, "drain timeout ended requests");
@@ -280,7 +289,8 @@
     },
     async shutDown() {
       control.shutDown();
-      await waitForOngoing();
+      const notice = createTimeout(LEAVING_NOTICE_MS);
+      await Promise.all([notice.promise, waitForOngoing()]);
     },
     async close() {
       control.stopForGood();
--- a/src/agent/endpoint_control.ts
+++ b/src/agent/endpoint_control.ts
@@ -42,6 +42,8 @@
   endSwitch(): void;
   /** An answer came from another digest than the engine had reported. */
   onWrongDigest(): void;
+  /** The engine did not confirm that it stopped a request. */
+  onCancelFailed(): void;
   /** A connection to the endpoint broke or was refused. */
   onConnectionLost(): void;
   shutDown(): void;
@@ -275,6 +277,12 @@
       admission.startOver();
       monitor.distrust();
     },
+    onCancelFailed() {
+      // Counts as foreign work until a report shows that it is gone.
+      if (foreign === undefined) return;
+      foreign += 1;
+      admission.setForeign(foreign);
+    },
     onConnectionLost() {
       // Admission is cold until a report shows whether the endpoint restarted.
       monitor.distrust();
--- a/src/agent/hand_off.ts
+++ b/src/agent/hand_off.ts
@@ -260,4 +260,5 @@
   if (control.digest() === undefined) return;
   const confirmed = await client.cancel(requestId);
   counters.cancels.increment({ confirmed: String(confirmed) });
+  if (!confirmed) control.onCancelFailed();
 }
--- a/src/agent/load_reports.ts
+++ b/src/agent/load_reports.ts
@@ -1,6 +1,7 @@
 /**
- * Reports load to the connected entries. A change of phase or version leaves at
- * once; small changes of load wait, because each report costs every entry.
+ * Reports load to the connected entries. Changes of phase or version and large
+ * changes of load leave first; small ones wait, because each report costs every
+ * entry.
  */
 
 import type { LoadNotice, Peer } from "../wire/mod.ts";
@@ -65,12 +66,9 @@
 
 /** How long after the last report these figures may wait. */
 function readDelayMs(sent: LoadFigures | undefined, now: LoadFigures): number {
-  if (
-    sent === undefined ||
-    sent.phase !== now.phase ||
-    sent.versionDigest !== now.versionDigest
-  ) {
-    return 0;
+  if (sent === undefined) return 0;
+  if (sent.phase !== now.phase || sent.versionDigest !== now.versionDigest) {
+    return MIN_INTERVAL_MS;
   }
   const change =
     Math.abs(sent.inFlight - now.inFlight) +
