--- a/src/agent/handle_request.ts
+++ b/src/agent/handle_request.ts
@@ -16,7 +16,8 @@
 import type { RequestContext } from "./request_context.ts";
 import { findService, isRouteRepeatable } from "./service_config.ts";
 
-const FETCH_CONFIG_LIMIT_MS = 2_000;
+/** A refusal must not be held up by an entry that does not answer. */
+const FETCH_CONFIG_LIMIT_MS = 1_000;
 const RETRY_MS = 500;
 const NO_TURN = refuseAs(
   "deadline_exceeded",
--- a/src/agent/language_faults_test.ts
+++ b/src/agent/language_faults_test.ts
@@ -225,6 +225,13 @@
       "shutting_down",
       ({ connect }) => connect("h1", { role: "agent", incarnation: "02" }),
     ],
+    [
+      "shutting_down",
+      ({ engine, agent }) => {
+        engine.state.fencing = [1, "02"];
+        return agent.stopped;
+      },
+    ],
   ];
   // Guards against new work after the cause is known, and against cutting off
   // what already runs.
