--- a/bin/agent.ts
+++ b/bin/agent.ts
@@ -8,7 +8,7 @@
 import { startNode } from "../src/node/mod.ts";
 import { runProgram } from "../src/program/mod.ts";
 import type { RunningProgram } from "../src/program/mod.ts";
-import { parseAgentSettings } from "../src/settings/mod.ts";
+import { loadSettings, parseAgentSettings } from "../src/settings/mod.ts";
 import type { AgentSettings } from "../src/settings/mod.ts";
 import { createWeights } from "../src/weights/mod.ts";
 
@@ -52,9 +52,11 @@
   };
 }
 
-await runProgram(process.argv.slice(2), {
-  name: NAME,
-  description: "Controls one endpoint and decides on each of its requests",
-  parseSettings: parseAgentSettings,
-  start,
-});
+process.exit(
+  await runProgram(process.argv.slice(2), {
+    name: NAME,
+    description: "Controls one endpoint and decides on each of its requests",
+    loadSettings: (file) => loadSettings(file, parseAgentSettings),
+    start,
+  }),
+);
--- a/src/agent/endpoint_control.ts
+++ b/src/agent/endpoint_control.ts
@@ -8,6 +8,7 @@
 import type { AcceptedConfig, FleetView } from "../membership/mod.ts";
 import type { NodeIdentity } from "../node/mod.ts";
 import type { Phase, Trailer } from "../wire/mod.ts";
+import { findOwnListing } from "./own_listing.ts";
 import { createOwnLoad } from "./own_load.ts";
 import { refuseAs } from "./refusal.ts";
 import {
@@ -41,6 +42,8 @@
   endSwitch(): void;
   /** An answer came from another digest than the engine had reported. */
   onWrongDigest(): void;
+  /** The engine did not confirm that it stopped a request. */
+  onCancelFailed(): void;
   /** A connection to the endpoint broke or was refused. */
   onConnectionLost(): void;
   shutDown(): void;
@@ -85,8 +88,7 @@
   }
 
   function isListedLeaving(): boolean {
-    const own = view.hosts().hosts.find(({ name }) => name === identity.host);
-    return own?.state === "leaving";
+    return findOwnListing({ view, identity })?.state === "leaving";
   }
 
   function isServable(digest: string | undefined): boolean {
@@ -253,7 +255,7 @@
       if (isSwitching) return "loading";
       const { phase } = monitor.status();
       const isServing = phase === "cold" || phase === "warm";
-      if (isServing && closeForEndpoint() !== undefined) return "unknown";
+      if (isServing && closure() !== undefined) return "unknown";
       return phase;
     },
     beginSwitch() {
@@ -275,6 +277,12 @@
       admission.startOver();
       monitor.distrust();
     },
+    onCancelFailed() {
+      // Counts as foreign work until a report shows that it is gone.
+      if (foreign === undefined) return;
+      foreign += 1;
+      admission.setForeign(foreign);
+    },
     onConnectionLost() {
       // Admission is cold until a report shows whether the endpoint restarted.
       monitor.distrust();
--- a/src/program/run_program.ts
+++ b/src/program/run_program.ts
@@ -4,26 +4,28 @@
  */
 
 import { readFileSync } from "node:fs";
-import { Command } from "commander";
+import { Command, CommanderError } from "commander";
+import type { Result } from "neverthrow";
 import { formatFinding } from "../document/mod.ts";
-import { loadSettings } from "../settings/mod.ts";
-import type { ParseSettings } from "../settings/mod.ts";
+import type { Finding } from "../document/mod.ts";
 
-const EXIT_OK = 0;
+const EXIT_SUCCESS = 0;
 const EXIT_FAILURE = 1;
 const EXIT_USAGE = 2;
 
 export interface RunningProgram {
   /** Ends gracefully: no request in progress is cut off. */
   shutDown(): Promise<void>;
-  /** Resolves with the reason if the program ends by itself. */
+  /** Resolves with the reason if the program must end by itself. */
   readonly stopped: Promise<string>;
 }
 
 export interface ProgramOptions<Settings> {
   readonly name: string;
   readonly description: string;
-  readonly parseSettings: ParseSettings<Settings>;
+  readonly loadSettings: (
+    file: string,
+  ) => Promise<Result<Settings, readonly Finding[]>>;
   readonly start: (settings: Settings) => Promise<RunningProgram>;
 }
 
@@ -32,49 +34,66 @@
   readonly check?: boolean;
 }
 
+/** Resolves with the exit code when the process should end. */
 export async function runProgram<Settings>(
   args: readonly string[],
   options: ProgramOptions<Settings>,
-): Promise<never> {
+): Promise<number> {
   const command = new Command(options.name)
     .description(options.description)
     .version(readVersion())
     .requiredOption("--settings <file>", "settings of this process in YAML")
     .option("--check", "check the settings and exit")
-    .exitOverride((error) =>
-      process.exit(error.exitCode === 0 ? EXIT_OK : EXIT_USAGE),
-    );
-  command.parse(args, { from: "user" });
+    .exitOverride();
+  try {
+    command.parse(args, { from: "user" });
+  } catch (error) {
+    const isShown = error instanceof CommanderError && error.exitCode === 0;
+    return isShown ? EXIT_SUCCESS : EXIT_USAGE;
+  }
   const flags = command.opts<Flags>();
-  const loaded = await loadSettings(flags.settings, options.parseSettings);
-  if (loaded.isErr()) {
-    loaded.error.forEach((finding) => console.error(formatFinding(finding)));
-    process.exit(EXIT_FAILURE);
+  const settings = await options.loadSettings(flags.settings);
+  if (settings.isErr()) {
+    settings.error.forEach((finding) => console.error(formatFinding(finding)));
+    return EXIT_FAILURE;
   }
-  if (flags.check === true) process.exit(EXIT_OK);
+  if (flags.check === true) return EXIT_SUCCESS;
+  return runUntilStopped(settings.value, options);
+}
 
-  const program = await options.start(loaded.value).catch((error: unknown) => {
-    console.error(`${options.name} could not start: ${String(error)}`);
-    process.exit(EXIT_FAILURE);
-  });
-  const signal = new Promise<"signal">((resolve) => {
+async function runUntilStopped<Settings>(
+  settings: Settings,
+  { name, start }: ProgramOptions<Settings>,
+): Promise<number> {
+  const signal = waitForSignal();
+  try {
+    const program = await start(settings);
+    const reason = await Promise.race([signal, program.stopped]);
+    await program.shutDown();
+    return reason === "signal" ? EXIT_SUCCESS : EXIT_FAILURE;
+  } catch (error) {
+    console.error(`${name} failed: ${String(error)}`);
+    return EXIT_FAILURE;
+  }
+}
+
+function waitForSignal(): Promise<"signal"> {
+  return new Promise((resolve) => {
     process.once("SIGTERM", () => resolve("signal"));
     process.once("SIGINT", () => resolve("signal"));
   });
-  const reason = await Promise.race([signal, program.stopped]);
-  if (reason === "signal") await program.shutDown();
-  process.exit(reason === "signal" ? EXIT_OK : EXIT_FAILURE);
 }
 
+/** Compiled files lie one folder deeper than their sources. */
 function readVersion(): string {
-  // Compiled files lie one folder deeper than their sources.
-  const places = ["../../package.json", "../../../package.json"];
-  const texts = places.flatMap((place) => {
-    try {
-      return [readFileSync(new URL(place, import.meta.url), "utf8")];
-    } catch {
-      return [];
-    }
-  });
+  const texts = ["../../package.json", "../../../package.json"].flatMap(
+    (place) => {
+      try {
+        return [readFileSync(new URL(place, import.meta.url), "utf8")];
+      } catch {
+        return [];
+      }
+    },
+  );
   return (JSON.parse(texts[0] ?? "{}") as { version?: string }).version ?? "0";
 }
