--- a/bench/measure_data_centre.ts
+++ b/bench/measure_data_centre.ts
@@ -88,11 +88,12 @@
 }
 
 /** Follows a data centre's endpoints; tells when one last started work. */
-function watchDispatches(hosts: readonly PlannedHost[], fromMs: number) {
+async function watchDispatches(hosts: readonly PlannedHost[]) {
+  let before = await countStarted(hosts);
+  const fromMs = performance.now();
   let lastAtMs = 0;
   let isOn = true;
   const task = (async () => {
-    let before = await countStarted(hosts);
     while (isOn) {
       await delay(POLL_MS);
       const now = await countStarted(hosts);
@@ -159,7 +160,7 @@
   await delay(phaseMs);
 
   const outAtMs = Date.now();
-  const stopWatch = watchDispatches(leaving, performance.now());
+  const stopWatch = await watchDispatches(leaving);
   await fleet.publish({ servingVersion: "v1", outDataCentres: [OUT] });
   await delay(phaseMs);
   const lastNewDispatchMs = await stopWatch();
