--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -117,6 +117,12 @@
     },
   }) as Server;
 
+  // Closes the connections of callers that stopped reading.
+  server.setTimeout(
+    settings.requestTimeoutMs +
+      settings.bodyTimeoutMs +
+      REQUEST_TIMEOUT_EXTRA_MS,
+  );
   server.on("clientError", (error, socket) =>
     refuseMalformed(error, socket as Socket, metrics),
   );
@@ -153,6 +159,25 @@
     crashBook.list().forEach((notice) => peer.sendNotice(notice)),
   );
 
+  /**
+   * No answer takes longer than its time limit, but a caller that does not
+   * read can hold up the last bytes of one for ever.
+   */
+  async function waitUntilIdle() {
+    if (inFlight === 0) return;
+    const timeoutMs = settings.requestTimeoutMs + settings.bodyTimeoutMs;
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(() => {
+        logger.warn({ inFlight }, "Closing connections of stalled callers");
+        resolve();
+      }, timeoutMs);
+      onIdle = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+
   async function close() {
     isDraining = true;
     isRefusing = true;
@@ -185,9 +210,7 @@
       );
       isRefusing = true;
       logger.info({ inFlight }, "Refusing new requests");
-      if (inFlight > 0) {
-        await new Promise<void>((resolve) => (onIdle = resolve));
-      }
+      await waitUntilIdle();
       await close();
       logger.info("Closed");
     },
--- a/src/entry/faults_test.ts
+++ b/src/entry/faults_test.ts
@@ -1,7 +1,9 @@
+import { connect } from "node:net";
 import { afterEach, describe, expect, test } from "@jest/globals";
 import { createKey } from "../idempotency/mod.ts";
 import {
   answerJson,
+  API_KEY,
   chooseFirst,
   createDocument,
   createFleet,
@@ -392,13 +394,14 @@
 
   // Guards against frames of an abandoned stream in the continued answer.
   test("forwards nothing of a stream that was reset", async () => {
+    const lost = createGate<string>();
     const late: Behaviour = async (stream) => {
+      stream.onLost(lost.open);
       sendHead(stream);
       await stream.write(Buffer.from(TEXT[0]!));
       // A second head is an error, upon which the entry abandons the stream.
       sendHead(stream);
       await stream.write(Buffer.from(formatEvent("late")));
-      stream.end({ outcome: "answered" });
     };
     const fleet = await startFleet({
       agents: createAgents(late, continueText),
@@ -406,6 +409,7 @@
     const text = await (await post(fleet)).text();
     expect(readText(text)).toBe("abc");
     expect(text).not.toContain("late");
+    expect(await lost.promise).toBe("protocol_error");
   });
 
   // Guards against work that goes on for a caller that has left.
@@ -479,6 +483,33 @@
     await expect(response.text()).rejects.toThrow();
   });
 
+  // Guards against a shutdown that waits for a caller that reads nothing of
+  // answers that are complete.
+  test("shuts down although complete answers are not read", async () => {
+    const fleet = await startFleet({
+      agents: createAgents(answerJson("x".repeat(1_000_000))),
+      settings: { requestTimeoutMs: 200, bodyTimeoutMs: 200 },
+    });
+    const { hostname, port } = new URL(fleet.url);
+    const socket = connect({ host: hostname, port: Number(port) });
+    socket.on("error", () => undefined);
+    socket.pause();
+    const body = JSON.stringify(PROMPT);
+    const request = [
+      "POST /v1/completions HTTP/1.1",
+      "Host: x",
+      `Authorization: Bearer ${API_KEY}`,
+      `Content-Length: ${body.length}`,
+      "",
+      body,
+    ].join("\r\n");
+    socket.write(request.repeat(20));
+    await fleet.waitForRequests(20);
+    await fleet.entry.shutDown();
+    await fleet.waitForLog("Closing connections of stalled callers");
+    socket.destroy();
+  });
+
   // Guards against a request that holds its endpoint for ever.
   test("ends at the time limit", async () => {
     const fleet = await startFleet({
--- a/src/entry/testing/fake_fleet.ts
+++ b/src/entry/testing/fake_fleet.ts
@@ -138,6 +138,8 @@
     isWaking: boolean;
   };
   changeView(): void;
+  /** Resolves when the agents have got this many requests together. */
+  waitForRequests(count: number): Promise<void>;
   /** Resolves when the entry has got a load report from this host. */
   waitForReport(host: string): Promise<void>;
   /** Resolves when the entry has logged this message. */
@@ -176,6 +178,7 @@
   const noticeHandlers = new Map<string, (peer: Peer, n: Notice) => void>();
   const changeHandlers: (() => void)[] = [];
   const fetchedVersions: number[] = [];
+  let requestCount = 0;
   const view: Fleet["view"] = {
     document: createDocument(),
     hosts: [],
@@ -237,6 +240,10 @@
     (options.agents ?? []).map((place) =>
       startAgent(place, {
         counters,
+        onRequest: () => {
+          requestCount += 1;
+          findGate(`request ${requestCount}`).open();
+        },
         onNotice: (peer, notice) => {
           noticeHandlers.get(notice.topic)?.(peer, notice);
           if (notice.topic === "load") {
@@ -255,6 +262,7 @@
     view,
     fetchedVersions,
     agents: started.map(({ agent }) => agent),
+    waitForRequests: (count) => findGate(`request ${count}`).promise,
     waitForReport: (host) => findGate(`report of ${host}`).promise,
     waitForLog: (message) => findGate(message).promise,
     changeView: () => changeHandlers.forEach((handler) => handler()),
@@ -277,9 +285,10 @@
   entryOptions: {
     readonly counters: ReturnType<typeof createWireCounters>;
     readonly onNotice: (peer: Peer, notice: Notice) => void;
+    readonly onRequest: () => void;
   },
 ) {
-  const { counters, onNotice } = entryOptions;
+  const { counters, onNotice, onRequest } = entryOptions;
   let entryPeer: Peer | undefined;
   const noticeWaiters: (() => void)[] = [];
   const agent: Agent = {
@@ -309,6 +318,7 @@
       body: Buffer.concat(parts).toString(),
     };
     agent.requests.push(request);
+    onRequest();
     await agent.behaviour(stream, request, agent);
   }
 
