--- a/src/entry/bad_input_test.ts
+++ b/src/entry/bad_input_test.ts
@@ -23,159 +23,112 @@
 }
 
 interface Case {
-  /** The bad input that would otherwise reach an endpoint. */
-  readonly name: string;
-  readonly path: string;
-  readonly body: unknown;
+  /** "/v1/completions" by default. */
+  readonly path?: string;
+  readonly body?: unknown;
   readonly headers?: Record<string, string>;
-  readonly status: number;
-  readonly code: string;
+  /** Status and code. */
+  readonly expected: readonly [number, string];
   readonly message: string;
 }
 
 const CASES: readonly Case[] = [
   {
-    name: "an unknown model",
-    path: "/v1/completions",
     body: { model: "x", prompt: "p" },
-    status: 404,
-    code: "unknown_model",
+    expected: [404, "unknown_model"],
     message: 'No service offers the model "x"',
   },
   {
-    name: "a body that is too large",
-    path: "/v1/completions",
     body: { model: "m", prompt: "p".repeat(200_000) },
-    status: 413,
-    code: "body_too_large",
+    expected: [413, "body_too_large"],
     message: "The request body is too large",
   },
   {
-    name: "broken JSON",
-    path: "/v1/completions",
     body: '{"model": "m"',
-    status: 400,
-    code: "bad_request",
+    expected: [400, "bad_request"],
     message: "The body is not valid JSON",
   },
   {
-    name: "JSON that is not an object",
-    path: "/v1/completions",
     body: "[]",
-    status: 400,
-    code: "bad_request",
+    expected: [400, "bad_request"],
     message: "The body is not a JSON object",
   },
   {
-    name: "a field of the wrong type",
     path: "/v1/chat/completions",
     body: { model: "m", messages: [{ content: "no role" }] },
-    status: 400,
-    code: "bad_request",
+    expected: [400, "bad_request"],
     message: "The field `messages.0.role` is missing or of the wrong type",
   },
   {
-    name: "a chat without messages",
     path: "/v1/chat/completions",
     body: { model: "m" },
-    status: 400,
-    code: "bad_request",
+    expected: [400, "bad_request"],
     message: "The body has no `messages`",
   },
   {
-    name: "a wrong API key",
-    path: "/v1/completions",
     body: {},
     headers: { authorization: "Bearer wrong" },
-    status: 401,
-    code: "unknown_account",
+    expected: [401, "unknown_account"],
     message: "No client account has the API key of this request",
   },
   {
-    name: "an unknown service",
     path: "/services/x/bookings",
-    body: "",
-    status: 404,
-    code: "unknown_service",
+    expected: [404, "unknown_service"],
     message: 'There is no service "x"',
   },
   {
-    name: "a path without route",
     path: "/services/booking/other",
-    body: "",
-    status: 404,
-    code: "unknown_service",
+    expected: [404, "unknown_service"],
     message: "Service booking has no route for POST /other",
   },
   {
-    name: "a path that hides its route",
     path: "/services/booking/x%2fbookings",
-    body: "",
-    status: 400,
-    code: "bad_request",
+    expected: [400, "bad_request"],
     message: "The path has empty, relative or encoded segments",
   },
   {
-    name: "a path with an empty segment",
     path: "/services/booking//bookings",
-    body: "",
-    status: 400,
-    code: "bad_request",
+    expected: [400, "bad_request"],
     message: "The path has empty, relative or encoded segments",
   },
   {
-    name: "an unknown path",
     path: "/v2/completions",
-    body: "",
-    status: 404,
-    code: "unknown_service",
+    expected: [404, "unknown_service"],
     message: "There is no such path",
   },
   {
-    name: "a missing idempotency key",
     path: BOOKING,
-    body: "",
-    status: 400,
-    code: "key_required",
+    expected: [400, "key_required"],
     message: "This route needs the header Idempotency-Key",
   },
   {
-    name: "a key that is not ordered by time",
     path: BOOKING,
-    body: "",
     headers: { "idempotency-key": "7d444840-9dc0-41d1-b245-5ffdce74fad2" },
-    status: 400,
-    code: "key_not_time_ordered",
+    expected: [400, "key_not_time_ordered"],
     message: "The idempotency key is not a UUIDv7",
   },
   {
-    name: "a key of the future",
     path: BOOKING,
-    body: "",
     headers: { "idempotency-key": createKey(Date.now() + 3_600_000) },
-    status: 400,
-    code: "key_not_time_ordered",
+    expected: [400, "key_not_time_ordered"],
     message: "The idempotency key's time is in the future",
   },
 ];
 
 describe("bad input", () => {
-  test.each(CASES)("guards against $name", async (input) => {
+  // Guards against bad input that reaches an endpoint, and unclear refusals.
+  test.each(CASES)("is refused: $message", async (input) => {
+    const { path = "/v1/completions", body = "", headers, message } = input;
+    const [status, code] = input.expected;
     const { post, counter, agents } = await startFleet({
       settings: { maxBodyBytes: 100_000 },
     });
-    const response = await post(input.path, input.body, input.headers);
-    expect(response.status).toBe(input.status);
+    const response = await post(path, body, headers);
+    expect(response.status).toBe(status);
     expect(response.headers.get("zinniaspur-outcome")).toBe("not_run");
-    expect(await response.json()).toMatchObject({
-      error: {
-        code: input.code,
-        message: input.message,
-        outcome: "not_run",
-        retry_after_ms: null,
-      },
-    });
-    expect(counter("refusals_total", { reason: input.code })).toBe(1);
+    const error = { code, message, outcome: "not_run", retry_after_ms: null };
+    expect(await response.json()).toMatchObject({ error });
+    expect(counter("refusals_total", { reason: code })).toBe(1);
     expect(agents[0]!.requests).toEqual([]);
   });
 
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -168,6 +168,17 @@
       history.failure = result.refusal;
       history.loss = result.refusal;
       history.lostEndpoints += 1;
+      if (call.stopReason() === undefined) {
+        context.node.logger.warn(
+          {
+            requestId: call.request.requestId,
+            service: service.name,
+            endpoint: host,
+            reason: result.refusal.reason,
+          },
+          "Lost a request at an endpoint",
+        );
+      }
       return "failed";
   }
 }
