--- a/src/program/run_program.ts
+++ b/src/program/run_program.ts
@@ -27,6 +27,8 @@
     file: string,
   ) => Promise<Result<Settings, readonly Finding[]>>;
   readonly start: (settings: Settings) => Promise<RunningProgram>;
+  readonly print?: (line: string) => void;
+  readonly printError?: (line: string) => void;
 }
 
 interface Flags {
@@ -39,12 +41,18 @@
   args: readonly string[],
   options: ProgramOptions<Settings>,
 ): Promise<number> {
+  const { print = console.log, printError = console.error } = options;
   const command = new Command(options.name)
     .description(options.description)
     .version(readVersion())
     .requiredOption("--settings <file>", "settings of this process in YAML")
     .option("--check", "check the settings and exit")
-    .exitOverride();
+    .allowExcessArguments(false)
+    .exitOverride()
+    .configureOutput({
+      writeOut: (text) => print(text.trimEnd()),
+      writeErr: (text) => printError(text.trimEnd()),
+    });
   try {
     command.parse(args, { from: "user" });
   } catch (error) {
@@ -54,16 +62,19 @@
   const flags = command.opts<Flags>();
   const settings = await options.loadSettings(flags.settings);
   if (settings.isErr()) {
-    settings.error.forEach((finding) => console.error(formatFinding(finding)));
+    settings.error.forEach((finding) => printError(formatFinding(finding)));
     return EXIT_FAILURE;
   }
-  if (flags.check === true) return EXIT_SUCCESS;
+  if (flags.check === true) {
+    print(`${flags.settings}: no findings`);
+    return EXIT_SUCCESS;
+  }
   return runUntilStopped(settings.value, options);
 }
 
 async function runUntilStopped<Settings>(
   settings: Settings,
-  { name, start }: ProgramOptions<Settings>,
+  { name, start, printError = console.error }: ProgramOptions<Settings>,
 ): Promise<number> {
   const signal = waitForSignal();
   try {
@@ -72,7 +83,7 @@
     await program.shutDown();
     return reason === "signal" ? EXIT_SUCCESS : EXIT_FAILURE;
   } catch (error) {
-    console.error(`${name} failed: ${String(error)}`);
+    printError(`${name} failed: ${String(error)}`);
     return EXIT_FAILURE;
   }
 }
--- a/src/program/run_program_test.ts
+++ b/src/program/run_program_test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, jest, test } from "@jest/globals";
+import { readFileSync } from "node:fs";
 import { err, ok } from "neverthrow";
 import { runProgram } from "./mod.ts";
 
@@ -11,7 +12,13 @@
   fix: "x",
 };
 
+const FOUND = "error: bad:1:1: p: m. Fix: x";
+const { version: VERSION } = JSON.parse(
+  readFileSync("package.json", "utf8"),
+) as { version: string };
+
 function run(args: readonly string[], ending: Promise<string>) {
+  const lines: string[] = [];
   const start = jest.fn(() =>
     Promise.resolve({
       stopped: ending,
@@ -24,8 +31,10 @@
     loadSettings: (file) =>
       Promise.resolve(file === "good" ? ok({}) : err([FINDING])),
     start,
+    print: (line) => lines.push(`out: ${line}`),
+    printError: (line) => lines.push(`error: ${line}`),
   });
-  return { exitCode, start };
+  return { exitCode, start, lines };
 }
 
 describe("runProgram", () => {
@@ -33,19 +42,21 @@
   const good = ["--settings", "good"];
   const bad = ["--settings", "bad"];
   const cases = [
-    { args: ["--help"], code: 0 },
-    { args: ["--version"], code: 0 },
-    { args: [...good, "--check"], code: 0 },
-    { args: [...bad, "--check"], code: 1 },
-    { args: bad, code: 1 },
-    { args: [], code: 2 },
-    { args: [...good, "--unknown"], code: 2 },
+    { args: ["--help"], code: 0, line: "out: Usage: program" },
+    { args: ["--version"], code: 0, line: `out: ${VERSION}` },
+    { args: [...good, "--check"], code: 0, line: "out: good: no findings" },
+    { args: [...bad, "--check"], code: 1, line: FOUND },
+    { args: bad, code: 1, line: FOUND },
+    { args: [], code: 2, line: "--settings" },
+    { args: [...good, "--unknown"], code: 2, line: "--unknown" },
   ];
-  // Guards against exit codes that scripts cannot rely on.
-  test.each(cases)("$args exits with $code", async ({ args, code }) => {
-    const { exitCode, start } = run(args, never);
+  // Guards against exit codes that scripts cannot rely on, and against a start
+  // with settings that an operator got wrong.
+  test.each(cases)("$args exits with $code", async ({ args, code, line }) => {
+    const { exitCode, start, lines } = run(args, never);
     expect(await exitCode).toBe(code);
     expect(start).not.toHaveBeenCalled();
+    expect(lines.join("\n")).toContain(line);
   });
 
   // Guards against a SIGTERM that does not end the process.
