--- a/src/agent/agent_test.ts
+++ b/src/agent/agent_test.ts
@@ -1,23 +1,11 @@
-import { afterEach, describe, expect, test } from "@jest/globals";
+import { describe, expect, test } from "@jest/globals";
 import { err, ok } from "neverthrow";
 import { runAgent } from "./mod.ts";
 import type { AgentSettings } from "./mod.ts";
 import { createFakeWeights } from "./testing/fake_weights.ts";
-import { ask, createRig, DIGEST_1 } from "./testing/mod.ts";
-import type { Rig, RigOptions } from "./testing/mod.ts";
+import { DIGEST_1, ask, useRigs } from "./testing/mod.ts";
 
-let rig: Rig | undefined;
-afterEach(async () => {
-  await rig?.close();
-  rig = undefined;
-});
-
-async function start(options: RigOptions = {}): Promise<Rig> {
-  rig = await createRig(options);
-  const started = rig;
-  await started.until(() => started.lastLoad()?.phase === "warm");
-  return started;
-}
+const start = useRigs();
 
 describe("agent", () => {
   // Guards against a change of the request or of the answer on its way.
--- a/src/agent/key_faults_test.ts
+++ b/src/agent/key_faults_test.ts
@@ -1,29 +1,21 @@
-import { afterEach, describe, expect, test } from "@jest/globals";
+import { describe, expect, test } from "@jest/globals";
 import { createEndpointClient } from "../engine/mod.ts";
 import type { RequestHead } from "../wire/mod.ts";
 import { createFakeEngine } from "./testing/fake_engine.ts";
 import {
+  PLAIN,
   ask,
   createDocument,
   createHead,
   createListing,
-  createRig,
+  endedUnknown,
+  notRun,
   openRequest,
-  PLAIN,
+  useRigs,
 } from "./testing/mod.ts";
-import type { Rig, RigOptions } from "./testing/mod.ts";
-
-const rigs: Rig[] = [];
-afterEach(async () => {
-  await Promise.all(rigs.splice(0).map((rig) => rig.close()));
-});
+import type { Rig } from "./testing/mod.ts";
 
-async function start(options: RigOptions = {}): Promise<Rig> {
-  const rig = await createRig({ service: PLAIN, ...options });
-  rigs.push(rig);
-  await rig.until(() => rig.lastLoad()?.phase === "warm");
-  return rig;
-}
+const start = useRigs({ service: PLAIN });
 
 let nextKey = 0;
 function createKey(atMs = Date.now()): string {
@@ -97,10 +89,9 @@
     const key = createKey();
     await ask(entry, book(key));
     await until(() => lastLoad()?.phase === "warm");
-    expect((await ask(entry, book(key))).trailer).toMatchObject({
-      outcome: "unknown",
-      code: "key_outcome_unknown",
-    });
+    expect((await ask(entry, book(key))).trailer).toEqual(
+      endedUnknown("key_outcome_unknown"),
+    );
     expect(engine.requests).toHaveLength(1);
   });
 
@@ -108,10 +99,7 @@
   test("a restarted agent does not run older keys", async () => {
     const { entry, engine } = await start({ startedAgoMs: 0 });
     const reply = await ask(entry, book(createKey(Date.now() - 5_000)));
-    expect(reply.trailer).toMatchObject({
-      outcome: "unknown",
-      code: "key_outcome_unknown",
-    });
+    expect(reply.trailer).toEqual(endedUnknown("key_outcome_unknown"));
     expect(engine.requests).toHaveLength(0);
   });
 
@@ -126,10 +114,7 @@
     expect(old.engine.requests).toHaveLength(1);
     await old.connect("h1", { role: "agent", incarnation: "02" });
     const later = await ask(old.entry, book(createKey()));
-    expect(later.trailer).toMatchObject({
-      outcome: "not_run",
-      code: "shutting_down",
-    });
+    expect(later.trailer).toEqual(notRun("shutting_down"));
     expect(await old.agent.stopped).toBe("superseded");
   });
 
@@ -137,10 +122,9 @@
   test("a host listed at another address runs no keys", async () => {
     const { entry, fake, engine } = await start();
     fake.setHosts(createListing("live"));
-    expect((await ask(entry, book(createKey()))).trailer).toMatchObject({
-      outcome: "not_run",
-      code: "runner_unreachable",
-    });
+    expect((await ask(entry, book(createKey()))).trailer).toEqual(
+      notRun("runner_unreachable"),
+    );
     expect(engine.requests).toHaveLength(0);
   });
 
@@ -163,10 +147,7 @@
     const { entry, engine, fake } = await start();
     const key = createKey();
     fake.setWaking(true);
-    expect((await ask(entry, book(key))).trailer).toMatchObject({
-      outcome: "not_run",
-      code: "waking",
-    });
+    expect((await ask(entry, book(key))).trailer).toEqual(notRun("waking"));
     fake.setWaking(false);
     expect((await ask(entry, book(key))).trailer?.outcome).toBe("answered");
     expect(engine.requests).toHaveLength(1);
@@ -209,7 +190,7 @@
     const rig = await start();
     prepare?.(rig);
     const reply = await ask(rig.entry, book(key));
-    expect(reply.trailer).toMatchObject({ outcome: "not_run", code });
+    expect(reply.trailer).toEqual(notRun(code));
     expect(rig.engine.requests).toHaveLength(0);
   });
 
--- a/src/agent/language_faults_test.ts
+++ b/src/agent/language_faults_test.ts
@@ -1,31 +1,22 @@
-import { afterEach, describe, expect, test } from "@jest/globals";
+import { describe, expect, test } from "@jest/globals";
 import {
+  DIGEST_1,
+  DIGEST_2,
+  LANGUAGE,
   ask,
   createDocument,
   createHead,
   createListing,
-  createRig,
-  DIGEST_1,
-  DIGEST_2,
-  LANGUAGE,
+  endedUnknown,
+  notRun,
   openRequest,
   readReply,
+  useRigs,
 } from "./testing/mod.ts";
 import type { FakeRequest } from "./testing/fake_engine.ts";
-import type { Rig, RigOptions } from "./testing/mod.ts";
+import type { Rig } from "./testing/mod.ts";
 
-let rig: Rig | undefined;
-afterEach(async () => {
-  await rig?.close();
-  rig = undefined;
-});
-
-async function start(options: RigOptions = {}): Promise<Rig> {
-  rig = await createRig(options);
-  const started = rig;
-  await started.until(() => started.lastLoad()?.phase === "warm");
-  return started;
-}
+const start = useRigs();
 
 const EVENTS = 'data: {"t":"a"}\n\ndata: {"t":"b"}\n\n';
 
@@ -142,10 +133,7 @@
     const { entry, engine } = await start();
     engine.onRequest((request) => startEvents(request));
     const reply = await ask(entry, { remainingMs: 100 });
-    expect(reply.trailer).toMatchObject({
-      outcome: "unknown",
-      code: "deadline_exceeded",
-    });
+    expect(reply.trailer).toEqual(endedUnknown("deadline_exceeded"));
     await engine.waitForCancel();
   });
 });
@@ -154,14 +142,13 @@
   // Guards against new work beside work of an earlier agent, and against
   // trust in a report from before this process.
   test("a restarted agent counts what its endpoint runs", async () => {
-    rig = await createRig({
+    const rig = await start({
       prepare({ state }) {
         state.inFlight = 2;
         state.reportedAtMs = Date.now() - 120_000;
       },
     });
     const { entry, engine, agent, until, lastLoad } = rig;
-    await until(() => lastLoad()?.phase === "warm");
     expect(lastLoad()?.limit).toBe(2);
     const reply = ask(entry);
     await until(() => lastLoad()?.queued === 1);
@@ -196,10 +183,7 @@
     await engine.close();
     await until(() => lastLoad()?.phase === "down");
     const refused = await ask(entry);
-    expect(refused.trailer).toMatchObject({
-      outcome: "not_run",
-      code: "endpoint_cold",
-    });
+    expect(refused.trailer).toEqual(notRun("endpoint_cold"));
     expect(refused.trailer?.retryAfterMs).toBeGreaterThan(0);
   });
 });
@@ -244,7 +228,7 @@
     await cause(started);
     const refused = await ask(entry);
     expect(refused.accepted).toBe(false);
-    expect(refused.trailer).toMatchObject({ outcome: "not_run", code });
+    expect(refused.trailer).toEqual(notRun(code));
     response.end("data: [DONE]\n\n");
     expect((await readReply(running)).trailer?.outcome).toBe("answered");
     expect(engine.requests).toHaveLength(1);
@@ -302,10 +286,7 @@
       response.writeHead(200, { "engine-version-digest": DIGEST_1 }).end("{}"),
     );
     const refused = await ask(entry, { fingerprint: "poison" });
-    expect(refused.trailer).toMatchObject({
-      outcome: "not_run",
-      code: "request_quarantined",
-    });
+    expect(refused.trailer).toEqual(notRun("request_quarantined"));
     const served = await ask(entry, { fingerprint: "innocent" });
     expect(served.trailer?.outcome).toBe("answered");
     expect(engine.requests).toHaveLength(3);
--- a/src/agent/rollout_faults_test.ts
+++ b/src/agent/rollout_faults_test.ts
@@ -1,30 +1,19 @@
-import { afterEach, describe, expect, test } from "@jest/globals";
+import { describe, expect, test } from "@jest/globals";
 import {
-  ask,
-  createDocument,
-  createHead,
-  createRig,
   DIGEST_1,
   DIGEST_2,
   INCARNATION,
   LANGUAGE,
+  ask,
+  createDocument,
+  createHead,
+  notRun,
   openRequest,
   readReply,
+  useRigs,
 } from "./testing/mod.ts";
-import type { Rig, RigOptions } from "./testing/mod.ts";
 
-let rig: Rig | undefined;
-afterEach(async () => {
-  await rig?.close();
-  rig = undefined;
-});
-
-async function start(options: RigOptions = {}): Promise<Rig> {
-  rig = await createRig(options);
-  const started = rig;
-  await started.until(() => started.lastLoad()?.phase === "warm");
-  return started;
-}
+const start = useRigs();
 
 function createServing(servingVersion: string) {
   const { models } = createDocument(LANGUAGE);
@@ -50,10 +39,7 @@
     expect(lastLoad()?.phase).toBe("warm");
     weights.complete(DIGEST_2);
     await until(() => lastLoad()?.phase === "loading");
-    expect((await ask(entry)).trailer).toMatchObject({
-      outcome: "not_run",
-      code: "endpoint_cold",
-    });
+    expect((await ask(entry)).trailer).toEqual(notRun("endpoint_cold"));
     expect(engine.orders).toHaveLength(0);
     response.end("}");
     expect((await readReply(running)).body).toBe("{}");
@@ -117,10 +103,10 @@
   // platform only offers an older configuration.
   test("an engine that knows a newer order raises the floor", async () => {
     const older = ["00000000-0000-7000-8000-000000000000"] as const;
-    rig = await createRig({
+    const { fake, engine, weights, entry, until, setDocument } = await start({
       prepare: ({ state }) => void (state.fencing = [9, older[0]]),
+      phase: "unknown",
     });
-    const { fake, engine, weights, entry, until, setDocument } = rig;
     await until(() => fake.floors.includes(9));
     weights.complete(DIGEST_2);
     setDocument(createServing("v2"));
--- a/src/agent/testing/mod.ts
+++ b/src/agent/testing/mod.ts
@@ -1,5 +1,6 @@
 /** Starts an agent between a fake endpoint and a test that acts as entry. */
 
+import { afterEach, expect } from "@jest/globals";
 import type {
   EnvironmentDocument,
   PlainService,
@@ -11,6 +12,7 @@
 import type {
   Notice,
   Peer,
+  Phase,
   RequestHead,
   ResponseHead,
   Stream,
@@ -107,6 +109,8 @@
   readonly startedAgoMs?: number;
   readonly prepare?: (engine: FakeEngine) => void;
   readonly engine?: FakeEngine;
+  /** Phase of the first load report to wait for. */
+  readonly phase?: Phase;
 }
 
 export const INCARNATION = "01940000-0000-7000-8000-000000000001";
@@ -220,6 +224,32 @@
   };
 }
 
+/** Starts rigs that are closed after each test. */
+export function useRigs(defaults: RigOptions = {}) {
+  const rigs: Rig[] = [];
+  afterEach(async () => {
+    await Promise.all(rigs.splice(0).map((rig) => rig.close()));
+  });
+  /** Resolves once the agent has told the entry what its endpoint is. */
+  return async function start(options: RigOptions = {}): Promise<Rig> {
+    const rig = await createRig({ ...defaults, ...options });
+    rigs.push(rig);
+    const { phase = "warm" } = options;
+    await rig.until(() => rig.lastLoad()?.phase === phase);
+    return rig;
+  };
+}
+
+/** Trailer of a request that was not run. */
+export function notRun(code: string) {
+  return expect.objectContaining({ outcome: "not_run", code });
+}
+
+/** Trailer of a request that may have run. */
+export function endedUnknown(code: string) {
+  return expect.objectContaining({ outcome: "unknown", code });
+}
+
 export interface Reply {
   readonly accepted: boolean;
   readonly head: ResponseHead | undefined;
