--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -191,7 +191,7 @@
 
   /** A later incarnation of this host has taken over its name for good. */
   function checkIncarnation(incarnation: string, source: string) {
-    if (incarnation <= identity.incarnation) return;
+    if (incarnation <= identity.incarnation || control.isStopped()) return;
     counters.failures.increment({ kind: "superseded" });
     logger.error(
       { incarnation, source },
@@ -201,14 +201,18 @@
     stopForGood("superseded");
   }
 
-  node.onPeer((peer) => {
+  function onPeer(peer: Peer) {
     const { host, role, incarnation } = peer.hello;
     if (host === identity.host && role === "agent") {
       checkIncarnation(incarnation, "peer");
     }
     reports.greet(peer);
     quarantine.notices().forEach((notice) => peer.sendNotice(notice));
-  });
+  }
+
+  node.onPeer(onPeer);
+  // Some may have connected before this agent was made.
+  node.peers().forEach(onPeer);
   // Another address under the own name may belong to a later incarnation.
   node.addPeerChooser(() =>
     [findOwnListing(node)].flatMap((host) =>
--- a/src/agent/endpoint_control.ts
+++ b/src/agent/endpoint_control.ts
@@ -49,6 +49,8 @@
   shutDown(): void;
   stopForGood(): void;
   isLeaving(): boolean;
+  /** True while the endpoint is given work. */
+  isServing(): boolean;
   /** True after `stopForGood`. */
   isStopped(): boolean;
   /** Lowest configuration version that the engine has seen in an order. */
@@ -80,6 +82,8 @@
   let servedDigest: string | undefined;
   let foreign: number | undefined;
   let configFloor = 0;
+  /** Kept while the engine is down or unreadable. */
+  let lastBootId: string | undefined;
   /** After an answer from another digest, until the engine reports again. */
   let isVoid = false;
 
@@ -217,9 +221,10 @@
 
   monitor.onStatus((status, previous) => {
     const isNewBoot =
-      previous.bootId !== undefined &&
+      lastBootId !== undefined &&
       status.bootId !== undefined &&
-      status.bootId !== previous.bootId;
+      status.bootId !== lastBootId;
+    lastBootId = status.bootId ?? lastBootId;
     const hasChanged =
       isNewBoot ||
       status.versionDigest !== previous.versionDigest ||
@@ -295,6 +300,7 @@
       isStopped = true;
       refresh();
     },
+    isServing: () => closure() === undefined,
     isStopped: () => isStopped,
     isLeaving: () => isStopped || isShuttingDown || isListedLeaving(),
   };
--- a/src/rollout/rollout.ts
+++ b/src/rollout/rollout.ts
@@ -36,6 +36,7 @@
   endSwitch(): void;
   configFloor(): number;
   isLeaving(): boolean;
+  isServing(): boolean;
 }
 
 export interface RolloutOptions {
@@ -113,7 +114,8 @@
 
   function readOwnState() {
     const { phase: engine } = monitor.status();
-    return engine === "cold" || engine === "warm" ? engine : "none";
+    if (!control.isServing()) return "none";
+    return engine === "warm" ? "warm" : "cold";
   }
 
   function decide(target: RolloutTarget) {
--- a/src/rollout/switch_order.ts
+++ b/src/rollout/switch_order.ts
@@ -26,7 +26,7 @@
   readonly hosts: readonly string[];
   /** What is known of the other agents; a missing one counts as not warm. */
   readonly members: readonly SwitchMember[];
-  /** How the own endpoint serves whatever version it has. */
+  /** How the own endpoint serves a version; "none" takes no work. */
   readonly ownState: "none" | "cold" | "warm";
 }
 
