--- a/src/agent/agent_test.ts
+++ b/src/agent/agent_test.ts
@@ -1,19 +1,7 @@
-import { afterEach, describe, expect, test } from "@jest/globals";
-import { ask, createRig, DIGEST_1 } from "./testing/mod.ts";
-import type { Rig, RigOptions } from "./testing/mod.ts";
+import { describe, expect, test } from "@jest/globals";
+import { ask, DIGEST_1, useRigs } from "./testing/mod.ts";
 
-let rig: Rig | undefined;
-afterEach(async () => {
-  await rig?.close();
-  rig = undefined;
-});
-
-async function start(options: RigOptions = {}): Promise<Rig> {
-  rig = await createRig(options);
-  const started = rig;
-  await started.until(() => started.lastLoad()?.phase === "warm");
-  return started;
-}
+const start = useRigs();
 
 describe("agent", () => {
   // Guards against a change of the request or of the answer on its way.
