Keep an agent's holdings when its connection is replaced

Two agents that dial each other keep one connection. A notice on the other one made it the listed one again, and its state was lost when it closed, so that some agents counted others as gone for good.

--- a/src/weights/announcer.ts
+++ b/src/weights/announcer.ts
@@ -5,6 +5,8 @@
 const MIN_INTERVAL_MS = 100;
 /** With many peers the interval grows, so that notices stay a small load. */
 const INTERVAL_PER_PEER_MS = 4;
+/** Repairs a view that missed a notice while a connection was replaced. */
+const REFRESH_MS = 10_000;
 
 export interface Announcer {
   /** Sends the current state to all peers, soon. */
@@ -26,12 +28,16 @@
   let timer: NodeJS.Timeout | undefined;
 
   function send() {
+    clearTimeout(timer);
     timer = undefined;
     sentAtMs = nowMs();
     const notice = readNotice();
     listPeers().forEach((peer) => peer.sendNotice(notice));
   }
 
+  const refreshTimer = setInterval(send, REFRESH_MS);
+  refreshTimer.unref();
+
   return {
     onChange() {
       if (timer !== undefined) return;
@@ -43,6 +49,9 @@
       timer = setTimeout(send, delayMs);
     },
     greet: (peer) => peer.sendNotice(readNotice()),
-    close: () => clearTimeout(timer),
+    close() {
+      clearTimeout(timer);
+      clearInterval(refreshTimer);
+    },
   };
 }
--- a/src/weights/choose_weight_peers.ts
+++ b/src/weights/choose_weight_peers.ts
@@ -24,6 +24,11 @@
   view: FleetView,
   self: WeightSelf,
 ): readonly Host[] {
+  const services = view.config()?.document.services ?? [];
+  const isPlain = services.some(
+    (other) => other.name === self.service && other.kind === "plain",
+  );
+  if (isPlain) return [];
   const members = findMembers(view, self.service);
   const others = members.filter((member) => member.host.name !== self.host);
   const own = members.find((member) => member.host.name === self.host);
--- a/src/weights/peer_holdings.ts
+++ b/src/weights/peer_holdings.ts
@@ -54,28 +54,26 @@
   const lost = new Map<string, number>();
 
   function add(peer: Peer) {
-    const { role, host, dataCentre } = peer.hello;
-    if (role !== "agent" || peer.isClosed()) return;
-    if (holdings.get(host)?.peer === peer) return;
+    const { role, host, dataCentre, incarnation } = peer.hello;
+    const former = holdings.get(host);
+    if (role !== "agent" || peer.isClosed() || former?.peer === peer) return;
+    const isSame = former?.peer.hello.incarnation === incarnation;
     const holding: Holding = {
+      ...createEmptyHolding(nowMs()),
+      // Another connection to the same process: what it said still holds.
+      ...(isSame ? former : {}),
       peer,
       host,
       dataCentre,
-      connectedAtMs: nowMs(),
-      manifestDigest: "",
-      chunkCount: 0,
-      bitmap: new Uint8Array(0),
-      chunksHeld: 0,
-      sentBytes: 0,
-      servingDigest: undefined,
-      phase: "unknown",
-      progressAtMs: nowMs(),
     };
     holdings.set(host, holding);
     lost.delete(host);
     void peer.closed.then(() => {
-      // A newer connection to the same host may have replaced this one.
       if (holdings.get(host) !== holding) return;
+      const next = node.findPeer(host);
+      if (next !== undefined && next !== peer && !next.isClosed()) {
+        return add(next);
+      }
       holdings.delete(host);
       lost.set(host, nowMs());
       onChange(holding);
@@ -84,9 +82,11 @@
   }
 
   function onNotice(peer: Peer, notice: Notice) {
-    if (holdings.get(peer.hello.host)?.peer !== peer) add(peer);
-    const holding = holdings.get(peer.hello.host);
-    if (holding === undefined || holding.peer !== peer) return;
+    const { host, incarnation } = peer.hello;
+    if (!holdings.has(host)) add(peer);
+    const holding = holdings.get(host);
+    // A duplicate connection that is being given up may still carry notices.
+    if (holding?.peer.hello.incarnation !== incarnation) return;
     if (!isHaveNotice(notice)) return counters.malformedNotices.increment();
     const chunksHeld = countBits(notice.bitmap);
     const isNew = holding.manifestDigest !== notice.manifestDigest;
@@ -114,6 +114,20 @@
   };
 }
 
+function createEmptyHolding(nowMs: number) {
+  return {
+    connectedAtMs: nowMs,
+    manifestDigest: "",
+    chunkCount: 0,
+    bitmap: new Uint8Array(0),
+    chunksHeld: 0,
+    sentBytes: 0,
+    servingDigest: undefined,
+    phase: "unknown" as const,
+    progressAtMs: nowMs,
+  };
+}
+
 function isHaveNotice(value: unknown): value is HaveNotice {
   const notice = value as Partial<Record<keyof HaveNotice, unknown>>;
   const { chunkCount, bitmap, servingDigest, sentBytes } = notice;
--- a/src/weights/takeover.ts
+++ b/src/weights/takeover.ts
@@ -10,7 +10,7 @@
  * Covers a reconnection, and the time in which a new configuration reaches
  * agents that do not want the version yet.
  */
-const LOST_GRACE_MS = 1_000;
+const LOST_GRACE_MS = 2_000;
 /** Longer than the time within which a peer loses a stalled request. */
 const NO_PROGRESS_MS = 2_500;
 /** For an agent that makes progress, but not with this chunk. */
