--- a/bench/measure_burst.ts
+++ b/bench/measure_burst.ts
@@ -6,7 +6,7 @@
  */
 
 import { Command, Option } from "commander";
-import { request } from "undici";
+import { Agent, request } from "undici";
 import { sendCompletion } from "./call.ts";
 import type { CallResult } from "./call.ts";
 import { startFleet } from "./fleet.ts";
@@ -102,6 +102,9 @@
   });
 }
 
+/** Without keep-alive: a server may close an idle connection at any time. */
+const dispatcher = new Agent({ pipelining: 0 });
+
 function delay(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
@@ -148,7 +151,9 @@
 /** Values of one host's metrics by name and labels. */
 async function readMetrics(host: PlannedHost): Promise<Series> {
   try {
-    const { body } = await request(`${processUrl(host)}/metrics`);
+    const { body } = await request(`${processUrl(host)}/metrics`, {
+      dispatcher,
+    });
     const lines = (await body.text()).split("\n");
     return new Map(
       lines
@@ -170,17 +175,27 @@
 }
 
 async function readStoreBytes(fleet: Fleet): Promise<number> {
-  const { body } = await request(`${fleet.storeUrl}/admin/counters`);
+  const { body } = await request(`${fleet.storeUrl}/admin/counters`, {
+    dispatcher,
+  });
   return ((await body.json()) as { sent_bytes: number }).sent_bytes;
 }
 
 async function put(url: string, text: string) {
-  const { body } = await request(url, { method: "PUT", body: text });
+  const { body } = await request(url, {
+    method: "PUT",
+    body: text,
+    dispatcher,
+  });
   await body.dump();
 }
 
 async function post(url: string, text: string) {
-  const { body } = await request(url, { method: "POST", body: text });
+  const { body } = await request(url, {
+    method: "POST",
+    body: text,
+    dispatcher,
+  });
   await body.dump();
 }
 
@@ -243,12 +258,12 @@
 async function runBurst(fleet: Fleet, plan: FleetPlan, policy: Policy) {
   const hosts = plan.hosts.filter((h) => h.service === LANGUAGE_SERVICE);
   const entries = plan.hosts.filter((host) => host.role === "entry");
-  const publish = (servingVersion: VersionName) =>
+  const publish = (servingVersion: VersionName, from = plan) =>
     put(
       `${fleet.platformUrl}/admin/config`,
-      plan.createDocument({ servingVersion, outDataCentres: [] }),
+      from.createDocument({ servingVersion, outDataCentres: [] }),
     );
-  await fleet.publish({ servingVersion: "v1", outDataCentres: [] });
+  await publish("v1", fleet.plan);
   await fleet.waitUntilReady(
     entries.map((host) => host.name),
     READY_LIMIT_MS,
@@ -336,7 +351,14 @@
           ),
         ]),
     );
-  const live = describeLive(results, { beforeAtMs, startedAtMs, endedAtMs });
+  const wholeMs = [...arrivals.values()].map((a) => a.wholeMs ?? Infinity);
+  const wholeAtMs = Math.min(endedAtMs, startedAtMs + Math.max(...wholeMs));
+  const live = describeLive(results, {
+    beforeAtMs,
+    startedAtMs,
+    wholeAtMs,
+    endedAtMs,
+  });
   const times = (name: keyof Arrival) =>
     describeTimes([...arrivals.values()].map((arrival) => arrival[name]));
   return {
@@ -371,6 +393,8 @@
   times: {
     readonly beforeAtMs: number;
     readonly startedAtMs: number;
+    /** When the last replica held the whole version. */
+    readonly wholeAtMs: number;
     readonly endedAtMs: number;
   },
 ) {
@@ -393,6 +417,12 @@
       within(times.beforeAtMs, times.startedAtMs),
     ),
     first_token_during_p95_ms: firstTokenP95(during),
+    first_token_transfer_p95_ms: firstTokenP95(
+      within(times.startedAtMs, times.wholeAtMs),
+    ),
+    first_token_switch_p95_ms: firstTokenP95(
+      within(times.wholeAtMs, times.endedAtMs),
+    ),
   };
 }
 
