--- a/bench/measure_burst.ts
+++ b/bench/measure_burst.ts
@@ -6,7 +6,7 @@
  */
 
 import { Command, Option } from "commander";
-import { request } from "undici";
+import { Agent, request } from "undici";
 import { sendCompletion } from "./call.ts";
 import type { CallResult } from "./call.ts";
 import { startFleet } from "./fleet.ts";
@@ -33,12 +33,15 @@
 /** Links of the first roll-out, which is not measured. */
 const SETUP_MBIT_PER_S = 1_000;
 const CHUNK_BYTES = 64 * 1024;
-const STREAMS_PER_S = 20;
-const MAX_TOKENS = 30;
+/** About as many as in the deployment of 3,700 workers (design 1.5). */
+const STREAMS_PER_S_PER_REPLICA = 3;
+const MAX_TOKENS = 25;
 const POLL_MS = 200;
 const READY_LIMIT_MS = 60_000;
 /** The baseline needs N/2 lower bounds; this stops a run that never ends. */
 const MAX_LOWER_BOUNDS = 3;
+/** For the roll-out, which does not depend on the size of the model. */
+const ROLLOUT_LIMIT_MS = 60_000;
 const WARM_UP_MS = 8_000;
 const BEFORE_MS = 10_000;
 const FAULT_AT_LOWER_BOUND = 0.5;
@@ -99,6 +102,9 @@
   });
 }
 
+/** Without keep-alive: a server may close an idle connection at any time. */
+const dispatcher = new Agent({ pipelining: 0 });
+
 function delay(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
@@ -145,7 +151,9 @@
 /** Values of one host's metrics by name and labels. */
 async function readMetrics(host: PlannedHost): Promise<Series> {
   try {
-    const { body } = await request(`${processUrl(host)}/metrics`);
+    const { body } = await request(`${processUrl(host)}/metrics`, {
+      dispatcher,
+    });
     const lines = (await body.text()).split("\n");
     return new Map(
       lines
@@ -167,17 +175,27 @@
 }
 
 async function readStoreBytes(fleet: Fleet): Promise<number> {
-  const { body } = await request(`${fleet.storeUrl}/admin/counters`);
+  const { body } = await request(`${fleet.storeUrl}/admin/counters`, {
+    dispatcher,
+  });
   return ((await body.json()) as { sent_bytes: number }).sent_bytes;
 }
 
 async function put(url: string, text: string) {
-  const { body } = await request(url, { method: "PUT", body: text });
+  const { body } = await request(url, {
+    method: "PUT",
+    body: text,
+    dispatcher,
+  });
   await body.dump();
 }
 
 async function post(url: string, text: string) {
-  const { body } = await request(url, { method: "POST", body: text });
+  const { body } = await request(url, {
+    method: "POST",
+    body: text,
+    dispatcher,
+  });
   await body.dump();
 }
 
@@ -240,12 +258,12 @@
 async function runBurst(fleet: Fleet, plan: FleetPlan, policy: Policy) {
   const hosts = plan.hosts.filter((h) => h.service === LANGUAGE_SERVICE);
   const entries = plan.hosts.filter((host) => host.role === "entry");
-  const publish = (servingVersion: VersionName) =>
+  const publish = (servingVersion: VersionName, from = plan) =>
     put(
       `${fleet.platformUrl}/admin/config`,
-      plan.createDocument({ servingVersion, outDataCentres: [] }),
+      from.createDocument({ servingVersion, outDataCentres: [] }),
     );
-  await fleet.publish({ servingVersion: "v1", outDataCentres: [] });
+  await publish("v1", fleet.plan);
   await fleet.waitUntilReady(
     entries.map((host) => host.name),
     READY_LIMIT_MS,
@@ -260,7 +278,7 @@
 
   const random = createRandom(Number(options.seed));
   const load = startLoad({
-    ratePerS: STREAMS_PER_S,
+    ratePerS: STREAMS_PER_S_PER_REPLICA * replicas,
     random,
     send: () =>
       sendCompletion({
@@ -285,9 +303,10 @@
     hosts: hosts.filter((host) => !killed.includes(host)),
     digest: plan.digestOf("v2"),
     limitMs:
+      ROLLOUT_LIMIT_MS +
       lowerBoundMs *
-      MAX_LOWER_BOUNDS *
-      (policy === "store" ? Math.max(1, replicas / 2) : 1),
+        MAX_LOWER_BOUNDS *
+        (policy === "store" ? Math.max(1, replicas / 2) : 1),
   });
   await faulted;
   const endedAtMs = Date.now();
@@ -317,11 +336,29 @@
       )
       .reduce((sum, copies) => sum + copies, 0),
   );
-  const sumOf = (pattern: RegExp) =>
-    hosts
-      .map((_, i) => countCopies(i, pattern) * modelBytes)
-      .reduce((sum, value) => sum + value, 0);
-  const live = describeLive(results, { beforeAtMs, startedAtMs, endedAtMs });
+  const sumByLabels = (pattern: RegExp) =>
+    Object.fromEntries(
+      [...new Set(metrics.flatMap((series) => [...series.keys()]))]
+        .filter((name) => pattern.test(name))
+        .map((name) => [
+          name.replace(/^[^{]*/, ""),
+          metrics.reduce(
+            (sum, series, i) =>
+              sum +
+              (series.get(name) ?? 0) -
+              (metricsBefore[i]!.get(name) ?? 0),
+            0,
+          ),
+        ]),
+    );
+  const wholeMs = [...arrivals.values()].map((a) => a.wholeMs ?? Infinity);
+  const wholeAtMs = Math.min(endedAtMs, startedAtMs + Math.max(...wholeMs));
+  const live = describeLive(results, {
+    beforeAtMs,
+    startedAtMs,
+    wholeAtMs,
+    endedAtMs,
+  });
   const times = (name: keyof Arrival) =>
     describeTimes([...arrivals.values()].map((arrival) => arrival[name]));
   return {
@@ -336,9 +373,9 @@
     max_host_copies_sent: Math.max(...sent),
     cross_data_centre_copies: Math.max(...crossed),
     ...live,
-    takeovers: sumOf(/weights_takeovers/),
-    failed_chunk_requests: sumOf(/weights_failed_requests/),
-    refused_uploads: sumOf(/weights_refused_uploads/),
+    takeovers: sumByLabels(/weights_takeovers_total/),
+    failed_chunk_requests: sumByLabels(/weights_failed_requests_total/),
+    refused_uploads: sumByLabels(/weights_refused_uploads_total/),
     usage,
   };
 }
@@ -356,6 +393,8 @@
   times: {
     readonly beforeAtMs: number;
     readonly startedAtMs: number;
+    /** When the last replica held the whole version. */
+    readonly wholeAtMs: number;
     readonly endedAtMs: number;
   },
 ) {
@@ -378,6 +417,12 @@
       within(times.beforeAtMs, times.startedAtMs),
     ),
     first_token_during_p95_ms: firstTokenP95(during),
+    first_token_transfer_p95_ms: firstTokenP95(
+      within(times.startedAtMs, times.wholeAtMs),
+    ),
+    first_token_switch_p95_ms: firstTokenP95(
+      within(times.wholeAtMs, times.endedAtMs),
+    ),
   };
 }
 
