Say "not run" of a key only on its runner's word

Cause: while a runner could not be reached, or its data centre was out, the entry refused its keys as not run without asking it. A key that had run there earlier, or in an earlier life of the agent, was then told "not run", with another key offered, so that the caller would run its request twice. An agent whose host was listed elsewhere, or that is not the key's runner, did the same. Ruled out: remembering uncertain keys in the entry, because another entry does not know them. Now the runner is asked as long as it is connected, it answers from its table first, and a refusal of its own carries another key; an unreachable runner is an unknown outcome without another key.

--- a/bench/call.ts
+++ b/bench/call.ts
@@ -3,7 +3,7 @@
 import { Agent, request } from "undici";
 import type { Dispatcher } from "undici";
 import { createAnswerText } from "../stand_ins/answer_text.ts";
-import { MODEL } from "./fleet_plan.ts";
+import { LEDGER_SERVICE, MODEL } from "./fleet_plan.ts";
 import type { BenchAccount } from "./fleet_plan.ts";
 
 export type CallOutcome =
@@ -111,6 +111,24 @@
   readonly idempotencyKey: string;
 }
 
+/** A key from an entry; undefined if the entry gave none. */
+export async function requestKey(
+  baseUrl: string,
+  account: BenchAccount,
+): Promise<string | undefined> {
+  const { statusCode, body } = await request(`${baseUrl}/v1/idempotency-keys`, {
+    method: "POST",
+    dispatcher,
+    headers: {
+      authorization: `Bearer ${account.apiKey}`,
+      "content-type": "application/json",
+    },
+    body: JSON.stringify({ service: LEDGER_SERVICE }),
+  });
+  const json = (await body.json()) as { key?: string };
+  return statusCode < 300 ? json.key : undefined;
+}
+
 export async function sendBooking(call: BookingCall): Promise<CallResult> {
   const startMs = performance.now();
   const sentAtMs = Date.now();
--- a/src/agent/handle_request.ts
+++ b/src/agent/handle_request.ts
@@ -11,7 +11,7 @@
 import { checkKey, explainKey } from "./key_check.ts";
 import type { KeyCheck, KeyCheckOptions, TimedKey } from "./key_check.ts";
 import { isListedElsewhere } from "./own_listing.ts";
-import { refuseAs } from "./refusal.ts";
+import { refuseAs, unknownAs } from "./refusal.ts";
 import { addEngineFields, drainBody, readBody } from "./request_body.ts";
 import type { RequestContext } from "./request_context.ts";
 import { findService, isRouteRepeatable } from "./service_config.ts";
@@ -181,11 +181,10 @@
     );
   }
   if (!isListedElsewhere(node)) return undefined;
-  return refuseAs(
-    "runner_unreachable",
-    "The host list gives this host another address",
-    RETRY_MS,
-  );
+  // The replacement may have run the key.
+  const message = "The host list gives this host another address";
+  const trailer = unknownAs("runner_unreachable", message);
+  return { ...trailer, retryAfterMs: RETRY_MS };
 }
 
 /** Refuses at once what would be refused after the body has arrived. */
--- a/src/agent/key_check.ts
+++ b/src/agent/key_check.ts
@@ -63,13 +63,12 @@
   const leadEndsMs =
     options.configConfirmedAtMs() + service.runnerLeadS * 1_000;
   if (keyTimeMs > leadEndsMs) {
-    return refuse(
-      "runner_unreachable",
+    return refuseElsewhere(
       "The configuration is too old to tell the key's runner",
     );
   }
   if (chooseRunner(key, service.runnerSets) !== host) {
-    return refuse("runner_unreachable", "Another host runs this key");
+    return refuseElsewhere("Another host runs this key");
   }
   return { type: "new", key, keyTimeMs };
 }
@@ -115,6 +114,11 @@
 }
 
 function refuse(code: string, message: string): KeyCheck {
-  const retryMs = code === "runner_unreachable" ? RETRY_MS : undefined;
-  return { type: "refuse", trailer: refuseAs(code, message, retryMs) };
+  return { type: "refuse", trailer: refuseAs(code, message) };
+}
+
+/** The key's runner may have run it, so this host cannot say "not run". */
+function refuseElsewhere(message: string): KeyCheck {
+  const trailer = unknownAs("runner_unreachable", message);
+  return { type: "refuse", trailer: { ...trailer, retryAfterMs: RETRY_MS } };
 }
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -40,6 +40,14 @@
   "unknown_service",
 ]);
 
+/** The key's runner takes no new work for a while; another one may. */
+const RUNNER_CLOSED_CODES: ReadonlySet<string> = new Set([
+  "data_centre_out",
+  "endpoint_cold",
+  "endpoint_leaving",
+  "shutting_down",
+]);
+
 /** What earlier attempts at a request have shown. */
 interface History {
   readonly tried: Set<string>;
@@ -233,7 +241,7 @@
     if (isLast) return createFail(loss);
   }
   if (failure !== undefined) {
-    const isFinal = !request.repeatable || FINAL_CODES.has(failure.code);
+    const isFinal = FINAL_CODES.has(failure.code);
     if (isFinal || history.attempts >= MAX_ATTEMPTS) return createFail(failure);
   }
   if (context.node.view.isWaking()) {
@@ -258,11 +266,16 @@
   }
   const { document } = config;
   if (request.key !== undefined) {
-    const peer = findRunner(context.node, document, request.key.runner);
+    const peer = findRunner(context.node, request.key.runner);
     if (peer !== undefined && !history.tried.has(peer.hello.host)) {
       return { type: "attempt", peer };
     }
-    return createFail(refuseUnreachable(context, call, document));
+    if (failure === undefined) return createFail(refuseUnreachable(call));
+    const refusal = withSuggestedKey(context, call, {
+      refusal: failure,
+      document,
+    });
+    return createFail(refusal);
   }
   const peer = choosePeer(context, call, { history, document });
   if (peer === undefined) {
@@ -346,25 +359,30 @@
   );
 }
 
-function refuseUnreachable(
-  { node, uncertainKeys }: EntryContext,
+/**
+ * Nothing was sent, but an earlier request with this key, perhaps through
+ * another entry, may have run. Only the runner knows, so "not run" would be a
+ * guess.
+ */
+function refuseUnreachable({ request }: Call): Refusal {
+  const { runner } = request.key!;
+  return {
+    code: "runner_unreachable",
+    message: `The host ${runner}, which alone runs this key, cannot be reached; this request was not sent to it, an earlier one with this key may have run`,
+    outcome: "unknown",
+  };
+}
+
+/** A refusal by the key's own runner proves that the key has not run. */
+function withSuggestedKey(
+  { node }: EntryContext,
   { request }: Call,
-  document: EnvironmentDocument,
+  { refusal, document }: { refusal: Refusal; document: EnvironmentDocument },
 ): Refusal {
-  const { text, runner } = request.key!;
-  if (uncertainKeys.has(text)) {
-    return {
-      code: "key_outcome_unknown",
-      message: `An earlier request with this key may have run on ${runner}, which cannot be reached now`,
-      outcome: "unknown",
-    };
-  }
-  const key = suggestKey(node, document, request.service as PlainService);
-  return createNotRun(
-    "runner_unreachable",
-    `The host ${runner}, which alone may run this key, cannot be reached; use another key only if no request with this one had an unknown outcome`,
-    { suggestedKey: key },
-  );
+  const isElsewhereBetter = RUNNER_CLOSED_CODES.has(refusal.code);
+  if (refusal.outcome !== "not_run" || !isElsewhereBetter) return refusal;
+  const service = request.service as PlainService;
+  return { ...refusal, suggestedKey: suggestKey(node, document, service) };
 }
 
 function refuseNoEndpoint(
@@ -405,8 +423,8 @@
 }
 
 function fail(
-  { metrics, uncertainKeys }: EntryContext,
-  { request, caller, stopReason }: Call,
+  { metrics }: EntryContext,
+  { caller, stopReason }: Call,
   { history, refusal }: FailInput,
 ): Outcome {
   // An attempt that may have run decides, whatever later attempts said.
@@ -417,7 +435,6 @@
         outcome: "unknown",
       }
     : refusal;
-  if (request.key && isUnknown) uncertainKeys.add(request.key.text);
   if (stopReason() === "caller_left") {
     metrics.callersLeft.increment();
     return told.outcome;
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -25,7 +25,6 @@
 import { createMemoryPool } from "./memory_pool.ts";
 import { parseCrashNotice, parseLoadNotice } from "./parse_notice.ts";
 import { refuseMalformed } from "./refuse_malformed.ts";
-import { createUncertainKeys } from "./uncertain_keys.ts";
 
 const MAX_KEPT_EVENTS_BYTES = 48 * 1024 * 1024;
 const MAX_BODIES_BYTES = 32 * 1024 * 1024;
@@ -73,7 +72,6 @@
     hints,
     crashBook,
     budget: createRetryBudget(nowMs),
-    uncertainKeys: createUncertainKeys(),
     keptEventsPool: createMemoryPool(MAX_KEPT_EVENTS_BYTES),
     bodyPool: createMemoryPool(MAX_BODIES_BYTES),
     choose: options.choose ?? chooseByPrefixAndLoad,
--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -7,7 +7,6 @@
 import type { EntryMetrics } from "./entry_metrics.ts";
 import type { EntrySettings } from "./entry_settings.ts";
 import type { MemoryPool } from "./memory_pool.ts";
-import type { UncertainKeys } from "./uncertain_keys.ts";
 
 export interface EntryContext {
   readonly node: Node;
@@ -16,7 +15,6 @@
   readonly hints: LoadHints;
   readonly budget: RetryBudget;
   readonly crashBook: CrashBook;
-  readonly uncertainKeys: UncertainKeys;
   readonly keptEventsPool: MemoryPool;
   readonly bodyPool: MemoryPool;
   readonly choose: ChoicePolicy;
--- a/src/entry/find_runner.ts
+++ b/src/entry/find_runner.ts
@@ -11,23 +11,31 @@
  */
 const MAX_KEY_TRIES = 64;
 
-/** Undefined unless work may be sent to the host now. */
-export function findRunner(
+/**
+ * The runner is asked even if its data centre is out or it is leaving: it takes
+ * no new work then, but it alone knows whether the key has run.
+ */
+export function findRunner(node: Node, runner: string): Peer | undefined {
+  const peer = node.findPeer(runner);
+  return peer === undefined || peer.isClosed() ? undefined : peer;
+}
+
+function takesNewWork(
   node: Node,
   document: EnvironmentDocument,
   runner: string,
-): Peer | undefined {
-  const peer = node.findPeer(runner);
-  if (peer === undefined || peer.isClosed()) return undefined;
+): boolean {
+  const peer = findRunner(node, runner);
+  if (peer === undefined) return false;
   const dataCentre = document.dataCentres.find(
     ({ name }) => name === peer.hello.dataCentre,
   );
-  if (dataCentre === undefined || dataCentre.out) return undefined;
+  if (dataCentre === undefined || dataCentre.out) return false;
   const listed = node.view.hosts().hosts.find(({ name }) => name === runner);
-  return listed?.state === "leaving" ? undefined : peer;
+  return listed?.state !== "leaving";
 }
 
-/** A new key whose runner can be reached, if one is found. */
+/** A new key whose runner takes new work, if one is found. */
 export function suggestKey(
   node: Node,
   document: EnvironmentDocument,
@@ -38,8 +46,7 @@
       if (found !== undefined) return found;
       const key = createKey(Date.now());
       const runner = chooseRunner(key, service.runnerSets);
-      const isReachable = runner && findRunner(node, document, runner);
-      return isReachable ? key : undefined;
+      return runner && takesNewWork(node, document, runner) ? key : undefined;
     },
     undefined,
   );
