--- a/src/node/start_node.ts
+++ b/src/node/start_node.ts
@@ -103,7 +103,7 @@
   >();
   const handlerFailures = registry.counter(
     "handler_failures_total",
-    "Handlers of streams, notices and view changes that threw",
+    "Handlers of peers, streams, notices and view changes that threw",
   );
   const fetches = new Map<Peer, Promise<unknown>>();
   const connections = createConnections({ identity, logger });
@@ -150,8 +150,7 @@
     compare: (peer) => gossip.compare(peer, "config"),
   });
 
-  const emptyHostList: HostList = { sequence: 0, hosts: [] };
-  let hostList = emptyHostList;
+  let hostList: HostList = { sequence: 0, hosts: [] };
   const view: FleetView = {
     config() {
       const snapshot = config.current();
@@ -200,7 +199,10 @@
 
   /** Asks the choosers again, which can be slow with thousands of hosts. */
   function updateWanted() {
-    const chosen = choosers.flatMap((choose) => choose(view));
+    const chosen: Host[] = [];
+    choosers.forEach((choose) =>
+      runHandler("peer_chooser", () => void chosen.push(...choose(view))),
+    );
     wanted = [...neighbours, ...chosen]
       .filter(({ name }) => name !== identity.host)
       .map(({ name, peerAddress: address }) => ({ host: name, address }));
@@ -345,7 +347,10 @@
     peerAddress,
     peers: connections.peers,
     findPeer: connections.find,
-    onPeer: connections.onPeer,
+    onPeer: (handler) =>
+      connections.onPeer(
+        (peer) => void runHandler("peer", () => handler(peer)),
+      ),
     addPeerChooser(choose) {
       choosers.push(choose);
       updateWanted();
--- a/src/node/start_node_test.ts
+++ b/src/node/start_node_test.ts
@@ -1,7 +1,14 @@
 import { afterEach, describe, expect, test } from "@jest/globals";
+import { ok } from "neverthrow";
 import { createRegistry } from "../metrics/mod.ts";
 import type { Logger } from "../logging/mod.ts";
-import type { Peer } from "../wire/mod.ts";
+import type {
+  OpenHead,
+  Peer,
+  SnapshotReply,
+  Stream,
+  StreamEvent,
+} from "../wire/mod.ts";
 import type { Node } from "./node.ts";
 import { createIncarnation } from "./mod.ts";
 import {
@@ -72,6 +79,34 @@
   };
 }
 
+/** A stream whose frames never arrive on either side. */
+function openStalled() {
+  const stream = {
+    end: () => undefined,
+    reset: () => undefined,
+    read: () => new Promise(() => undefined),
+  };
+  return ok(stream as unknown as Stream);
+}
+
+function corruptDigests(peer: Peer) {
+  const { openStream } = peer;
+  async function readCorrupt(stream: Stream): Promise<StreamEvent> {
+    const event = await stream.read();
+    if (event.type !== "message") return event;
+    const digest = "0".repeat(64);
+    return { ...event, message: { ...event.message, digest } as SnapshotReply };
+  }
+  Object.assign(peer, {
+    openStream: (head: OpenHead) =>
+      openStream(head).map((stream) => ({
+        ...stream,
+        read: () => readCorrupt(stream),
+      })),
+  });
+  return () => void Object.assign(peer, { openStream });
+}
+
 function createMovableClock() {
   let offsetMs = 0;
   return {
@@ -245,6 +280,32 @@
     await until(() => isEverywhere(nodes, 2), HEAL_MS);
   });
 
+  // Guards against a change held up by links that stall without closing.
+  test("pulls from another peer when two stall", async () => {
+    const fleet = await startAt(1);
+    const late = await fleet.add("late");
+    await until(() => versionOf(late) === 1 && late.peers().length > 3);
+    late
+      .peers()
+      .slice(0, 2)
+      .forEach((peer) => Object.assign(peer, { openStream: openStalled }));
+    fleet.platform.publish("two");
+    await until(() => versionOf(late) === 2, HEAL_MS);
+  });
+
+  // Guards against a value in force that was damaged on its way.
+  test("refuses a value with another digest than named", async () => {
+    const fleet = await startAt(1);
+    const late = await fleet.add("late");
+    await until(() => versionOf(late) === 1 && late.peers().length > 3);
+    const undo = late.peers().map(corruptDigests);
+    fleet.platform.publish("two");
+    await until(() => countRejections(late, "bad_digest") > 0, HEAL_MS);
+    expect(versionOf(late)).toBe(1);
+    undo.forEach((restore) => restore());
+    await until(() => versionOf(late) === 2, HEAL_MS);
+  });
+
   // Guards against work taken with the view from before a pause.
   test("has its peers' version when it resumes after a pause", async () => {
     const clock = createMovableClock();
--- a/src/snapshots/gossip.ts
+++ b/src/snapshots/gossip.ts
@@ -16,9 +16,14 @@
 const PROBE_INTERVAL_MS = 1_000;
 /** A peer that probed within this time takes this process for a neighbour. */
 const PROBER_MEMORY_MS = 15_000;
-const PULL_TIMEOUT_MS = 2_000;
-/** A peer that could not give a value is not asked for it again before this. */
+/** Two stalled peers in a row must leave time for a third within 5 s. */
+const PULL_TIMEOUT_MS = 1_000;
+/**
+ * A peer that could not give a value is not asked again before this, doubled
+ * with each failure, so that peers that answer are preferred.
+ */
 const PULL_RETRY_MS = 1_000;
+const MAX_PULL_RETRY_MS = 16_000;
 /** A confirmation is passed on when it is newer by more than this. */
 const CONFIRMATION_STEP_MS = 1_000;
 const NOTICE_DIGEST_DIGITS = 16;
@@ -54,6 +59,8 @@
 interface PeerState {
   readonly versions: Map<Topic, number>;
   readonly retryAtMs: Map<Topic, number>;
+  /** Failed pulls since the last that succeeded. */
+  readonly failures: Map<Topic, number>;
   /** The next pull doesn't build on the held value. */
   readonly wantWhole: Set<Topic>;
   probedAtMs: number;
@@ -77,6 +84,7 @@
     const created: PeerState = {
       versions: new Map(),
       retryAtMs: new Map(),
+      failures: new Map(),
       wantWhole: new Set(),
       probedAtMs: -Infinity,
     };
@@ -126,6 +134,14 @@
     return knownOf(peer, store) > store.knownVersion();
   }
 
+  function delayRetry(peer: Peer, topic: Topic) {
+    const { retryAtMs, failures } = stateOf(peer);
+    const count = failures.get(topic) ?? 0;
+    failures.set(topic, count + 1);
+    const delayMs = Math.min(PULL_RETRY_MS * 2 ** count, MAX_PULL_RETRY_MS);
+    retryAtMs.set(topic, clock.monotonicMs() + delayMs);
+  }
+
   /** The peer to pull from next, if one is ahead of this process. */
   function choosePeer(store: SnapshotStore): Peer | undefined {
     const nowMs = clock.monotonicMs();
@@ -161,7 +177,7 @@
 
   async function pull(peer: Peer, store: SnapshotStore): Promise<Comparison> {
     const { topic } = store;
-    const { retryAtMs, wantWhole, versions } = stateOf(peer);
+    const { wantWhole, versions } = stateOf(peer);
     const pulled = await pullSnapshot(peer, store, {
       timeoutMs: PULL_TIMEOUT_MS,
       wantWhole: wantWhole.delete(topic),
@@ -169,7 +185,7 @@
     if (pulled.isErr()) {
       const reason = pulled.error;
       pullFailures.increment({ topic, reason });
-      retryAtMs.set(topic, clock.monotonicMs() + PULL_RETRY_MS);
+      delayRetry(peer, topic);
       if (reason === "bad_digest" || reason === "malformed") {
         wantWhole.add(topic);
       }
@@ -189,10 +205,9 @@
       versions.set(topic, version);
     } else {
       store.offer({ version, bytes, confirmedAtMs, publishedAtMs });
-      if (store.knownVersion() < version) {
-        retryAtMs.set(topic, clock.monotonicMs() + PULL_RETRY_MS);
-      }
     }
+    if (store.knownVersion() < version) delayRetry(peer, topic);
+    else stateOf(peer).failures.delete(topic);
     return version === 0 || reply.waking ? "unsettled" : "compared";
   }
 
