--- a/src/node/start_node.ts
+++ b/src/node/start_node.ts
@@ -66,7 +66,10 @@
   readonly openSocket?: (address: string, port: number) => Socket;
 }
 
-/** Resolves when the peer listener is bound; the view may still be empty. */
+/**
+ * Resolves when the peer listener is bound; the view may still be empty.
+ * Rejects if the listener cannot be bound or the platform's URL is malformed.
+ */
 export async function startNode(options: NodeOptions): Promise<Node> {
   const { registry, logger, parseDocument } = options;
   const clock = options.clock ?? SYSTEM_CLOCK;
@@ -311,10 +314,23 @@
   const listener = await listenForPeers(options.peerAddress, {
     ...transport,
     onPeer: (peer) => connections.add(peer, { isDialled: false }),
+  }).catch(async (error: unknown) => {
+    await closeParts();
+    throw error;
   });
   peerAddress = listener.address;
   updateTargets();
 
+  async function closeParts() {
+    readers.forEach((reader) => reader.close());
+    startRule.close();
+    wakeCheck.close();
+    gossip.close();
+    dialler.close();
+    connections.close();
+    await platform.close();
+  }
+
   function registerGauges() {
     registry.gauge(
       "config_version",
@@ -370,14 +386,8 @@
     },
     onReplaced: connections.onReplaced,
     async close() {
-      readers.forEach((reader) => reader.close());
-      startRule.close();
-      wakeCheck.close();
-      gossip.close();
-      dialler.close();
-      connections.close();
+      await closeParts();
       await listener.close();
-      await platform.close();
     },
   };
 }
--- a/src/node/start_node_test.ts
+++ b/src/node/start_node_test.ts
@@ -416,6 +416,15 @@
   });
 });
 
+// Guards against a failed start that leaves timers and reads behind.
+test.each([{ platformUrl: "not a URL" }, { peerAddress: "127.0.0.1:99999" }])(
+  "rejects with %p",
+  async (overrides) => {
+    const fleet = await start({ names: [] });
+    await expect(fleet.add("a", overrides)).rejects.toThrow();
+  },
+);
+
 function namesOf(nodes: readonly Node[]): readonly string[] {
   return nodes.map((node) => node.identity.host);
 }
--- a/src/platform/platform_client.ts
+++ b/src/platform/platform_client.ts
@@ -62,7 +62,9 @@
 export function createPlatformClient(
   options: PlatformClientOptions,
 ): PlatformClient {
-  const { platformUrl, registry } = options;
+  const { registry } = options;
+  // Throws here rather than in each read when the address is not a URL.
+  const platformUrl = new URL(options.platformUrl);
   const agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS } });
   const reads = registry.counter(
     "platform_reads_total",
