--- a/src/node/start_node.ts
+++ b/src/node/start_node.ts
@@ -66,7 +66,10 @@
   readonly openSocket?: (address: string, port: number) => Socket;
 }
 
-/** Resolves when the peer listener is bound; the view may still be empty. */
+/**
+ * Resolves when the peer listener is bound; the view may still be empty.
+ * Rejects if the listener cannot be bound or the platform's URL is malformed.
+ */
 export async function startNode(options: NodeOptions): Promise<Node> {
   const { registry, logger, parseDocument } = options;
   const clock = options.clock ?? SYSTEM_CLOCK;
@@ -103,7 +106,7 @@
   >();
   const handlerFailures = registry.counter(
     "handler_failures_total",
-    "Handlers of streams, notices and view changes that threw",
+    "Handlers of peers, streams, notices and view changes that threw",
   );
   const fetches = new Map<Peer, Promise<unknown>>();
   const connections = createConnections({ identity, logger });
@@ -150,8 +153,7 @@
     compare: (peer) => gossip.compare(peer, "config"),
   });
 
-  const emptyHostList: HostList = { sequence: 0, hosts: [] };
-  let hostList = emptyHostList;
+  let hostList: HostList = { sequence: 0, hosts: [] };
   const view: FleetView = {
     config() {
       const snapshot = config.current();
@@ -183,6 +185,8 @@
   }
 
   function countOthers(): number {
+    // Without a host list there may be any number of others.
+    if (hostList.sequence === 0) return Infinity;
     const seeds = options.seedPeers ?? [];
     return Math.max(listOthers().length, seeds.length);
   }
@@ -198,7 +202,10 @@
 
   /** Asks the choosers again, which can be slow with thousands of hosts. */
   function updateWanted() {
-    const chosen = choosers.flatMap((choose) => choose(view));
+    const chosen: Host[] = [];
+    choosers.forEach((choose) =>
+      runHandler("peer_chooser", () => void chosen.push(...choose(view))),
+    );
     wanted = [...neighbours, ...chosen]
       .filter(({ name }) => name !== identity.host)
       .map(({ name, peerAddress: address }) => ({ host: name, address }));
@@ -307,10 +314,23 @@
   const listener = await listenForPeers(options.peerAddress, {
     ...transport,
     onPeer: (peer) => connections.add(peer, { isDialled: false }),
+  }).catch(async (error: unknown) => {
+    await closeParts();
+    throw error;
   });
   peerAddress = listener.address;
   updateTargets();
 
+  async function closeParts() {
+    readers.forEach((reader) => reader.close());
+    startRule.close();
+    wakeCheck.close();
+    gossip.close();
+    dialler.close();
+    connections.close();
+    await platform.close();
+  }
+
   function registerGauges() {
     registry.gauge(
       "config_version",
@@ -343,7 +363,10 @@
     peerAddress,
     peers: connections.peers,
     findPeer: connections.find,
-    onPeer: connections.onPeer,
+    onPeer: (handler) =>
+      connections.onPeer(
+        (peer) => void runHandler("peer", () => handler(peer)),
+      ),
     addPeerChooser(choose) {
       choosers.push(choose);
       updateWanted();
@@ -363,14 +386,8 @@
     },
     onReplaced: connections.onReplaced,
     async close() {
-      readers.forEach((reader) => reader.close());
-      startRule.close();
-      wakeCheck.close();
-      gossip.close();
-      dialler.close();
-      connections.close();
+      await closeParts();
       await listener.close();
-      await platform.close();
     },
   };
 }
