--- /dev/null
+++ b/src/weights/swarm_rules_test.ts
@@ -0,0 +1,246 @@
+import { describe, expect, test } from "@jest/globals";
+import type { FleetView, Host } from "../membership/mod.ts";
+import { createAssignments } from "./assignments.ts";
+import type { Level } from "./assignments.ts";
+import { chooseWeightPeers } from "./choose_weight_peers.ts";
+import { createLinkBucket } from "./link_bucket.ts";
+import { chooseGateways, findMembers } from "./members.ts";
+import type { Member } from "./members.ts";
+import type { TransferView } from "./policy.ts";
+import { decideInSwarm } from "./swarm_policy.ts";
+
+const CHUNKS = 300;
+
+/** Data centres d0, d1, ... in regions of two each. */
+function createHosts(dataCentres: number, each: number): readonly Host[] {
+  return Array.from({ length: dataCentres * each }, (_, index) => ({
+    name: `h${index}`,
+    role: "endpoint" as const,
+    service: "assistant",
+    dataCentre: `d${index % dataCentres}`,
+    peerAddress: "127.0.0.1:1",
+    state: "live" as const,
+  }));
+}
+
+function createMembers(dataCentres: number, each: number): readonly Member[] {
+  return createHosts(dataCentres, each).map((host) => ({
+    host,
+    region: `r${Math.floor(Number(host.dataCentre.slice(1)) / 2)}`,
+  }));
+}
+
+function createView(hosts: readonly Host[]): FleetView {
+  return {
+    config: () => undefined,
+    configConfirmedAtMs: () => 0,
+    hosts: () => ({ sequence: 1, hosts }),
+    onChange: () => undefined,
+    isWaking: () => false,
+  };
+}
+
+function createAll(members: readonly Member[]) {
+  return members.map((member) => ({
+    member,
+    assignments: createAssignments({
+      gateways: members,
+      self: member.host.name,
+      manifestDigest: "sha256:x",
+      chunkCount: CHUNKS,
+    }),
+  }));
+}
+
+describe("assignments", () => {
+  // Guards against two agents that both fetch a chunk first, or none.
+  test("gives each chunk one first fetcher in each group", () => {
+    const all = createAll(createMembers(4, 4));
+    const groups: readonly [Level, (member: Member) => string][] = [
+      ["fleet", () => "all"],
+      ["region", (member) => member.region],
+      ["data_centre", (member) => member.host.dataCentre],
+    ];
+    groups.forEach(([level, groupOf]) => {
+      for (let index = 0; index < CHUNKS; index += 1) {
+        const first = all.filter(
+          ({ assignments }) => assignments.earlier(level, index)?.length === 0,
+        );
+        const names = first.map(({ member }) => groupOf(member));
+        const expected = new Set(all.map(({ member }) => groupOf(member)));
+        expect(names.sort()).toEqual([...expected].sort());
+      }
+    });
+  });
+
+  // Guards against an agent whose share makes the whole fleet wait.
+  test("spreads first fetches evenly over the fleet", () => {
+    const all = createAll(createMembers(2, 8));
+    const loads = all.map(
+      ({ assignments }) =>
+        Array.from({ length: CHUNKS }).filter(
+          (_, index) => assignments.earlier("fleet", index)?.length === 0,
+        ).length,
+    );
+    expect(Math.max(...loads)).toBeLessThanOrEqual(Math.ceil(CHUNKS / 16));
+  });
+});
+
+describe("weight peers", () => {
+  // Guards against part of a small fleet that no chunk can reach.
+  test("connects all agents of a small fleet", () => {
+    const hosts = createHosts(3, 5);
+    const peers = chooseWeightPeers(createView(hosts), {
+      host: "h0",
+      service: "assistant",
+    });
+    expect(peers.map(({ name }) => name).sort()).toEqual(
+      hosts
+        .map(({ name }) => name)
+        .filter((name) => name !== "h0")
+        .sort(),
+    );
+  });
+
+  // Guards against a full mesh of 520 agents and against islands in it.
+  test("bounds the peers of 520 agents and leaves none apart", () => {
+    const hosts = createHosts(6, 87);
+    const view = createView(hosts);
+    const links = new Map(hosts.map(({ name }) => [name, new Set<string>()]));
+    hosts.forEach(({ name }) =>
+      chooseWeightPeers(view, { host: name, service: "assistant" }).forEach(
+        (peer) => {
+          links.get(name)!.add(peer.name);
+          links.get(peer.name)!.add(name);
+        },
+      ),
+    );
+    const gateways = new Set(
+      chooseGateways(findMembers(view, "assistant")).map((g) => g.host.name),
+    );
+    links.forEach((peers, name) =>
+      expect(peers.size).toBeLessThanOrEqual(gateways.has(name) ? 100 : 20),
+    );
+    const seen = new Set(["h0"]);
+    [...Array(10)].forEach(() =>
+      [...seen].forEach((name) => links.get(name)!.forEach((n) => seen.add(n))),
+    );
+    expect(seen.size).toBe(hosts.length);
+  });
+});
+
+describe("link bucket", () => {
+  // Guards against weights that take bandwidth from live requests.
+  test("lets weights wait until live bytes have had their time", async () => {
+    let clockMs = 0;
+    let liveBytes = 0;
+    const bucket = createLinkBucket({
+      readBytesPerS: () => 1_000_000,
+      readChargedBytes: () => liveBytes,
+      // Each look at the clock is one millisecond later.
+      nowMs: () => (clockMs += 1),
+    });
+    liveBytes = 200_000;
+    await bucket.waitForRoom();
+    expect(clockMs).toBeGreaterThanOrEqual(200);
+    bucket.close();
+  }, 60_000);
+});
+
+describe("swarm policy", () => {
+  const NONE = { fleet: 0, region: 0, data_centre: 0 };
+  const NEAR = { fleet: 2, region: 2, data_centre: 2 };
+  const FAR = { fleet: 1, region: 0, data_centre: 0 };
+
+  function view(options: {
+    readonly holders: readonly Readonly<Record<Level, number>>[];
+    readonly source?: Partial<TransferView["source"]>;
+    readonly mayFetch?: boolean;
+    readonly change?: Partial<TransferView>;
+  }): TransferView {
+    return {
+      nowMs: 0,
+      source: {
+        kind: "peer",
+        distance: "data_centre",
+        has: () => true,
+        sentCopies: () => 0,
+        ...options.source,
+      },
+      chunkCount: options.holders.length,
+      peerRequests: 0,
+      isHeld: () => false,
+      isWanted: () => true,
+      holders: (level, index) => options.holders[index]![level],
+      hasBetterHolder: () => false,
+      mayFetch: () => options.mayFetch ?? true,
+      storeWindowChunks: 4,
+      regionLinkFreeAtMs: 0,
+      random: () => 0.5,
+      ...options.change,
+    };
+  }
+
+  const store = { kind: "store" } as const;
+  const other = { distance: "other_region" } as const;
+  const cases: readonly [string, TransferView, number | "wait"][] = [
+    [
+      "the rarest chunk of the data centre first",
+      view({ holders: [NEAR, { ...NEAR, data_centre: 1 }, NEAR] }),
+      1,
+    ],
+    [
+      "nothing from the store that the fleet holds",
+      view({ holders: [FAR, NEAR], source: store }),
+      "wait",
+    ],
+    [
+      "from the store only what is this agent's to fetch",
+      view({ holders: [NONE], source: store, mayFetch: false }),
+      "wait",
+    ],
+    [
+      "from the store only within the window",
+      view({
+        holders: [NONE, NONE, NONE, NONE, NONE],
+        source: store,
+        change: { mayFetch: (_, index) => index === 4 },
+      }),
+      "wait",
+    ],
+    [
+      "nothing across regions that the data centre holds",
+      view({ holders: [NEAR], source: other }),
+      "wait",
+    ],
+    [
+      "a chunk that the region lacks",
+      view({ holders: [FAR], source: other }),
+      0,
+    ],
+    [
+      "nothing across regions while the share of the link is used up",
+      view({
+        holders: [FAR],
+        source: other,
+        change: { regionLinkFreeAtMs: 9 },
+      }),
+      "wait",
+    ],
+    [
+      "nothing from a peer that has sent much more than another holder",
+      view({ holders: [NEAR], change: { hasBetterHolder: () => true } }),
+      "wait",
+    ],
+    [
+      "nothing more when all request slots are used",
+      view({ holders: [NEAR], change: { peerRequests: 4 } }),
+      "wait",
+    ],
+  ];
+  // Guards against copies beyond one through the store or between regions.
+  test.each(cases)("fetches %s", (_, transferView, expected) => {
+    const decision = decideInSwarm(transferView);
+    expect(decision.type === "fetch" ? decision.index : "wait").toBe(expected);
+  });
+});
