--- a/src/weights/assignments.ts
+++ b/src/weights/assignments.ts
@@ -102,32 +102,36 @@
   inherit: (index: number) => Ranked | undefined,
 ): readonly (Ranked | undefined)[] {
   const capacity = Math.ceil(chunkCount / Math.max(1, group.length));
-  const loads = new Map<Ranked, number>();
+  const loads = new Map(group.map((ranked) => [ranked, 0]));
   const first = Array.from({ length: chunkCount }, (_, index) =>
     inherit(index),
   );
-  const add = (ranked: Ranked) =>
-    loads.set(ranked, (loads.get(ranked) ?? 0) + 1);
+  function add(ranked: Ranked) {
+    loads.set(ranked, loads.get(ranked)! + 1);
+  }
+
+  /** A loop without allocation: this runs for each chunk and each agent. */
+  function findHighest(index: number): Ranked | undefined {
+    let best: Ranked | undefined;
+    let bestScore = -1;
+    for (const ranked of group) {
+      const score = scorePair(ranked, index);
+      if (score <= bestScore || loads.get(ranked)! >= capacity) continue;
+      best = ranked;
+      bestScore = score;
+    }
+    return best ?? group[index % Math.max(1, group.length)];
+  }
+
   first.forEach((ranked) => ranked !== undefined && add(ranked));
   return first.map((inherited, index) => {
     if (inherited !== undefined) return inherited;
-    const free = group.filter((other) => (loads.get(other) ?? 0) < capacity);
-    const chosen = findHighest(free.length === 0 ? group : free, index);
+    const chosen = findHighest(index);
     if (chosen !== undefined) add(chosen);
     return chosen;
   });
 }
 
-function findHighest(group: readonly Ranked[], index: number) {
-  return group.reduce<Ranked | undefined>(
-    (best, ranked) =>
-      best === undefined || scorePair(ranked, index) > scorePair(best, index)
-        ? ranked
-        : best,
-    undefined,
-  );
-}
-
 function computeSeed(manifestDigest: string, host: string): number {
   return createHash("sha256")
     .update(`${manifestDigest}/${host}`)
--- a/src/weights/transfer.ts
+++ b/src/weights/transfer.ts
@@ -512,7 +512,9 @@
     chunksHeld: () => chunksHeld,
     addPeer,
     onMembersChanged() {
-      members = context.listMembers();
+      const next = context.listMembers();
+      if (describeMembers(next) === describeMembers(members)) return;
+      members = next;
       distances.clear();
       assignments = undefined;
       counts = undefined;
@@ -527,3 +529,9 @@
     },
   };
 }
+
+function describeMembers(members: readonly Member[]): string {
+  return members
+    .map(({ host, region }) => `${host.name}/${host.dataCentre}/${region}`)
+    .join(" ");
+}
