--- a/bench/measure_burst.ts
+++ b/bench/measure_burst.ts
@@ -26,9 +26,9 @@
 import { computePercentiles, countDetails, countOutcomes } from "./tally.ts";
 
 /** The origin's link carries twice as much as a host's (design 1.4). */
-const HOST_MBIT_PER_S = 12;
-const STORE_MBIT_PER_S = 24;
-const REGION_MBIT_PER_S = 15;
+const STORE_PER_HOST_RATE = 2;
+/** 15 Mbit/s between regions (design 1.4) beside 12 Mbit/s for each host. */
+const REGION_PER_HOST_RATE = 1.25;
 const BYTES_PER_MS_PER_MBIT = 125;
 /** Links of the first roll-out, which is not measured. */
 const SETUP_MBIT_PER_S = 1_000;
@@ -55,6 +55,7 @@
   .option("--replicas <n>", "language endpoints", "16")
   .option("--seed <n>", "seed of the load", "1")
   .option("--model-mib <n>", "size of the model", "32")
+  .option("--host-mbit <n>", "rate of a host's link, less for many hosts", "12")
   .addOption(
     new Option("--fault <name>", "fault half-way")
       .choices(FAULTS)
@@ -67,14 +68,18 @@
     replicas: string;
     seed: string;
     modelMib: string;
+    hostMbit: string;
     fault: Fault;
     skipBaseline?: boolean;
     json?: boolean;
   }>();
 
 const replicas = Number(options.replicas);
+const hostMbitPerS = Number(options.hostMbit);
+const storeMbitPerS = STORE_PER_HOST_RATE * hostMbitPerS;
+const regionMbitPerS = REGION_PER_HOST_RATE * hostMbitPerS;
 const modelBytes = Number(options.modelMib) * 1024 * 1024;
-const lowerBoundMs = modelBytes / (HOST_MBIT_PER_S * BYTES_PER_MS_PER_MBIT);
+const lowerBoundMs = modelBytes / (hostMbitPerS * BYTES_PER_MS_PER_MBIT);
 
 const DATA_CENTRES = [
   { name: "kolkata", region: "south-bengal" },
@@ -93,9 +98,9 @@
       ledgerEndpoints: 0,
     })),
     files: { sizeBytes: modelBytes, chunkBytes: CHUNK_BYTES },
-    hostMbitPerS: isSetup ? SETUP_MBIT_PER_S : HOST_MBIT_PER_S,
-    storeMbitPerS: isSetup ? SETUP_MBIT_PER_S : STORE_MBIT_PER_S,
-    regionMbitPerS: isSetup ? SETUP_MBIT_PER_S : REGION_MBIT_PER_S,
+    hostMbitPerS: isSetup ? SETUP_MBIT_PER_S : hostMbitPerS,
+    storeMbitPerS: isSetup ? SETUP_MBIT_PER_S : storeMbitPerS,
+    regionMbitPerS: isSetup ? SETUP_MBIT_PER_S : regionMbitPerS,
     coldConcurrency: COLD_CONCURRENCY,
     warmConcurrency: WARM_CONCURRENCY,
     requestsPerS: 1_000,
@@ -199,7 +204,7 @@
   await body.dump();
 }
 
-/** Causes the fault; returns the hosts that it removes for good. */
+/** Causes the fault half a lower bound after the new version. */
 async function causeFault(
   fleet: Fleet,
   hosts: readonly PlannedHost[],
@@ -273,7 +278,7 @@
     digest: plan.digestOf("v1"),
     limitMs: READY_LIMIT_MS,
   });
-  await post(`${fleet.storeUrl}/admin/rate`, String(STORE_MBIT_PER_S));
+  await post(`${fleet.storeUrl}/admin/rate`, String(storeMbitPerS));
   await publish("v1");
 
   const random = createRandom(Number(options.seed));
@@ -433,6 +438,7 @@
   seed: Number(options.seed),
   fault: options.fault,
   model_bytes: modelBytes,
+  host_mbit_per_s: hostMbitPerS,
   lower_bound_ms: lowerBoundMs,
   ...swarm,
   baseline,
