Make UUIDv7 in one place, wait for a version in one place, stop when replaced

The agent now also stops for good when a peer says that a later incarnation of its host runs (Node.onReplaced), not only when that incarnation connects.

--- a/bench/fleet_status.ts
+++ b/bench/fleet_status.ts
@@ -2,7 +2,7 @@
 
 import { request } from "undici";
 import { processUrl, LANGUAGE_SERVICE } from "./fleet_hosts.ts";
-import type { FleetPlan, PlannedHost } from "./fleet_plan.ts";
+import type { FleetPlan, PlannedHost, VersionName } from "./fleet_plan.ts";
 
 export interface AgentStatus {
   readonly host: string;
@@ -44,6 +44,28 @@
   return statuses.filter((status) => status !== undefined);
 }
 
+const POLL_MS = 100;
+
+/** Waits until every language endpoint of the plan serves the version. */
+export async function waitUntilServing(
+  plan: FleetPlan,
+  version: VersionName,
+  options: { readonly limitMs: number },
+): Promise<void> {
+  const digest = plan.digestOf(version);
+  const count = plan.hosts.filter((h) => h.service === LANGUAGE_SERVICE).length;
+  const deadlineMs = performance.now() + options.limitMs;
+  for (;;) {
+    const statuses = await readLanguageStatus(plan, digest);
+    const serving = statuses.filter((s) => isServing(s, digest)).length;
+    if (serving === count) return;
+    if (performance.now() > deadlineMs) {
+      throw new Error(`${serving} of ${count} endpoints serve ${version}`);
+    }
+    await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+  }
+}
+
 export function isServing(status: AgentStatus, digest: string): boolean {
   const isUp = status.phase === "cold" || status.phase === "warm";
   return isUp && status.servingDigest === digest;
--- a/bench/keyed_booking.ts
+++ b/bench/keyed_booking.ts
@@ -3,12 +3,12 @@
  * others make their own.
  */
 
+import { createUuidV7 } from "../src/uuid/mod.ts";
 import { requestKey, sendBooking } from "./call.ts";
 import type { CallResult } from "./call.ts";
 import { ACCOUNTS } from "./fleet_plan.ts";
 import { pickOne } from "./random.ts";
 import type { Random } from "./random.ts";
-import { createUuidV7 } from "./uuid_v7.ts";
 
 export async function sendKeyedBooking(
   baseUrl: string,
@@ -17,6 +17,6 @@
   const account = pickOne(random, ACCOUNTS);
   const takesKey = random() < 0.5;
   const taken = takesKey ? await requestKey(baseUrl, account) : undefined;
-  const idempotencyKey = taken ?? createUuidV7();
+  const idempotencyKey = taken ?? createUuidV7(Date.now());
   return sendBooking({ baseUrl, account, idempotencyKey });
 }
--- a/bench/measure_data_centre.ts
+++ b/bench/measure_data_centre.ts
@@ -13,7 +13,7 @@
 import { LEDGER_SERVICE } from "./fleet_hosts.ts";
 import { ACCOUNTS, planFleet } from "./fleet_plan.ts";
 import type { PlannedHost } from "./fleet_plan.ts";
-import { isServing, readLanguageStatus } from "./fleet_status.ts";
+import { waitUntilServing } from "./fleet_status.ts";
 import { sendKeyedBooking } from "./keyed_booking.ts";
 import { startLoad } from "./load.ts";
 import {
@@ -59,18 +59,6 @@
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
 
-async function waitUntilServing() {
-  const digest = plan.digestOf("v1");
-  const deadlineMs = performance.now() + READY_LIMIT_MS;
-  for (;;) {
-    const statuses = await readLanguageStatus(plan, digest);
-    const serving = statuses.filter((s) => isServing(s, digest)).length;
-    if (statuses.length > 0 && serving === statuses.length) return;
-    if (performance.now() > deadlineMs) throw new Error("Fleet not ready");
-    await delay(100);
-  }
-}
-
 /** Requests that the endpoints of a data centre have started so far. */
 async function countStarted(hosts: readonly PlannedHost[]): Promise<number> {
   const counts = await Promise.all(
@@ -128,7 +116,7 @@
     entries.map((host) => host.name),
     READY_LIMIT_MS,
   );
-  await waitUntilServing();
+  await waitUntilServing(plan, "v1", { limitMs: READY_LIMIT_MS });
 
   const random = createRandom(Number(options.seed));
   const pickUrl = () => processUrl(pickOne(random, entries));
--- a/bench/measure_slopes.ts
+++ b/bench/measure_slopes.ts
@@ -14,7 +14,7 @@
 import type { FleetPlan } from "./fleet_plan.ts";
 import { fitLine } from "./fit_line.ts";
 import type { Line, Point } from "./fit_line.ts";
-import { isServing, readLanguageStatus } from "./fleet_status.ts";
+import { waitUntilServing } from "./fleet_status.ts";
 import { startLoad } from "./load.ts";
 import { ENGINE_PROFILE } from "./profiles.ts";
 import { createRandom, pickOne } from "./random.ts";
@@ -49,18 +49,6 @@
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
 
-async function waitUntilServing(plan: FleetPlan) {
-  const digest = plan.digestOf("v1");
-  const deadlineMs = performance.now() + READY_LIMIT_MS;
-  for (;;) {
-    const statuses = await readLanguageStatus(plan, digest);
-    const serving = statuses.filter((s) => isServing(s, digest)).length;
-    if (statuses.length > 0 && serving === statuses.length) return;
-    if (performance.now() > deadlineMs) throw new Error("Fleet not ready");
-    await delay(200);
-  }
-}
-
 /** Mean bytes that the processes of one role have sent to peers. */
 async function readSentBytes(plan: FleetPlan, role: "entry" | "endpoint") {
   const hosts = plan.hosts.filter((host) => host.role === role);
@@ -133,7 +121,7 @@
   });
   try {
     await fleet.publish({ servingVersion: "v1", outDataCentres: [] });
-    await waitUntilServing(plan);
+    await waitUntilServing(plan, "v1", { limitMs: READY_LIMIT_MS });
     await delay(2_000);
     return await use(fleet);
   } finally {
--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -194,12 +194,13 @@
 
   /** A later incarnation of this host has taken over its name for good. */
   function checkIncarnation(incarnation: string, source: string) {
-    if (incarnation <= identity.incarnation || control.isStopped()) return;
+    if (incarnation > identity.incarnation) stopAsReplaced(source);
+  }
+
+  function stopAsReplaced(source: string) {
+    if (control.isStopped()) return;
     counters.failures.increment({ kind: "superseded" });
-    logger.error(
-      { incarnation, source },
-      "a later incarnation of this host runs",
-    );
+    logger.error({ source }, "a later incarnation of this host runs");
     control.stopForGood();
     stopForGood("superseded");
   }
@@ -214,6 +215,7 @@
   }
 
   node.onPeer(onPeer);
+  node.onReplaced?.(() => stopAsReplaced("node"));
   // Some may have connected before this agent was made.
   node.peers().forEach(onPeer);
   // Another address under the own name may belong to a later incarnation.
--- a/src/idempotency/key_format.ts
+++ b/src/idempotency/key_format.ts
@@ -3,26 +3,14 @@
  * time in milliseconds, which decides the runner set that a key belongs to.
  */
 
-import { randomBytes } from "node:crypto";
+import { createUuidV7 } from "../uuid/mod.ts";
 
 const UUID_V7 =
   /^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$/;
-const TIME_BYTES = 6;
 
 /** A new key of this time. */
 export function createKey(nowMs: number): string {
-  const bytes = randomBytes(16);
-  bytes.writeUIntBE(Math.floor(nowMs), 0, TIME_BYTES);
-  bytes[6] = (bytes[6]! & 0x0f) | 0x70;
-  bytes[8] = (bytes[8]! & 0x3f) | 0x80;
-  const hex = bytes.toString("hex");
-  return [
-    hex.slice(0, 8),
-    hex.slice(8, 12),
-    hex.slice(12, 16),
-    hex.slice(16, 20),
-    hex.slice(20),
-  ].join("-");
+  return createUuidV7(nowMs);
 }
 
 /** The canonical (lower-case) form, or undefined if it is not a UUIDv7. */
--- a/src/node/connections_test.ts
+++ b/src/node/connections_test.ts
@@ -1,12 +1,12 @@
 import { describe, expect, test } from "@jest/globals";
 import type { Hello, Notice, Peer } from "../wire/mod.ts";
 import { createConnections } from "./connections.ts";
-import { createIncarnation } from "./incarnation.ts";
+import { createUuidV7 } from "../uuid/mod.ts";
 import type { NodeIdentity } from "./node.ts";
 import { SILENT_LOGGER } from "./testing/start_fleet.ts";
 
-const EARLIER = createIncarnation(1_000);
-const LATER = createIncarnation(2_000);
+const EARLIER = createUuidV7(1_000);
+const LATER = createUuidV7(2_000);
 
 function createFakePeer(host: string, incarnation = EARLIER) {
   const notices: Notice[] = [];
--- a/src/node/start_node.ts
+++ b/src/node/start_node.ts
@@ -20,6 +20,7 @@
 import type { PlatformRead } from "../platform/mod.ts";
 import { createGossip, createSnapshotStore } from "../snapshots/mod.ts";
 import type { SnapshotStore } from "../snapshots/mod.ts";
+import { createUuidV7 } from "../uuid/mod.ts";
 import {
   connectPeer,
   createWireCounters,
@@ -30,7 +31,6 @@
 import { createConnections } from "./connections.ts";
 import { createDialler } from "./dialler.ts";
 import type { DialTarget } from "./dialler.ts";
-import { createIncarnation } from "./incarnation.ts";
 import type { Node, NodeIdentity } from "./node.ts";
 import { createPlatformReader } from "./platform_reader.ts";
 import { createStartRule } from "./start_rule.ts";
@@ -79,7 +79,7 @@
     role: options.role,
     dataCentre: options.dataCentre,
     ...(options.service === undefined ? {} : { service: options.service }),
-    incarnation: options.incarnation ?? createIncarnation(startedAtMs),
+    incarnation: options.incarnation ?? createUuidV7(startedAtMs),
     startedAtMs,
   };
   const storeOptions = { clock, registry, logger };
--- a/src/node/start_node_test.ts
+++ b/src/node/start_node_test.ts
@@ -10,7 +10,7 @@
   StreamEvent,
 } from "../wire/mod.ts";
 import type { Node } from "./node.ts";
-import { createIncarnation } from "./mod.ts";
+import { createUuidV7 } from "../uuid/mod.ts";
 import {
   SILENT_LOGGER,
   startFleet,
@@ -367,14 +367,14 @@
     const nowMs = Date.now();
     const fleet = await start({ names: ["a"] });
     const earlier = await fleet.add("x", {
-      incarnation: createIncarnation(nowMs - 60_000),
+      incarnation: createUuidV7(nowMs - 60_000),
     });
     await until(() => fleet.nodes[0]!.findPeer("x") !== undefined);
     const replaced = new Promise<void>((resolve) => {
       earlier.onReplaced?.(resolve);
     });
     const later = await fleet.add("x", {
-      incarnation: createIncarnation(nowMs),
+      incarnation: createUuidV7(nowMs),
     });
     await replaced;
     const { incarnation } = later.identity;
--- /dev/null
+++ b/src/uuid/mod.ts
@@ -0,0 +1,3 @@
+/** Time-ordered identifiers. */
+
+export { createUuidV7 } from "./uuid_v7.ts";
--- a/bench/uuid_v7.ts
+++ b/src/uuid/uuid_v7.ts
@@ -1,10 +1,15 @@
-/** UUIDv7 keys as a caller would make them. */
+/**
+ * UUIDv7 (RFC 9562): the first 48 bits are the time in milliseconds, so later
+ * values sort higher.
+ */
 
 import { randomBytes } from "node:crypto";
 
-export function createUuidV7(nowMs = Date.now()): string {
+const TIME_BYTES = 6;
+
+export function createUuidV7(nowMs: number): string {
   const bytes = randomBytes(16);
-  bytes.writeUIntBE(nowMs, 0, 6);
+  bytes.writeUIntBE(Math.floor(nowMs), 0, TIME_BYTES);
   bytes[6] = (bytes[6]! & 0x0f) | 0x70;
   bytes[8] = (bytes[8]! & 0x3f) | 0x80;
   const hex = bytes.toString("hex");
