--- a/src/weights/announcer.ts
+++ b/src/weights/announcer.ts
@@ -4,7 +4,7 @@
 
 const MIN_INTERVAL_MS = 100;
 /** With many peers the interval grows, so that notices stay a small load. */
-const INTERVAL_PER_PEER_MS = 4;
+const INTERVAL_PER_PEER_MS = 10;
 /** Repairs a view that missed a notice while a connection was replaced. */
 const REFRESH_MS = 10_000;
 
