Pair the two loads of the path measure and count only full load

The through turns drew other arrival times and prompts than the straight ones, each turn was mostly the growth of the load (a stream lasts 6.6 s of a 10 s turn), and the load client parsed every event while it measured. Turns now come in the order straight, through, through, straight with the same seed for each pair, requests that start before the load is complete are checked but not measured, answers are checked after the turn, tokens that arrive together count as gaps of zero, and the report adds maxima, counts, the client's own processor time and event-loop delay, and the load average. Each turn is 20 s long by default.

--- a/bench/measure_path.ts
+++ b/bench/measure_path.ts
@@ -1,19 +1,23 @@
 /**
  * Time that the entry and the agent add to a stream: the same load goes
- * through them and straight to the endpoints, in turns within one run.
+ * through them and straight to the endpoints, in alternating turns of one run.
+ * Both loads of a pair have the same arrival times and prompts of the same
+ * length; the percentiles are over all turns of a kind.
  */
 
+import { Agent, request } from "node:http";
+import { loadavg } from "node:os";
+import { monitorEventLoopDelay } from "node:perf_hooks";
 import { Command } from "commander";
-import { sendCompletion } from "./call.ts";
+import { createAnswerText } from "../stand_ins/answer_text.ts";
 import type { CallResult } from "./call.ts";
 import { startFleet } from "./fleet.ts";
 import { endpointUrl, LANGUAGE_SERVICE, processUrl } from "./fleet_hosts.ts";
-import { ACCOUNTS, planFleet } from "./fleet_plan.ts";
+import { ACCOUNTS, MODEL, planFleet } from "./fleet_plan.ts";
 import { isServing, readLanguageStatus } from "./fleet_status.ts";
 import { startLoad } from "./load.ts";
 import { ENGINE_PROFILE } from "./profiles.ts";
 import { createRandom, pickOne } from "./random.ts";
-import type { Random } from "./random.ts";
 import { computeRoleUsage, readCpu } from "./role_usage.ts";
 import {
   computePercentiles,
@@ -28,6 +32,14 @@
 const WARM_CONCURRENCY = 96;
 const MODEL_BYTES = 1024 * 1024;
 const READY_LIMIT_MS = 30_000;
+/** Turns of each kind, in the order straight, through, through, straight. */
+const TURNS = ["straight", "through", "through", "straight"] as const;
+/**
+ * A stream lasts 329 steps of 20 ms, so the load of a turn grows for this long.
+ * What starts earlier is checked, but not measured.
+ */
+const RAMP_MS = 6_600;
+const CALL_TIMEOUT_MS = 60_000;
 
 interface PathOptions {
   readonly seed: string;
@@ -37,7 +49,7 @@
 
 const options = new Command()
   .option("--seed <n>", "seed of the load", "1")
-  .option("--seconds <n>", "length of each of the four turns", "10")
+  .option("--seconds <n>", "length of each of the four turns", "20")
   .option("--json", "print one JSON line")
   .parse()
   .opts<PathOptions>();
@@ -73,37 +85,187 @@
   }
 }
 
+interface Answer {
+  readonly status: number;
+  readonly headers: NodeJS.Dict<string | string[]>;
+  readonly parts: readonly { readonly atMs: number; readonly bytes: Buffer }[];
+  readonly error: string | undefined;
+}
+
+interface PathCall {
+  readonly baseUrl: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+}
+
+const httpAgent = new Agent({ keepAlive: true });
+
+/**
+ * Only keeps the received bytes with their times: reading the events while the
+ * load runs would make this process slow enough to show in the figures.
+ */
+function send(call: PathCall): Promise<Answer> {
+  const parts: { atMs: number; bytes: Buffer }[] = [];
+  return new Promise((resolve) => {
+    const body = JSON.stringify({
+      model: MODEL,
+      prompt: call.prompt,
+      max_tokens: call.maxTokens,
+      stream: true,
+    });
+    const outgoing = request(`${call.baseUrl}/v1/completions`, {
+      method: "POST",
+      agent: httpAgent,
+      timeout: CALL_TIMEOUT_MS,
+      headers: {
+        authorization: `Bearer ${ACCOUNTS[0]!.apiKey}`,
+        "content-type": "application/json",
+        "content-length": Buffer.byteLength(body),
+      },
+    });
+    function settle(error?: string, status = 0, headers = {}) {
+      resolve({ status, headers, parts, error });
+    }
+    outgoing.on("error", (error) => settle(String(error)));
+    outgoing.on("timeout", () => outgoing.destroy(new Error("timeout")));
+    outgoing.on("response", (incoming) => {
+      incoming.on("data", (bytes: Buffer) =>
+        parts.push({ atMs: performance.now(), bytes }),
+      );
+      incoming.on("error", (error) => settle(String(error)));
+      incoming.on("end", () =>
+        settle(undefined, incoming.statusCode, incoming.headers),
+      );
+    });
+    outgoing.end(body);
+  });
+}
+
+interface Timed {
+  readonly call: PathCall;
+  readonly startMs: number;
+  readonly sentAtMs: number;
+  readonly answer: Answer;
+}
+
+/**
+ * Checks the whole answer. Tokens that arrive together count as so many gaps,
+ * all but the first of zero length, so that each stream has the same number of
+ * gaps however its tokens were grouped on the way.
+ */
+function check({ call, startMs, sentAtMs, answer }: Timed): CallResult {
+  const { parts, status, headers, error } = answer;
+  const text = Buffer.concat(parts.map((part) => part.bytes)).toString();
+  const events = text.split("\n\n").filter((event) => event !== "");
+  const tokenTimesMs = parts.flatMap(({ atMs, bytes }) =>
+    Array<number>(bytes.toString().split('"text":').length - 1).fill(atMs),
+  );
+  const endMs = parts.at(-1)?.atMs ?? startMs;
+  const base = {
+    sentAtMs,
+    totalMs: endMs - startMs,
+    gapsMs: tokenTimesMs.slice(1).map((atMs, at) => atMs - tokenTimesMs[at]!),
+    ...(tokenTimesMs.length > 0 && {
+      firstTokenMs: tokenTimesMs[0]! - startMs,
+    }),
+  };
+  if (error !== undefined) return { ...base, outcome: "cut", detail: error };
+  if (status !== 200) {
+    const refused = [429, 503].includes(status) ? "not_run" : "unknown";
+    return { ...base, outcome: refused, detail: `status ${status}` };
+  }
+  if (events.at(-1) !== "data: [DONE]") {
+    return { ...base, outcome: "cut", detail: "no end mark" };
+  }
+  const got = events
+    .slice(0, -1)
+    .map((event) => JSON.parse(event.slice("data: ".length)) as TextEvent)
+    .map(({ choices }) => choices[0].text)
+    .join("");
+  const named = headers["zinniaspur-model-digest"];
+  const versionDigest = String(named ?? plan.digestOf("v1"));
+  const key = { prompt: call.prompt, versionDigest };
+  return got === createAnswerText(key, call.maxTokens)
+    ? { ...base, outcome: "answered_whole", detail: "" }
+    : { ...base, outcome: "wrong", detail: "text differs" };
+}
+
+interface TextEvent {
+  readonly choices: readonly [{ readonly text: string }];
+}
+
 interface Turn {
   readonly urls: readonly string[];
-  readonly random: Random;
+  readonly seed: number;
+  /** Keeps a prompt from being in a prefix cache since an earlier turn. */
+  readonly label: string;
   readonly durationMs: number;
   readonly ratePerS: number;
   readonly maxTokens: number;
 }
 
-async function runTurn(turn: Turn): Promise<readonly CallResult[]> {
-  const { urls, random } = turn;
+interface TurnResult {
+  readonly all: readonly CallResult[];
+  /** Those that started under the full load. */
+  readonly measured: readonly CallResult[];
+  readonly clientCores: number;
+  readonly clientDelayP99Ms: number;
+}
+
+async function runTurn(turn: Turn): Promise<TurnResult> {
+  const timed: Timed[] = [];
+  const pickRandom = createRandom(turn.seed + 1);
+  const delays = monitorEventLoopDelay({ resolution: 1 });
+  delays.enable();
+  const cpuBefore = process.cpuUsage();
+  const turnStartMs = performance.now();
   const load = startLoad({
     ratePerS: turn.ratePerS,
-    random,
-    send: () =>
-      sendCompletion({
-        baseUrl: pickOne(random, urls),
-        account: ACCOUNTS[0]!,
-        prompt: `Prompt ${Math.floor(random() * 1e9)}`,
+    random: createRandom(turn.seed),
+    send: async () => {
+      const number = Math.floor(pickRandom() * 1e9);
+      const call: PathCall = {
+        baseUrl: pickOne(pickRandom, turn.urls),
+        prompt: `${turn.label} ${String(number).padStart(9, "0")}`,
         maxTokens: turn.maxTokens,
-        defaultDigest: plan.digestOf("v1"),
-      }),
+      };
+      const startMs = performance.now();
+      const sentAtMs = Date.now();
+      const answer = await send(call);
+      timed.push({ call, startMs, sentAtMs, answer });
+      return { outcome: "cut", detail: "", sentAtMs, totalMs: 0, gapsMs: [] };
+    },
   });
   await new Promise((resolve) => setTimeout(resolve, turn.durationMs));
-  return load.stop();
+  const { user, system } = process.cpuUsage(cpuBefore);
+  const clientCores =
+    (user + system) / 1000 / (performance.now() - turnStartMs);
+  await load.stop();
+  delays.disable();
+  const isMeasured = ({ startMs }: Timed) => startMs - turnStartMs > RAMP_MS;
+  return {
+    all: timed.map(check),
+    measured: timed.filter(isMeasured).map(check),
+    clientCores,
+    clientDelayP99Ms: delays.percentile(99) / 1e6,
+  };
 }
 
-function summarise(results: readonly CallResult[]) {
+function summarise(turns: readonly TurnResult[]) {
+  const all = turns.flatMap((turn) => turn.all);
+  const measured = turns.flatMap((turn) => turn.measured);
+  const describe = (valuesMs: readonly number[]) => ({
+    ...computePercentiles(valuesMs),
+    max: valuesMs.reduce((most, value) => Math.max(most, value), 0),
+    count: valuesMs.length,
+  });
   return {
-    ...countOutcomes(results),
-    first_token_ms: computePercentiles(listFirstTokenMs(results)),
-    between_tokens_ms: computePercentiles(results.flatMap((r) => r.gapsMs)),
+    ...countOutcomes(all),
+    reasons: countDetails(all),
+    first_token_ms: describe(listFirstTokenMs(measured)),
+    between_tokens_ms: describe(measured.flatMap((r) => r.gapsMs)),
+    client_cores: turns.map((turn) => turn.clientCores),
+    client_delay_p99_ms: turns.map((turn) => turn.clientDelayP99Ms),
   };
 }
 
@@ -119,7 +281,7 @@
 try {
   await fleet.publish({ servingVersion: "v1", outDataCentres: [] });
   await waitUntilServing();
-  const random = createRandom(Number(options.seed));
+  const seed = Number(options.seed);
   const entryUrls = plan.hosts
     .filter((host) => host.role === "entry")
     .map(processUrl);
@@ -127,27 +289,42 @@
     .filter((host) => host.service === LANGUAGE_SERVICE)
     .map(endpointUrl);
   const durationMs = Number(options.seconds) * 1000;
-  const base = { random, ratePerS: RATE_PER_S, maxTokens: TOKENS_PER_REQUEST };
+  const base = { ratePerS: RATE_PER_S, maxTokens: TOKENS_PER_REQUEST };
 
+  const idle = computeRoleUsage(fleet, {
+    before: readCpu(fleet),
+    durationS: 1,
+  });
   // Short requests bring every endpoint from cold to its full limit.
   await runTurn({
     ...base,
+    seed,
+    label: "Warm",
     urls: entryUrls,
     maxTokens: 4,
     ratePerS: 60,
     durationMs: 8_000,
   });
 
-  const direct: CallResult[] = [];
-  const through: CallResult[] = [];
+  const direct: TurnResult[] = [];
+  const through: TurnResult[] = [];
   let roles = {};
-  for (const turn of [1, 2]) {
-    direct.push(...(await runTurn({ ...base, urls: engineUrls, durationMs })));
+  for (const [at, kind] of TURNS.entries()) {
+    const turn = {
+      ...base,
+      seed: seed * 1000 + Math.floor(at / 2),
+      label: `Turn${at}`,
+      durationMs,
+    };
+    if (kind === "straight") {
+      direct.push(await runTurn({ ...turn, urls: engineUrls }));
+      continue;
+    }
     const before = readCpu(fleet);
     const startMs = performance.now();
-    through.push(...(await runTurn({ ...base, urls: entryUrls, durationMs })));
+    through.push(await runTurn({ ...turn, urls: entryUrls }));
     const durationS = (performance.now() - startMs) / 1000;
-    if (turn === 2) roles = computeRoleUsage(fleet, { before, durationS });
+    roles = computeRoleUsage(fleet, { before, durationS });
   }
 
   const straight = summarise(direct);
@@ -163,9 +340,13 @@
     tokens_per_s: RATE_PER_S * TOKENS_PER_REQUEST,
     added_first_token_ms: added("first_token_ms"),
     added_between_tokens_ms: added("between_tokens_ms"),
-    through: { ...path, reasons: countDetails(through) },
-    straight: { ...straight, reasons: countDetails(direct) },
+    through: path,
+    straight,
     roles,
+    memory_at_idle_mb: Object.fromEntries(
+      Object.entries(idle).map(([role, { maxRssMb }]) => [role, maxRssMb]),
+    ),
+    load_average: loadavg(),
   };
   console.log(JSON.stringify(report, null, options.json ? 0 : 2));
 } finally {
