wire: send frames that start or end a request at once, bound the wait of data

Every frame waited for the end of the event-loop turn, in which an agent may read dozens of tokens, so the entry could not work on the first ones meanwhile and a request's head waited behind them. Frames other than data now leave after the current callback, and data at the latest 0.25 ms after the first unsent frame. Sent bytes are counted once for each flush and frame type instead of formatting labels for each frame.

--- a/src/wire/peer.ts
+++ b/src/wire/peer.ts
@@ -1,7 +1,7 @@
 /**
  * One long-lived connection to another process of the system. A task reads
- * frames and hands each to its stream; writes of one event-loop turn leave in
- * one segment.
+ * frames and hands each to its stream; data of one event-loop turn leaves in
+ * few segments.
  */
 
 import type { Socket } from "node:net";
@@ -19,6 +19,11 @@
 const SILENCE_LIMIT_MS = 6_000;
 const HELLO_TIMEOUT_MS = 2_000;
 const MAX_STREAMS = 4_096;
+/**
+ * A turn of the event loop can read dozens of tokens. Sending the first ones
+ * meanwhile lets the other process work on them in parallel.
+ */
+const MAX_CORK_MS = 0.25;
 
 export interface PeerHandlers {
   /** Called for each stream that the other side opens. */
@@ -61,7 +66,9 @@
   let lastHeardMs = performance.now();
   let closeReason: string | undefined;
   let peer: Peer | undefined;
-  let corked = false;
+  let corkedAtMs: number | undefined;
+  let isFlushSoon = false;
+  const unsentBytes = new Map<Frame["type"], number>();
   let resolveClosed: (reason: string) => void;
   let resolvePeer: (result: Result<Peer, string>) => void;
   const closed = new Promise<string>((resolve) => (resolveClosed = resolve));
@@ -83,16 +90,39 @@
     if (closeReason !== undefined) return;
     const bytes = encodeFrame(frame);
     if (bytes.length > MAX_FRAME_BYTES) return dropOversized(frame);
-    if (!corked) {
-      corked = true;
+    cork(frame.type === "data");
+    unsentBytes.set(
+      frame.type,
+      (unsentBytes.get(frame.type) ?? 0) + bytes.length,
+    );
+    socket.write(bytes);
+    if (performance.now() - corkedAtMs! > MAX_CORK_MS) flush();
+  }
+
+  /**
+   * Data of many streams leaves together at the end of the event-loop turn.
+   * Other frames start or end a request, so they leave after this callback.
+   */
+  function cork(isData: boolean) {
+    if (corkedAtMs === undefined) {
+      corkedAtMs = performance.now();
       socket.cork();
-      setImmediate(() => {
-        corked = false;
-        socket.uncork();
-      });
+      if (isData) setImmediate(flush);
     }
-    counters.bytesSent.increment({ frame: frame.type }, bytes.length);
-    socket.write(bytes);
+    if (isData || isFlushSoon) return;
+    isFlushSoon = true;
+    process.nextTick(flush);
+  }
+
+  function flush() {
+    if (corkedAtMs === undefined) return;
+    corkedAtMs = undefined;
+    isFlushSoon = false;
+    socket.uncork();
+    unsentBytes.forEach((bytes, frame) =>
+      counters.bytesSent.increment({ frame }, bytes),
+    );
+    unsentBytes.clear();
   }
 
   function close(reason: string) {
