--- a/src/engine/sse_splitter.ts
+++ b/src/engine/sse_splitter.ts
@@ -3,7 +3,9 @@
  * connection never passes on part of an event.
  */
 
+const DONE_MARK = Buffer.from("[DONE]");
 const DONE_LINES = ["data: [DONE]", "data:[DONE]"] as const;
+const LF = 10;
 const MAX_EVENT_BYTES = 1024 * 1024;
 
 export interface SseSplitter {
@@ -34,6 +36,9 @@
 }
 
 function findLastEventEnd(bytes: Buffer): number {
+  const last = bytes.length - 1;
+  // An engine mostly sends one whole event at a time.
+  if (bytes[last] === LF && bytes[last - 1] === LF) return bytes.length;
   const lf = bytes.lastIndexOf("\n\n");
   const crLf = bytes.lastIndexOf("\n\r\n");
   return Math.max(lf === -1 ? 0 : lf + 2, crLf === -1 ? 0 : crLf + 3);
@@ -41,9 +46,10 @@
 
 /** Generated text cannot hold this line: JSON escapes its line breaks. */
 function hasDoneLine(events: Buffer): boolean {
+  if (!events.includes(DONE_MARK)) return false;
   return DONE_LINES.some((line) => {
     const at = events.lastIndexOf(line);
-    return at === 0 || (at > 0 && events[at - 1] === 0x0a);
+    return at === 0 || (at > 0 && events[at - 1] === LF);
   });
 }
 
