engine: read an answer's body without a Node.js stream

The profile of an agent under load showed the stream between undici and the reader (readable events, async iterator, its microtasks) as the largest cost of a token.

--- a/src/engine/endpoint_client.ts
+++ b/src/engine/endpoint_client.ts
@@ -6,8 +6,9 @@
 import { connect } from "node:net";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
-import { DecoratorHandler, Pool } from "undici";
+import { Pool } from "undici";
 import type { Dispatcher } from "undici";
+import { dispatchRequest } from "./dispatch_request.ts";
 import { parseEngineState } from "./engine_state.ts";
 import type { EngineState, Fencing } from "./engine_state.ts";
 
@@ -115,18 +116,18 @@
     async send(request) {
       const { method, path, headers, body, signal, isRepeatable } = request;
       let wasStarted = false;
-      const watchStart = createStartHook(() => {
-        wasStarted = request.mayWrite?.() ?? true;
-        return wasStarted;
-      });
       const target = isRepeatable ? pool : unsharedPool;
       try {
-        const answer = await target.compose(watchStart).request({
+        const answer = await dispatchRequest(target, {
           method: method as Dispatcher.HttpMethod,
           path: prefix + path,
           headers: selectRequestHeaders(headers),
           body: body.length === 0 ? null : body,
           signal,
+          onStart() {
+            wasStarted = request.mayWrite?.() ?? true;
+            return wasStarted;
+          },
         });
         const answerHeaders = flattenHeaders(answer.headers);
         return ok({
@@ -207,25 +208,6 @@
   };
 }
 
-/** Runs `onStart` just before the first byte; false stops the request. */
-function createStartHook(
-  onStart: () => boolean,
-): Dispatcher.DispatcherComposeInterceptor {
-  return (dispatch) => (options, handler) => {
-    const hooked = new DecoratorHandler(handler) as Dispatcher.DispatchHandler;
-    hooked.onRequestStart = (controller, context) => {
-      if (!onStart()) {
-        const error = Object.assign(new Error("Hand-off came too late"), {
-          code: "hand_off_expired",
-        });
-        return controller.abort(error);
-      }
-      handler.onRequestStart?.(controller, context);
-    };
-    return dispatch(options, hooked);
-  };
-}
-
 function selectRequestHeaders(headers: Readonly<Record<string, string>>) {
   const { "content-length": _length, ...rest } = removeHopHeaders(headers);
   return rest;
