--- a/src/agent/language_faults_test.ts
+++ b/src/agent/language_faults_test.ts
@@ -250,8 +250,11 @@
     const running = openRequest(entry, createHead());
     const { response } = await engine.waitForRequest(0);
     let isDone = false;
+    const startMs = performance.now();
     const shutDown = agent.shutDown().then(() => (isDone = true));
     await until(() => lastLoad()?.phase === "leaving");
+    // Without the wait, the shutdown ends after the leaving notice of 500 ms.
+    await until(() => performance.now() - startMs > 1_000);
     expect(isDone).toBe(false);
     response.end("data: [DONE]\n\n");
     expect((await readReply(running)).trailer?.outcome).toBe("answered");
