--- a/src/weights/transfer.ts
+++ b/src/weights/transfer.ts
@@ -266,6 +266,12 @@
       );
   }
 
+  /**
+   * Each gateway of the receiving region takes an equal part of the link
+   * between regions. Chunks are assigned evenly to gateways, so equal parts
+   * fill the link although no agent knows what the others receive. A part is
+   * taken before the request, so that a slow share holds no upload slot.
+   */
   function takeRegionShare(sizeBytes: number) {
     const senders = Math.max(1, readAssignments().regionGatewayCount);
     const { regionBytesPerS } = context.readLinks();
