--- a/src/weights/chunk_server.ts
+++ b/src/weights/chunk_server.ts
@@ -13,6 +13,8 @@
  */
 const MAX_UPLOADS = 2;
 const MAX_QUEUED = 2;
+/** Well below the time after which a downloader takes it for a stall. */
+const MAX_QUEUE_MS = 1_000;
 const PIECE_BYTES = 32 * 1024;
 /** A downloader that takes nothing for this long loses its slot. */
 const WRITE_TIMEOUT_MS = 4_000;
@@ -62,8 +64,10 @@
       if (hasLighterHolder(peer, manifestDigest, index)) {
         return refuse(stream, "sent_enough", 200);
       }
-      if (uploads >= MAX_UPLOADS && queue.length >= MAX_QUEUED) {
-        const chunkMs = (bytes.length / options.readBytesPerS()) * 1000;
+      const chunkMs = (bytes.length / options.readBytesPerS()) * 1000;
+      const isLong = (queue.length + 1) * chunkMs > MAX_QUEUE_MS;
+      const isFull = queue.length >= MAX_QUEUED || isLong;
+      if (uploads >= MAX_UPLOADS && isFull) {
         return refuse(stream, "busy", Math.max(20, chunkMs));
       }
     }
