--- a/src/weights/create_weights.ts
+++ b/src/weights/create_weights.ts
@@ -133,10 +133,9 @@
     },
   });
 
+  // Also under the policy without peers: roll-outs rely on their notices.
   node.addPeerChooser((view) =>
-    usesPeers
-      ? chooseWeightPeers(view, { host: node.identity.host, service })
-      : [],
+    chooseWeightPeers(view, { host: node.identity.host, service }),
   );
   node.onStream("chunk", server.onStream);
   node.view.onChange(() => transfer?.onMembersChanged());
