--- a/src/membership/fleet_view.ts
+++ b/src/membership/fleet_view.ts
@@ -3,7 +3,7 @@
  * list, both possibly old.
  */
 
-import type { EnvironmentDocument } from "../document/mod.ts";
+import type { EnvironmentDocument, Finding } from "../document/mod.ts";
 import type { HostList } from "./host.ts";
 
 export interface AcceptedConfig {
@@ -13,11 +13,19 @@
   readonly publishedAtMs: number;
 }
 
+/** A published document that is not in force because it is invalid. */
+export interface RejectedConfig {
+  readonly version: number;
+  readonly findings: readonly Finding[];
+}
+
 export interface FleetView {
   /** Undefined until a first configuration has been accepted. */
   config(): AcceptedConfig | undefined;
   /** Wall-clock time at which the version was last known to be current. */
   configConfirmedAtMs(): number;
+  /** The newest published document, if it is newer than the one in force. */
+  rejectedConfig?(): RejectedConfig | undefined;
   hosts(): HostList;
   /** Runs after each change of the configuration or the host list. */
   onChange(handler: () => void): void;
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -4,7 +4,11 @@
 export type { Self } from "./choose_peers.ts";
 export { SYSTEM_CLOCK } from "./clock.ts";
 export type { Clock } from "./clock.ts";
-export type { AcceptedConfig, FleetView } from "./fleet_view.ts";
+export type {
+  AcceptedConfig,
+  FleetView,
+  RejectedConfig,
+} from "./fleet_view.ts";
 export type { Host, HostList } from "./host.ts";
 export { parseHosts } from "./parse_host_list.ts";
 export { createWakeDetector } from "./wake.ts";
--- a/src/node/start_node.ts
+++ b/src/node/start_node.ts
@@ -83,10 +83,14 @@
     startedAtMs,
   };
   const storeOptions = { clock, registry, logger };
+  let lastFindings: readonly Finding[] = [];
   const config = createSnapshotStore("config", {
     ...storeOptions,
     parse: (text) =>
-      parseDocument(text).mapErr((findings) => findings.map(formatFinding)),
+      parseDocument(text).mapErr((findings) => {
+        lastFindings = findings;
+        return findings.map(formatFinding);
+      }),
   });
   const hosts = createSnapshotStore("hosts", {
     ...storeOptions,
@@ -162,6 +166,11 @@
       return { version, publishedAtMs, document: value };
     },
     configConfirmedAtMs: config.confirmedAtMs,
+    rejectedConfig() {
+      const version = config.invalidVersion();
+      const isNewest = version > (config.held()?.version ?? 0);
+      return isNewest ? { version, findings: lastFindings } : undefined;
+    },
     hosts: () => hostList,
     onChange: (handler) => void changeHandlers.push(handler),
     isWaking: wakeCheck.isWaking,
--- a/src/node/start_node_test.ts
+++ b/src/node/start_node_test.ts
@@ -152,8 +152,14 @@
     expect(lines.join()).toContain(
       "config:1:1: environment: Not a document. Fix: Write one",
     );
+    const refusing = nodes.find((n) => n.view.rejectedConfig?.() !== undefined);
+    expect(refusing?.view.rejectedConfig?.()).toMatchObject({
+      version: 2,
+      findings: [{ path: "environment", message: "Not a document" }],
+    });
     platform.publish("three");
     await until(() => isEverywhere(nodes, 3), HEAL_MS);
+    expect(refusing?.view.rejectedConfig?.()).toBeUndefined();
   });
 
   // Guards against an agent that serves by a version its engine has passed.
--- a/src/snapshots/snapshot_store.ts
+++ b/src/snapshots/snapshot_store.ts
@@ -56,6 +56,8 @@
   held(): Snapshot<T> | undefined;
   /** Versions up to this one need no asking for: held, invalid or too low. */
   knownVersion(): number;
+  /** The highest version that was not accepted as invalid; 0 if none was. */
+  invalidVersion(): number;
   confirmedAtMs(): number;
   offer(offered: OfferedSnapshot): Result<"accepted" | "unchanged", Rejection>;
   /** Notes that `version` was the platform's at this time. */
@@ -150,6 +152,7 @@
     current,
     held: () => held,
     knownVersion: () => Math.max(held?.version ?? 0, invalidVersion, floor - 1),
+    invalidVersion: () => invalidVersion,
     confirmedAtMs: () => confirmedAtMs,
     offer(offered) {
       const { version, bytes, publishedAtMs } = offered;
