Bring each agent to its full limit before the path measure

480 short requests over six agents left each limit at about 48 of 96, so streams could wait for a slot, which is not the path's own time.

--- a/bench/measure_path.ts
+++ b/bench/measure_path.ts
@@ -295,14 +295,15 @@
     before: readCpu(fleet),
     durationS: 1,
   });
-  // Short requests bring every endpoint from cold to its full limit.
+  // Short requests bring every endpoint from cold to its full limit. Each
+  // agent needs 176 of them; with fewer, streams would wait for a slot later.
   await runTurn({
     ...base,
     seed,
     label: "Warm",
     urls: entryUrls,
     maxTokens: 4,
-    ratePerS: 60,
+    ratePerS: 200,
     durationMs: 8_000,
   });
 
