Answer "unknown" for keys after a pause; count a broken connection at once

Two faults that tests with real processes found. 1. An agent that was frozen while its replacement ran a key answered "not run" (waking) for it after it woke. A pause now raises the key floor over all keys made until then, and a key that was accepted before the pause but not handed off is unknown. Ruled out: relying on the host list, which lags. The cost: keys made during a pause of more than 1 s, or in the 2 s after it, are unknown at that runner. 2. A request that crashes engines took down four of four when it was sent again at once, because a crash counted only once the engine had restarted under a new boot id. A broken connection now counts for 30 s as a preliminary crash, a certain one for ten minutes as before. The entry uses the shared quarantine instead of one of its own.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -80,8 +80,12 @@
   const { service } = settings;
   const counters = createAgentCounters(registry);
   const client = createEndpointClient(settings.endpointUrl);
-  const pauseGuard = createPauseGuard(clock);
   const keyFloor = createKeyFloor(identity.startedAtMs);
+  // During a pause a replacement may have been started and have run keys.
+  const pauseGuard = createPauseGuard({
+    clock,
+    onPause: () => keyFloor.restart(clock.wallMs()),
+  });
   const keyTable = createKeyTable({ floor: keyFloor, maxKeys: readMaxKeys });
   const quarantine = createQuarantine({ wallMs: clock.wallMs });
   const monitor = createEndpointMonitor({
@@ -127,6 +131,8 @@
     monitor,
     quarantine,
     wallMs: clock.wallMs,
+    onBroken: (notice) =>
+      node.peers().forEach((peer) => peer.sendNotice(notice)),
     onCrash(notice) {
       counters.crashes.increment({ source: "own" });
       logger.warn(
--- a/src/agent/check_request.ts
+++ b/src/agent/check_request.ts
@@ -1,7 +1,7 @@
 /** Refusals that depend on the state of the fleet and of this agent. */
 
 import type { RequestHead, Trailer } from "../wire/mod.ts";
-import { refuseAs } from "./refusal.ts";
+import { refuseAs, unknownAs } from "./refusal.ts";
 import type { RequestContext } from "./request_context.ts";
 
 const WAKE_RETRY_MS = 500;
@@ -13,13 +13,7 @@
   context: RequestContext,
 ): Trailer | undefined {
   const { control, quarantine } = context;
-  if (isWaking(context)) {
-    return refuseAs(
-      "waking",
-      "The agent was paused and compares its configuration",
-      WAKE_RETRY_MS,
-    );
-  }
+  if (isWaking(context)) return refuseWaking(head);
   const closed = control.closure();
   if (closed !== undefined) return closed;
   if (head.service !== context.service) {
@@ -47,6 +41,19 @@
   );
 }
 
-export function isWaking({ node, pauseGuard }: RequestContext): boolean {
-  return node.view.isWaking() || pauseGuard.wasPaused();
+/** Evaluates both, because noting a pause raises the key floor. */
+export function isWaking(context: RequestContext): boolean {
+  const { node, pauseGuard, keyFloor, clock } = context;
+  const wasPaused = pauseGuard.wasPaused();
+  const isNodeWaking = node.view.isWaking();
+  if (isNodeWaking) keyFloor.restart(clock.wallMs());
+  return wasPaused || isNodeWaking;
+}
+
+/** During the pause a replacement may have run a call that must not repeat. */
+function refuseWaking({ repeatable }: RequestHead): Trailer {
+  const message = "The agent was paused and compares its configuration";
+  if (repeatable) return refuseAs("waking", message, WAKE_RETRY_MS);
+  const trailer = unknownAs("key_outcome_unknown", message);
+  return { ...trailer, retryAfterMs: WAKE_RETRY_MS };
 }
--- a/src/agent/crash_watch.ts
+++ b/src/agent/crash_watch.ts
@@ -32,6 +32,8 @@
   readonly monitor: EndpointMonitor;
   readonly quarantine: Quarantine;
   readonly wallMs: () => number;
+  /** A connection broke; whether the endpoint crashed is not certain yet. */
+  readonly onBroken: (notice: CrashNotice) => void;
   readonly onCrash: (notice: CrashNotice) => void;
 }
 
@@ -47,7 +49,8 @@
 const FREE_TURN: Turn = { release: () => undefined };
 
 export function createCrashWatch(options: CrashWatchOptions): CrashWatch {
-  const { endpoint, monitor, quarantine, wallMs, onCrash } = options;
+  const { endpoint, monitor, quarantine, wallMs } = options;
+  const { onBroken, onCrash } = options;
   let broken: readonly BrokenCall[] = [];
   let lastTurn: Promise<void> = Promise.resolve();
 
@@ -112,6 +115,8 @@
           const brokenAtMs = wallMs();
           const call = { fingerprint, bootId, startedAtMs, brokenAtMs };
           broken = [...broken, call];
+          onBroken(quarantine.recordPreliminary(fingerprint, endpoint));
+          void monitor.poll();
         },
       };
     },
--- a/src/agent/hand_off.ts
+++ b/src/agent/hand_off.ts
@@ -64,7 +64,7 @@
   aborter.close();
   running.end(isConnectionBroken(ending));
   endKey(ending, options);
-  const trailer = explainEnding(ending);
+  const trailer = explainEnding(ending, key !== undefined);
   counters.outcomes.increment({
     outcome: trailer.outcome,
     code: trailer.code ?? "",
@@ -170,10 +170,10 @@
   return ending.result.type === "whole" ? ending.result.stored : undefined;
 }
 
-function explainEnding(ending: Ending): Trailer {
+function explainEnding(ending: Ending, isKeyed: boolean): Trailer {
   switch (ending.type) {
     case "not_written":
-      return explainNotWritten(ending.reason);
+      return explainNotWritten(ending.reason, isKeyed);
     case "aborted":
       return unknownAs(ending.reason, "The request was cancelled");
     case "broken":
@@ -183,10 +183,15 @@
   }
 }
 
-function explainNotWritten(reason: string): Trailer {
+function explainNotWritten(reason: string, isKeyed: boolean): Trailer {
   switch (reason) {
-    case "hand_off_expired":
-      return refuseAs("waking", "The hand-off came too late", RETRY_MS);
+    case "hand_off_expired": {
+      const message = "The hand-off came too late";
+      // It did not run here, but a replacement of this agent may have run it.
+      return isKeyed
+        ? unknownAs("key_outcome_unknown", message)
+        : refuseAs("waking", message, RETRY_MS);
+    }
     case "invalid_request":
       return refuseAs("bad_request", "The request is not valid HTTP");
     default:
--- a/src/agent/handle_request.ts
+++ b/src/agent/handle_request.ts
@@ -6,7 +6,7 @@
 import type { Slot } from "../admission/mod.ts";
 import type { PlainService } from "../document/mod.ts";
 import type { Peer, RequestHead, Stream, Trailer } from "../wire/mod.ts";
-import { checkRequest } from "./check_request.ts";
+import { checkRequest, isWaking } from "./check_request.ts";
 import { handOff } from "./hand_off.ts";
 import { checkKey, explainKey } from "./key_check.ts";
 import type { KeyCheck, KeyCheckOptions, TimedKey } from "./key_check.ts";
@@ -35,6 +35,8 @@
     head.remainingMs - (context.clock.monotonicMs() - arrivedMs);
 
   await catchUp(peer, head, context);
+  // Notes a pause, so that the key floor is right before a key is looked up.
+  isWaking(context);
   const keyed = findKeyedService(head, context);
   // Without a document only the entry knows that the call must not repeat.
   const isBlind = context.node.view.config() === undefined && !head.repeatable;
--- a/src/agent/pause_guard.ts
+++ b/src/agent/pause_guard.ts
@@ -16,16 +16,36 @@
   close(): void;
 }
 
-export function createPauseGuard(clock: Clock): PauseGuard {
+export interface PauseGuardOptions {
+  readonly clock: Clock;
+  /** Runs once for each pause, before any work that follows it is judged. */
+  readonly onPause: () => void;
+}
+
+export function createPauseGuard(options: PauseGuardOptions): PauseGuard {
+  const { clock, onPause } = options;
   let last = readBoth(clock);
+  let isNoted = false;
+
+  function wasPaused(): boolean {
+    const isPaused = elapsedMs(last, readBoth(clock)) > MAX_GAP_MS;
+    if (isPaused && !isNoted) {
+      isNoted = true;
+      onPause();
+    }
+    return isPaused;
+  }
+
   function tick() {
+    wasPaused();
     last = readBoth(clock);
+    isNoted = false;
   }
   const timer = setInterval(tick, TICK_MS);
   timer.unref();
   return {
     tick,
-    wasPaused: () => elapsedMs(last, readBoth(clock)) > MAX_GAP_MS,
+    wasPaused,
     close: () => clearInterval(timer),
   };
 }
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -254,7 +254,7 @@
       createNotRun("no_configuration", "There is no configuration yet"),
     );
   }
-  const quarantineMs = context.crashBook.readQuarantineMs(request.fingerprint);
+  const quarantineMs = context.quarantine.remainingMs(request.fingerprint);
   if (quarantineMs > 0) {
     return createFail(
       createNotRun(
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -11,6 +11,7 @@
 import type { Logger } from "../logging/mod.ts";
 import type { Registry } from "../metrics/mod.ts";
 import type { Node } from "../node/mod.ts";
+import { createQuarantine } from "../quarantine/mod.ts";
 import {
   chooseByPrefixAndLoad,
   choosePeers,
@@ -18,7 +19,6 @@
 } from "../routing/mod.ts";
 import type { ChoicePolicy } from "../routing/mod.ts";
 import { createApp } from "./create_app.ts";
-import { createCrashBook } from "./crash_book.ts";
 import type { EntryContext } from "./entry_context.ts";
 import { createEntryMetrics } from "./entry_metrics.ts";
 import type { EntrySettings } from "./entry_settings.ts";
@@ -64,13 +64,13 @@
   const nowMs = options.nowMs ?? (() => performance.now());
   const metrics = createEntryMetrics(registry);
   const hints = createLoadHints();
-  const crashBook = createCrashBook(() => Date.now());
+  const quarantine = createQuarantine({ wallMs: Date.now });
   const context: EntryContext = {
     node,
     settings,
     metrics,
     hints,
-    crashBook,
+    quarantine,
     budget: createRetryBudget(nowMs),
     keptEventsPool: createMemoryPool(MAX_KEPT_EVENTS_BYTES),
     bodyPool: createMemoryPool(MAX_BODIES_BYTES),
@@ -145,7 +145,7 @@
   node.onNotice("crash", (from, notice) => {
     // Only news is passed on, so a notice crosses each connection once.
     const crash = parseCrashNotice(notice);
-    if (crash === undefined || !crashBook.add(crash)) return;
+    if (crash === undefined || !quarantine.accept(crash)) return;
     metrics.crashNotices.increment();
     node
       .peers()
@@ -154,7 +154,7 @@
   });
 
   node.onPeer((peer) =>
-    crashBook.list().forEach((notice) => peer.sendNotice(notice)),
+    quarantine.notices().forEach((notice) => peer.sendNotice(notice)),
   );
 
   /**
--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -3,7 +3,7 @@
 import type { RetryBudget } from "../limits/mod.ts";
 import type { Node } from "../node/mod.ts";
 import type { ChoicePolicy, LoadHints } from "../routing/mod.ts";
-import type { CrashBook } from "./crash_book.ts";
+import type { Quarantine } from "../quarantine/mod.ts";
 import type { EntryMetrics } from "./entry_metrics.ts";
 import type { EntrySettings } from "./entry_settings.ts";
 import type { MemoryPool } from "./memory_pool.ts";
@@ -14,7 +14,7 @@
   readonly metrics: EntryMetrics;
   readonly hints: LoadHints;
   readonly budget: RetryBudget;
-  readonly crashBook: CrashBook;
+  readonly quarantine: Quarantine;
   readonly keptEventsPool: MemoryPool;
   readonly bodyPool: MemoryPool;
   readonly choose: ChoicePolicy;
--- a/src/idempotency/key_floor.ts
+++ b/src/idempotency/key_floor.ts
@@ -12,6 +12,11 @@
 
 export interface KeyFloor {
   valueMs(): number;
+  /**
+   * Covers all keys up to now, as at a start: another process may have run
+   * them meanwhile.
+   */
+  restart(nowMs: number): void;
   /** Only ever raises the floor. */
   raise(toMs: number): void;
   /** True if a key of this time may have run without being in the table. */
@@ -23,6 +28,9 @@
   let valueMs = startedAtMs + SKEW_ALLOWANCE_MS;
   return {
     valueMs: () => valueMs,
+    restart(nowMs) {
+      valueMs = Math.max(valueMs, nowMs + SKEW_ALLOWANCE_MS);
+    },
     raise(toMs) {
       valueMs = Math.max(valueMs, toMs);
     },
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -157,6 +157,8 @@
   readonly fingerprint: string;
   readonly endpoint: string;
   readonly expiresAtMs: number;
+  /** True while the crash is not certain. */
+  readonly isPreliminary?: boolean;
 }
 
 /** Tells a process that a later one with its host name has been seen. */
@@ -211,6 +213,7 @@
   fingerprint: z.string(),
   endpoint: z.string(),
   expiresAtMs: z.number(),
+  isPreliminary: z.boolean().optional(),
 });
 
 const replacedNoticeSchema = z.object({
