--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -36,6 +36,8 @@
   readonly weightsMemoryBytes: number;
   readonly hostsLagMs: number;
   readonly ledgerWorkMs: number;
+  /** Folder of the compiled programs; by default the one of this module. */
+  readonly programRoot?: string;
 }
 
 export interface Fleet {
@@ -48,6 +50,15 @@
   /** Publishes the host list, with these hosts left out. */
   publishHosts(gone?: readonly string[]): Promise<void>;
   startAgent(hostName: string): void;
+  startEntry(hostName: string): void;
+  /**
+   * Gives the host name a new address and starts its endpoint and agent there;
+   * the old processes keep running as "NAME@OLD-IP". The host list changes at
+   * the next `publishHosts`.
+   */
+  replaceHost(hostName: string, ip: string): Promise<void>;
+  /** The host as it is now, with its latest address. */
+  findHost(hostName: string): PlannedHost;
   startEndpoint(hostName: string): Promise<void>;
   /** Waits until each of these hosts answers `/readyz` with 200. */
   waitUntilReady(
@@ -59,7 +70,8 @@
 
 export async function startFleet(options: FleetOptions): Promise<Fleet> {
   const { plan } = options;
-  const root = join(dirname(fileURLToPath(import.meta.url)), "..");
+  const root =
+    options.programRoot ?? join(dirname(fileURLToPath(import.meta.url)), "..");
   const folder = mkdtempSync(join(tmpdir(), "zinniaspur-"));
   const processes = new Map<string, ProcessHandle>();
 
@@ -88,8 +100,11 @@
     ]),
   ]);
 
+  const moved = new Map<string, PlannedHost>();
+  const listHosts = () => plan.hosts.map((h) => moved.get(h.name) ?? h);
+
   function findHost(name: string): PlannedHost {
-    const found = plan.hosts.find((host) => host.name === name);
+    const found = listHosts().find((host) => host.name === name);
     if (found === undefined) throw new Error(`Unknown host "${name}"`);
     return found;
   }
@@ -137,12 +152,27 @@
     );
   }
 
+  function startEntry(hostName: string) {
+    startBinary(findHost(hostName), {});
+  }
+
+  async function replaceHost(hostName: string, ip: string) {
+    const host = findHost(hostName);
+    [hostName, `endpoint-${hostName}`].forEach((name) => {
+      const handle = processes.get(name);
+      if (handle !== undefined) processes.set(`${name}@${host.ip}`, handle);
+    });
+    moved.set(hostName, { ...host, ip });
+    await startEndpoint(hostName);
+    startAgent(hostName);
+  }
+
   async function publish(choices: DocumentChoices) {
     await put(`${platformUrl}/admin/config`, plan.createDocument(choices));
   }
 
   async function publishHosts(gone: readonly string[] = []) {
-    const hosts = plan.hosts
+    const hosts = listHosts()
       .filter((host) => !gone.includes(host.name))
       .map((host) => ({
         name: host.name,
@@ -155,13 +185,24 @@
     await put(`${platformUrl}/admin/hosts`, JSON.stringify(hosts));
   }
 
+  async function closeAll() {
+    await Promise.all([...processes.values()].map((p) => p.stop()));
+    rmSync(folder, { recursive: true, force: true });
+  }
+
   const endpoints = plan.hosts.filter((host) => host.role === "endpoint");
   await publishHosts();
-  await Promise.all(endpoints.map((host) => startEndpoint(host.name)));
+  try {
+    await Promise.all(endpoints.map((host) => startEndpoint(host.name)));
+  } catch (error) {
+    // Another fleet may use the same addresses; leave nothing running.
+    await closeAll();
+    throw error;
+  }
   endpoints.forEach((host) => startAgent(host.name));
   plan.hosts
     .filter((host) => host.role === "entry")
-    .forEach((host) => startBinary(host, {}));
+    .forEach((host) => startEntry(host.name));
 
   return {
     plan,
@@ -171,6 +212,9 @@
     publish,
     publishHosts,
     startAgent,
+    startEntry,
+    replaceHost,
+    findHost,
     startEndpoint,
     async waitUntilReady(hostNames, timeoutMs) {
       const deadlineMs = performance.now() + timeoutMs;
@@ -178,10 +222,7 @@
         hostNames.map((name) => waitForReady(findHost(name), deadlineMs)),
       );
     },
-    async close() {
-      await Promise.all([...processes.values()].map((p) => p.stop()));
-      rmSync(folder, { recursive: true, force: true });
-    },
+    close: closeAll,
   };
 }
 
--- a/bench/fleet_plan.ts
+++ b/bench/fleet_plan.ts
@@ -49,6 +49,8 @@
   readonly coldConcurrency: number;
   readonly warmConcurrency: number;
   readonly requestsPerS: number;
+  /** Second byte of the loopback addresses; by default from the process id. */
+  readonly block?: number;
 }
 
 export interface BenchAccount {
@@ -64,7 +66,7 @@
 
 export function planFleet(options: FleetPlanOptions): FleetPlan {
   // A block of loopback addresses for each run keeps parallel runs apart.
-  const block = 1 + (process.pid % 250);
+  const block = options.block ?? 1 + (process.pid % 250);
   const hosts = options.dataCentres.flatMap((dataCentre, index) =>
     planDataCentre(dataCentre, `127.${block}.${index + 1}`),
   );
--- /dev/null
+++ b/test/fleet_fixture.ts
@@ -0,0 +1,242 @@
+/**
+ * A small fleet of real processes for the tests of this folder. One fleet runs
+ * at a time: the test files take turns by binding one loopback port.
+ */
+
+import { existsSync } from "node:fs";
+import { createServer } from "node:net";
+import type { Server } from "node:net";
+import { dirname, join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { request } from "undici";
+import { sendCompletion } from "../bench/call.ts";
+import type { CallResult } from "../bench/call.ts";
+import { startFleet } from "../bench/fleet.ts";
+import type { Fleet } from "../bench/fleet.ts";
+import {
+  endpointUrl,
+  LANGUAGE_SERVICE,
+  PEER_PORT,
+  processUrl,
+} from "../bench/fleet_hosts.ts";
+import { ACCOUNTS, planFleet } from "../bench/fleet_plan.ts";
+import type { PlannedHost } from "../bench/fleet_plan.ts";
+import { readLanguageStatus } from "../bench/fleet_status.ts";
+import {
+  COLD_CONCURRENCY,
+  ENGINE_PROFILE,
+  WARM_CONCURRENCY,
+} from "../bench/profiles.ts";
+import { waitUntil } from "./wait_until.ts";
+
+export const FLEET_START_MS = 240_000;
+const TURN_PORT = 39_417;
+const TURN_POLL_MS = 100;
+const READY_LIMIT_MS = 30_000;
+const MODEL_BYTES = 256 * 1024;
+
+export interface TestFleet extends Fleet {
+  readonly dataCentres: readonly string[];
+  urlOf(hostName: string): string;
+  endpointUrlOf(hostName: string): string;
+  /** `/status` of an entry or agent; undefined when it does not answer. */
+  readStatus(hostName: string): Promise<Status | undefined>;
+  signal(processName: string, signal: NodeJS.Signals): void;
+  setPlatform(availability: "up" | "down" | "stale"): Promise<void>;
+  /** Sends short requests until every engine is warm. */
+  warmUp(): Promise<void>;
+  countCrashes(): Promise<number>;
+  /** Requests that this host's endpoint has started. */
+  countStarted(hostName: string): Promise<number>;
+}
+
+export interface Status {
+  readonly config?: { readonly version: number };
+  readonly incarnation: string;
+  readonly phase?: string;
+  readonly inFlight: number;
+  readonly closed?: string;
+  readonly isWaking?: boolean;
+}
+
+export interface TestFleetOptions {
+  readonly languageEndpoints: number;
+  readonly ledgerEndpoints: number;
+  readonly ledgerWorkMs: number;
+}
+
+export async function startTestFleet(
+  options: TestFleetOptions,
+): Promise<TestFleet> {
+  const programRoot = join(
+    dirname(fileURLToPath(import.meta.url)),
+    "..",
+    "dist",
+  );
+  if (!existsSync(join(programRoot, "bin", "entry.js"))) {
+    throw new Error('dist/ is missing; run "npm run build" first');
+  }
+  const turn = await takeTurn();
+  const dataCentres = ["kolkata", "siliguri"];
+  const plan = planFleet({
+    dataCentres: dataCentres.map((name) => ({
+      name,
+      region: "bengal",
+      entries: 1,
+      languageEndpoints: options.languageEndpoints,
+      ledgerEndpoints: options.ledgerEndpoints,
+    })),
+    files: { sizeBytes: MODEL_BYTES, chunkBytes: 64 * 1024 },
+    hostMbitPerS: 200,
+    storeMbitPerS: 400,
+    regionMbitPerS: 200,
+    coldConcurrency: COLD_CONCURRENCY,
+    warmConcurrency: WARM_CONCURRENCY,
+    requestsPerS: 1_000,
+    block: await findFreeBlock(),
+  });
+  const fleet = await startFleet({
+    plan,
+    engine: ENGINE_PROFILE,
+    storeMbitPerS: 400,
+    weightsPolicy: "swarm",
+    weightsMemoryBytes: 4 * MODEL_BYTES,
+    hostsLagMs: 0,
+    ledgerWorkMs: options.ledgerWorkMs,
+    programRoot,
+  });
+  const engines = plan.hosts.filter((h) => h.service === LANGUAGE_SERVICE);
+  const entries = plan.hosts.filter((h) => h.role === "entry");
+
+  async function readCounters(host: PlannedHost) {
+    return readJson<Record<string, number>>(
+      `${endpointUrl(host)}/admin/counters`,
+    );
+  }
+
+  const testFleet: TestFleet = {
+    ...fleet,
+    dataCentres,
+    urlOf: (name) => processUrl(fleet.findHost(name)),
+    endpointUrlOf: (name) => endpointUrl(fleet.findHost(name)),
+    readStatus: (name) =>
+      readJson<Status>(`${processUrl(fleet.findHost(name))}/status`).catch(
+        () => undefined,
+      ),
+    signal: (name, signal) => fleet.processes().get(name)!.signal(signal),
+    async setPlatform(availability) {
+      for (const topic of ["config", "hosts"]) {
+        const { body } = await request(
+          `${fleet.platformUrl}/admin/${topic}/availability`,
+          { method: "POST", body: availability },
+        );
+        await body.dump();
+      }
+    },
+    async warmUp() {
+      const digest = plan.digestOf("v1");
+      await waitUntil(
+        "every engine is warm",
+        async () => {
+          const statuses = await readLanguageStatus(plan, digest);
+          const warm = statuses.filter((s) => s.phase === "warm");
+          if (warm.length === engines.length) return true;
+          await Promise.all(
+            Array.from({ length: 4 * engines.length }, (_, index) =>
+              sendStream(testFleet, entries[index % entries.length]!.name, {
+                prompt: `Warm-up ${Math.random()}`,
+                maxTokens: 3,
+              }),
+            ),
+          );
+          return false;
+        },
+        READY_LIMIT_MS,
+      );
+    },
+    async countCrashes() {
+      const all = await Promise.all(engines.map(readCounters));
+      return all.reduce((sum, counters) => sum + counters["crashes"]!, 0);
+    },
+    async countStarted(name) {
+      const host = fleet.findHost(name);
+      if (host.service === LANGUAGE_SERVICE) {
+        return (await readCounters(host))["started"]!;
+      }
+      const runs = await readJson<Record<string, number>>(
+        `${endpointUrl(host)}/admin/runs`,
+      );
+      return Object.values(runs).reduce((sum, count) => sum + count, 0);
+    },
+    async close() {
+      [...fleet.processes().values()].forEach((p) => p.signal("SIGCONT"));
+      await fleet.close();
+      await new Promise((resolve) => turn.close(resolve));
+    },
+  };
+
+  try {
+    await fleet.publish({ servingVersion: "v1", outDataCentres: [] });
+    await fleet.waitUntilReady(
+      plan.hosts.map((host) => host.name),
+      READY_LIMIT_MS,
+    );
+    if (engines.length > 0) await testFleet.warmUp();
+    return testFleet;
+  } catch (error) {
+    await testFleet.close();
+    throw error;
+  }
+}
+
+export interface StreamChoices {
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly account?: number;
+}
+
+export function sendStream(
+  fleet: Pick<TestFleet, "urlOf">,
+  entryName: string,
+  { prompt, maxTokens, account = 0 }: StreamChoices,
+): Promise<CallResult> {
+  return sendCompletion({
+    baseUrl: fleet.urlOf(entryName),
+    account: ACCOUNTS[account]!,
+    prompt,
+    maxTokens,
+  });
+}
+
+export async function readJson<T>(url: string): Promise<T> {
+  const { body } = await request(url, {
+    headersTimeout: 2_000,
+    bodyTimeout: 2_000,
+  });
+  return (await body.json()) as T;
+}
+
+/** A block of loopback addresses that no other fleet uses. */
+async function findFreeBlock(): Promise<number> {
+  for (;;) {
+    const block = 1 + Math.floor(Math.random() * 250);
+    const address = `127.${block}.1.1`;
+    const isFree = await new Promise<boolean>((resolve) => {
+      const probe = createServer();
+      probe.on("error", () => resolve(false));
+      probe.listen(PEER_PORT, address, () => probe.close(() => resolve(true)));
+    });
+    if (isFree) return block;
+  }
+}
+
+function takeTurn(): Promise<Server> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.on("error", () =>
+      setTimeout(() => server.listen(TURN_PORT, "127.0.0.1"), TURN_POLL_MS),
+    );
+    server.on("listening", () => resolve(server));
+    server.listen(TURN_PORT, "127.0.0.1");
+  });
+}
--- /dev/null
+++ b/test/stale_platform_test.ts
@@ -0,0 +1,139 @@
+/** Restarts while the configuration service is stale or down. */
+
+import {
+  afterAll,
+  afterEach,
+  beforeAll,
+  describe,
+  expect,
+  test,
+} from "@jest/globals";
+import { request } from "undici";
+import { sendBooking } from "../bench/call.ts";
+import { ACCOUNTS } from "../bench/fleet_plan.ts";
+import { createUuidV7 } from "../bench/uuid_v7.ts";
+import { FLEET_START_MS, startTestFleet } from "./fleet_fixture.ts";
+import type { TestFleet } from "./fleet_fixture.ts";
+import { waitUntil } from "./wait_until.ts";
+
+/** Design, section 1.2: an accepted configuration is in force in 5 s. */
+const IN_FORCE_MS = 5_000;
+const RESTART_LIMIT_MS = 10_000;
+const ENTRY = "entry-kolkata-1";
+const AGENT = "ledger-kolkata-1";
+const PEERS = ["entry-siliguri-1", "ledger-siliguri-1"];
+
+let fleet: TestFleet;
+
+beforeAll(async () => {
+  fleet = await startTestFleet({
+    languageEndpoints: 0,
+    ledgerEndpoints: 1,
+    ledgerWorkMs: 20,
+  });
+}, FLEET_START_MS);
+
+afterEach(() => setConfigService("up"));
+
+afterAll(async () => {
+  await fleet?.close();
+}, 30_000);
+
+/** The host list stays readable, as it comes from another service. */
+async function setConfigService(availability: "up" | "down" | "stale") {
+  const { body } = await request(
+    `${fleet.platformUrl}/admin/config/availability`,
+    { method: "POST", body: availability },
+  );
+  await body.dump();
+}
+
+async function kill(name: string) {
+  const handle = fleet.processes().get(name)!;
+  handle.signal("SIGKILL");
+  await handle.exited;
+}
+
+function start(name: string) {
+  if (name.startsWith("entry-")) fleet.startEntry(name);
+  else fleet.startAgent(name);
+}
+
+async function readVersion(name: string): Promise<number> {
+  return (await fleet.readStatus(name))?.config?.version ?? 0;
+}
+
+/** Publishes a change; returns the version once every process has it. */
+async function publishEverywhere(outDataCentres: readonly string[]) {
+  const names = [ENTRY, AGENT, ...PEERS];
+  const before = await Promise.all(names.map(readVersion));
+  const newest = Math.max(...before);
+  await fleet.publish({ servingVersion: "v1", outDataCentres });
+  await waitUntil(
+    "the change is in force everywhere",
+    async () => {
+      const versions = await Promise.all(names.map(readVersion));
+      return versions.every((version) => version > newest);
+    },
+    IN_FORCE_MS,
+  );
+  return newest + 1;
+}
+
+async function isReady(name: string): Promise<boolean> {
+  const { statusCode, body } = await request(`${fleet.urlOf(name)}/readyz`);
+  await body.dump();
+  return statusCode === 200;
+}
+
+describe("processes restart while the configuration service is not right", () => {
+  // Guards against a return to an older version after a restart.
+  test.each([
+    ["stale", ENTRY],
+    ["stale", AGENT],
+    ["down", ENTRY],
+    ["down", AGENT],
+  ] as const)(
+    "%s: %s starts with the version of its peers",
+    async (fault, name) => {
+      const out = fault === "stale" ? ["siliguri"] : [];
+      const version = await publishEverywhere(out);
+      await setConfigService(fault);
+      await kill(name);
+      start(name);
+      const first = await waitUntil(
+        `${name} is ready`,
+        async () => {
+          const ready = await isReady(name).catch(() => false);
+          return ready && readVersion(name);
+        },
+        RESTART_LIMIT_MS,
+      );
+      expect(first).toBe(version);
+    },
+    20_000,
+  );
+
+  // Guards against an entry that routes by no configuration at all.
+  test("an entry without peers and platform refuses everything", async () => {
+    await setConfigService("down");
+    await Promise.all([ENTRY, AGENT, ...PEERS].map(kill));
+    start(ENTRY);
+    const result = await waitUntil("the entry answers", async () => {
+      const told = await sendBooking({
+        baseUrl: fleet.urlOf(ENTRY),
+        account: ACCOUNTS[0]!,
+        idempotencyKey: createUuidV7(),
+      });
+      return told.detail.includes("ECONNREFUSED") ? undefined : told;
+    });
+    expect([result.outcome, result.detail]).toEqual([
+      "not_run",
+      "no_configuration",
+    ]);
+    expect(await isReady(ENTRY)).toBe(false);
+
+    await setConfigService("up");
+    await fleet.waitUntilReady([ENTRY], 20_000);
+  }, 30_000);
+});
--- /dev/null
+++ b/test/wait_until.ts
@@ -0,0 +1,19 @@
+/** Polls a condition until it holds or its time is over. */
+
+const POLL_MS = 25;
+
+export async function waitUntil<T>(
+  what: string,
+  probe: () => T | undefined | false | Promise<T | undefined | false>,
+  timeoutMs = 10_000,
+): Promise<T> {
+  const deadlineMs = performance.now() + timeoutMs;
+  for (;;) {
+    const found = await probe();
+    if (found !== undefined && found !== false) return found;
+    if (performance.now() > deadlineMs) {
+      throw new Error(`Not reached within ${timeoutMs} ms: ${what}`);
+    }
+    await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+  }
+}
