--- a/src/wire/peer.ts
+++ b/src/wire/peer.ts
@@ -21,7 +21,8 @@
 const MAX_STREAMS = 4_096;
 /**
  * A turn of the event loop can read dozens of tokens. Sending the first ones
- * meanwhile lets the other process work on them in parallel.
+ * meanwhile lets the other process work on them in parallel; the smaller
+ * segments cost an entry about a tenth more processor time.
  */
 const MAX_CORK_MS = 0.25;
 
