--- a/test/process_faults_test.ts
+++ b/test/process_faults_test.ts
@@ -13,7 +13,7 @@
 import type { CallResult } from "../bench/call.ts";
 import { ACCOUNTS } from "../bench/fleet_plan.ts";
 import { CRASH_PROMPT } from "../stand_ins/engine.ts";
-import { createUuidV7 } from "../bench/uuid_v7.ts";
+import { createUuidV7 } from "../src/uuid/mod.ts";
 import { chooseRunner } from "../src/idempotency/mod.ts";
 import { HTTP_PORT } from "../bench/fleet_hosts.ts";
 import { FLEET_START_MS, readJson } from "./fleet_fixture.ts";
@@ -68,7 +68,7 @@
 
 /** A new key whose configured runner is this ledger. */
 function createKeyOf(ledger: string): string {
-  const keys = Array.from({ length: 200 }, () => createUuidV7());
+  const keys = Array.from({ length: 200 }, () => createUuidV7(Date.now()));
   const sets = [{ fromMs: 0, runners: LEDGERS }];
   return keys.find((key) => chooseRunner(key, sets) === ledger)!;
 }
--- a/test/stale_platform_test.ts
+++ b/test/stale_platform_test.ts
@@ -11,7 +11,7 @@
 import { request } from "undici";
 import { sendBooking } from "../bench/call.ts";
 import { ACCOUNTS } from "../bench/fleet_plan.ts";
-import { createUuidV7 } from "../bench/uuid_v7.ts";
+import { createUuidV7 } from "../src/uuid/mod.ts";
 import { FLEET_START_MS, startTestFleet } from "./fleet_fixture.ts";
 import type { TestFleet } from "./fleet_fixture.ts";
 import { waitUntil } from "./wait_until.ts";
@@ -123,7 +123,7 @@
       const told = await sendBooking({
         baseUrl: fleet.urlOf(ENTRY),
         account: ACCOUNTS[0]!,
-        idempotencyKey: createUuidV7(),
+        idempotencyKey: createUuidV7(Date.now()),
       });
       return told.detail.includes("ECONNREFUSED") ? undefined : told;
     });
