Check notices once, in the wire module

The entry parsed notices that the peer connection had checked already. The bounds that only the entry had (no negative counts, bounded names) now hold for every process.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -23,7 +23,7 @@
 import { createEntryMetrics } from "./entry_metrics.ts";
 import type { EntrySettings } from "./entry_settings.ts";
 import { createMemoryPool } from "./memory_pool.ts";
-import { parseCrashNotice, parseLoadNotice } from "./parse_notice.ts";
+import type { CrashNotice, LoadNotice } from "../wire/mod.ts";
 import { refuseMalformed } from "./refuse_malformed.ts";
 
 const MAX_KEPT_EVENTS_BYTES = 48 * 1024 * 1024;
@@ -138,14 +138,12 @@
       },
     }),
   );
-  node.onNotice("load", (peer, notice) => {
-    const report = parseLoadNotice(notice);
-    if (report !== undefined) hints.onReport(peer, report);
-  });
+  node.onNotice("load", (peer, notice) =>
+    hints.onReport(peer, notice as LoadNotice),
+  );
   node.onNotice("crash", (from, notice) => {
     // Only news is passed on, so a notice crosses each connection once.
-    const crash = parseCrashNotice(notice);
-    if (crash === undefined || !quarantine.accept(crash)) return;
+    if (!quarantine.accept(notice as CrashNotice)) return;
     metrics.crashNotices.increment();
     node
       .peers()
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -184,9 +184,9 @@
   service: z.string(),
   phase: phaseSchema,
   versionDigest: z.string().optional(),
-  inFlight: z.number(),
-  queued: z.number(),
-  limit: z.number(),
+  inFlight: z.number().nonnegative(),
+  queued: z.number().nonnegative(),
+  limit: z.number().nonnegative(),
 });
 
 const versionNoticeSchema = z.object({
@@ -210,8 +210,8 @@
 
 const crashNoticeSchema = z.object({
   topic: z.literal("crash"),
-  fingerprint: z.string(),
-  endpoint: z.string(),
+  fingerprint: z.string().max(128),
+  endpoint: z.string().max(256),
   expiresAtMs: z.number(),
   isPreliminary: z.boolean().optional(),
 });
