--- a/bench/mechanisms.ts
+++ b/bench/mechanisms.ts
@@ -182,7 +182,7 @@
   {
     guarantee: 4,
     name: "retry budget",
-    file: "src/entry/dispatch.ts",
+    file: "src/entry/choose_step.ts",
     find: "else if (!budget.take()) {",
     replace: "else if (budget === undefined) {",
     testFile: "src/entry/faults_test.ts",
