--- a/bench/demo.ts
+++ b/bench/demo.ts
@@ -121,7 +121,7 @@
       send: () => sendKeyedBooking(pickUrl(), random),
     });
     say(`Sending ${STREAMS_PER_S} streams/s and ${BOOKINGS_PER_S} bookings/s`);
-    await delay(3_000);
+    await delay(2_000);
 
     say("Publishing version v2");
     await fleet.publish({ servingVersion: "v2", outDataCentres: [] });
@@ -133,10 +133,10 @@
       servingVersion: "v2",
       outDataCentres: ["siliguri"],
     });
-    await delay(4_000);
+    await delay(3_000);
     say("Bringing data centre siliguri back");
     await fleet.publish({ servingVersion: "v2", outDataCentres: [] });
-    await delay(3_000);
+    await delay(2_000);
 
     say("Killing the agent of assistant-kolkata-1; starting it again in 2 s");
     fleet.processes().get("assistant-kolkata-1")!.signal("SIGKILL");
