Start no request on an endpoint that may have crashed until it reports

Cause: after a broken connection the agent admitted up to the cold limit while the state of its engine was unknown. Requests that met the engine during its restart broke as well and counted as preliminary crashes; on the second restarting engine they were quarantined for 30 s. A trace of the test showed "connection_lost" once and "request_quarantined" from then on for a request of another kind. Ruled out: a quarantine of the wrong fingerprint (the other client account was answered), missing endpoints (two were warm).

The agent now refuses ("endpoint_cold", not run, retried elsewhere) from a broken connection until the next report.

The new test with a fake engine fails without the change.

--- a/bench/mechanisms.ts
+++ b/bench/mechanisms.ts
@@ -61,6 +61,15 @@
     testFile: "src/agent/language_faults_test.ts",
     test: "a restarted agent counts what its endpoint runs",
   },
+  {
+    guarantee: 2,
+    name: "no new work after a broken connection until a report",
+    file: "src/agent/endpoint_control.ts",
+    find: 'if (phase === "unknown") {',
+    replace: 'if (phase === "unknown" && versionDigest === undefined) {',
+    testFile: "src/agent/language_faults_test.ts",
+    test: "no request starts until the engine reports again",
+  },
   {
     guarantee: 3,
     name: "agent refuses while its data centre is out",
--- a/src/agent/endpoint_control.ts
+++ b/src/agent/endpoint_control.ts
@@ -111,7 +111,7 @@
   }
 
   function closeForEndpoint(): Trailer | undefined {
-    const { phase, versionDigest, reportedAtMs } = monitor.status();
+    const { phase, versionDigest } = monitor.status();
     if (phase === "down" || phase === "empty" || phase === "loading") {
       return refuseAs(
         "endpoint_cold",
@@ -119,10 +119,12 @@
         RETRY_LOADING_MS,
       );
     }
-    if (readKind() === "plain") {
-      if (reportedAtMs > 0) return undefined;
+    // An endpoint that may have crashed would break further connections, and
+    // the requests on them would count as a cause of the crash.
+    if (phase === "unknown") {
       return refuseAs("endpoint_cold", "The endpoint is unknown", RETRY_MS);
     }
+    if (readKind() === "plain") return undefined;
     if (!isVoid && isServable(versionDigest)) return undefined;
     return refuseAs(
       "endpoint_cold",
@@ -289,7 +291,7 @@
       admission.setForeign(foreign);
     },
     onConnectionLost() {
-      // Admission is cold until a report shows whether the endpoint restarted.
+      // Closed until a report shows whether the endpoint restarted.
       monitor.distrust();
     },
     shutDown() {
--- a/src/agent/language_faults_test.ts
+++ b/src/agent/language_faults_test.ts
@@ -263,6 +263,25 @@
 });
 
 describe("requests that crash endpoints", () => {
+  // Guards against a quarantine of requests that only met an engine that had
+  // already crashed: they broke as well and counted as its cause.
+  test("no request starts until the engine reports again", async () => {
+    const { entry, engine, notices, until } = await start();
+    engine.state.reportedAtMs = Date.now();
+    engine.onRequest(({ response }) => void response.destroy());
+    const poison = await ask(entry, { fingerprint: "poison" });
+    expect(poison.trailer?.outcome).toBe("unknown");
+    const innocent = await ask(entry, { fingerprint: "innocent" });
+    expect(innocent.accepted).toBe(false);
+    expect(innocent.trailer).toEqual(notRun("endpoint_cold"));
+    await until(() => notices.some(({ topic }) => topic === "crash"));
+    const counted = notices.flatMap((n) =>
+      n.topic === "crash" ? [n.fingerprint] : [],
+    );
+    expect(new Set(counted)).toEqual(new Set(["poison"]));
+    expect(engine.requests).toHaveLength(1);
+  });
+
   // Guards against a third crash, and against harm to another client account.
   test("two crashes quarantine only the request itself", async () => {
     const { entry, engine, connect, notices, until } = await start();
