Match routes of plain services by one rule at the entry and the agent

Cause: the agent compared the raw path with the route's prefix, and took a call without a route for a repeatable one. With an entry whose older document called the route repeatable, an encoded path ("/%62ookings") or a path without a route ran without a key, so it could run twice. The rule of the entry is now in src/document and used by both; a call that matches no route must carry a key.

Before: two of the four new cases failed. After: the tests of src/agent, src/entry and src/document passed (212).

--- a/src/agent/handle_request.ts
+++ b/src/agent/handle_request.ts
@@ -207,9 +207,8 @@
   const config = node.view.config();
   const found = config && findService(config.document, service);
   if (found?.kind !== "plain" || head.service !== service) return undefined;
-  const path = head.path.split("?", 1)[0]!;
   const isRepeatable =
-    head.repeatable && isRouteRepeatable(found, head.method, path);
+    head.repeatable && isRouteRepeatable(found, head.method, head.path);
   return isRepeatable ? undefined : found;
 }
 
--- a/src/agent/key_faults_test.ts
+++ b/src/agent/key_faults_test.ts
@@ -203,11 +203,16 @@
   });
 
   // Guards against a route that the entry's older document calls repeatable.
-  test("the agent's own document decides what must not repeat", async () => {
-    const { entry } = await start();
-    const head = book(undefined, { repeatable: true });
-    expect((await ask(entry, head)).trailer?.code).toBe("key_required");
-  });
+  // An encoded path and a path without a route ran without a key.
+  test.each(["/bookings", "/%62ookings", "/bookings?a=1", "/refunds"])(
+    "the agent's own document decides that %s must not repeat",
+    async (path) => {
+      const { entry, engine } = await start();
+      const head = book(undefined, { repeatable: true, path });
+      expect((await ask(entry, head)).trailer?.code).toBe("key_required");
+      expect(engine.requests).toHaveLength(0);
+    },
+  );
 });
 
 describe("endpoint client", () => {
--- a/src/agent/service_config.ts
+++ b/src/agent/service_config.ts
@@ -1,5 +1,6 @@
 /** Look-ups in the accepted configuration that concern one endpoint. */
 
+import { matchRoute, normalizePath } from "../document/mod.ts";
 import type {
   EnvironmentDocument,
   LanguageService,
@@ -37,15 +38,13 @@
   return model?.versions.find(({ name }) => name === model.servingVersion);
 }
 
-/** The longest matching prefix decides; a call without a route repeats. */
+/** False without a route: then nothing says that the call may repeat. */
 export function isRouteRepeatable(
   service: PlainService,
   method: string,
   path: string,
 ): boolean {
-  const matching = service.routes
-    .filter((route) => route.method.toUpperCase() === method.toUpperCase())
-    .filter((route) => path.startsWith(route.pathPrefix))
-    .sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
-  return matching[0]?.repeatable ?? true;
+  const routePath = normalizePath(path.split("?", 1)[0]!);
+  if (routePath === undefined) return false;
+  return matchRoute(service, method, routePath)?.repeatable ?? false;
 }
--- a/src/entry/match_route.ts
+++ b/src/document/match_route.ts
@@ -1,10 +1,10 @@
 /** Finds the document's route for a call of a plain service. */
 
-import type { PlainService, Route } from "../document/mod.ts";
+import type { PlainService, Route } from "./environment_document.ts";
 
 /**
- * Undefined if the path could mean another route to the service than to the
- * entry: a call must not pass for a repeatable one by the spelling of its path.
+ * Undefined if the path could mean another route to the service than to this
+ * system: a call must not pass for a repeatable one by the spelling of its path.
  */
 export function normalizePath(path: string): string | undefined {
   if (/%2f|%5c|%00|\\/i.test(path)) return undefined;
--- a/src/document/mod.ts
+++ b/src/document/mod.ts
@@ -9,6 +9,7 @@
 export type { Finding } from "./finding.ts";
 export type { Issue } from "./issue.ts";
 export { locateIssues } from "./locate_issues.ts";
+export { matchRoute, normalizePath } from "./match_route.ts";
 export { parseDocument } from "./parse_document.ts";
 export type { ParseDocumentOptions } from "./parse_document.ts";
 export { parseYaml } from "./parse_yaml.ts";
--- a/src/entry/read_call_request.ts
+++ b/src/entry/read_call_request.ts
@@ -3,6 +3,7 @@
 import { randomUUID } from "node:crypto";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
+import { matchRoute, normalizePath } from "../document/mod.ts";
 import type { EnvironmentDocument, PlainService } from "../document/mod.ts";
 import {
   chooseRunner,
@@ -13,7 +14,6 @@
 import type { CallRequest } from "./call.ts";
 import { createFingerprint } from "./fingerprint.ts";
 import { parseLanguageRequest } from "./language_request.ts";
-import { matchRoute, normalizePath } from "./match_route.ts";
 import { createNotRun } from "./refusal.ts";
 import type { Refusal } from "./refusal.ts";
 
