Bench: share the fleet plan and the two loads of the demo and the measures

The demo and the data-centre measure each wrote out the same fleet plan, the same start options and the same two loads (language requests and bookings). They now come from trial_fleet.ts and trial_load.ts.

--- a/bench/demo.ts
+++ b/bench/demo.ts
@@ -5,29 +5,27 @@
  */
 
 import { auditBookings } from "./booking_audit.ts";
-import { sendCompletion } from "./call.ts";
-import { startFleet } from "./fleet.ts";
 import type { Fleet } from "./fleet.ts";
-import { endpointUrl, LEDGER_SERVICE, processUrl } from "./fleet_hosts.ts";
-import { ACCOUNTS, planFleet } from "./fleet_plan.ts";
+import { endpointUrl, LEDGER_SERVICE } from "./fleet_hosts.ts";
 import type { VersionName } from "./fleet_plan.ts";
 import { isServing, readLanguageStatus } from "./fleet_status.ts";
-import { sendKeyedBooking } from "./keyed_booking.ts";
-import { startLoad } from "./load.ts";
-import {
-  COLD_CONCURRENCY,
-  ENGINE_PROFILE,
-  WARM_CONCURRENCY,
-} from "./profiles.ts";
-import { createRandom, pickOne } from "./random.ts";
+import { createRandom } from "./random.ts";
 import { countDetails, countOutcomes } from "./tally.ts";
+import { planTrial } from "./trial_fleet.ts";
+import { startBookingLoad, startLanguageLoad } from "./trial_load.ts";
 
 const SEED = 1;
 const STREAMS_PER_S = 20;
 const BOOKINGS_PER_S = 10;
 const STEP_LIMIT_MS = 20_000;
-const MODEL_BYTES = 2 * 1024 * 1024;
 
+const trial = planTrial({
+  dataCentres: ["kolkata", "siliguri"],
+  readRegion: (dataCentre) => `region-${dataCentre}`,
+  modelMib: 2,
+  links: { hostMbitPerS: 20, storeMbitPerS: 40, regionMbitPerS: 15 },
+  requestsPerS: 200,
+});
 const startMs = performance.now();
 
 function say(text: string) {
@@ -48,7 +46,7 @@
     const serving = statuses.filter((s) => isServing(s, digest)).length;
     const held = statuses.reduce((sum, s) => sum + s.bytesHeld, 0);
     const percent = Math.floor(
-      (100 * held) / (MODEL_BYTES * Math.max(1, statuses.length)),
+      (100 * held) / (trial.modelBytes * Math.max(1, statuses.length)),
     );
     const line = `${version}: ${percent}% of the bytes held, ${serving} of ${statuses.length} endpoints serving`;
     if (line !== shown) say(`  ${line}`);
@@ -62,37 +60,14 @@
 }
 
 async function runDemo(): Promise<boolean> {
-  const plan = planFleet({
-    dataCentres: ["kolkata", "siliguri"].map((name) => ({
-      name,
-      region: `region-${name}`,
-      entries: 1,
-      languageEndpoints: 3,
-      ledgerEndpoints: 1,
-    })),
-    files: { sizeBytes: MODEL_BYTES, chunkBytes: 64 * 1024 },
-    hostMbitPerS: 20,
-    storeMbitPerS: 40,
-    regionMbitPerS: 15,
-    coldConcurrency: COLD_CONCURRENCY,
-    warmConcurrency: WARM_CONCURRENCY,
-    requestsPerS: 200,
-  });
+  const { plan } = trial;
   const entries = plan.hosts.filter((host) => host.role === "entry");
   const ledgers = plan.hosts.filter((h) => h.service === LEDGER_SERVICE);
 
   say(
     "Starting the platform, the weight store, 2 entries, 8 agents, 8 endpoints",
   );
-  const fleet = await startFleet({
-    plan,
-    engine: ENGINE_PROFILE,
-    storeMbitPerS: 40,
-    weightsPolicy: "swarm",
-    weightsMemoryBytes: 4 * MODEL_BYTES,
-    hostsLagMs: 1_000,
-    ledgerWorkMs: 20,
-  });
+  const fleet = await trial.start();
   try {
     await fleet.publish({ servingVersion: "v1", outDataCentres: [] });
     say("Published a document with version v1");
@@ -103,22 +78,18 @@
     await waitForVersion(fleet, "v1");
 
     const random = createRandom(SEED);
-    const pickUrl = () => processUrl(pickOne(random, entries));
-    const streams = startLoad({
+    const streams = startLanguageLoad({
+      plan,
       ratePerS: STREAMS_PER_S,
       random,
-      send: () =>
-        sendCompletion({
-          baseUrl: pickUrl(),
-          account: pickOne(random, ACCOUNTS),
-          prompt: `Quotation ${Math.floor(random() * 50)}`,
-          maxTokens: 10 + Math.floor(random() * 40),
-        }),
+      prompts: 50,
+      minTokens: 10,
+      lengths: 40,
     });
-    const bookings = startLoad({
+    const bookings = startBookingLoad({
+      plan,
       ratePerS: BOOKINGS_PER_S,
       random,
-      send: () => sendKeyedBooking(pickUrl(), random),
     });
     say(`Sending ${STREAMS_PER_S} streams/s and ${BOOKINGS_PER_S} bookings/s`);
     await delay(2_000);
--- a/bench/load.ts
+++ b/bench/load.ts
@@ -3,22 +3,24 @@
 import type { CallResult } from "./call.ts";
 import type { Random } from "./random.ts";
 
-export interface RunningLoad {
+export interface RunningLoad<T extends CallResult> {
   sent(): number;
-  results(): readonly CallResult[];
+  results(): readonly T[];
   /** Stops sending and waits for the calls in progress. */
-  stop(): Promise<readonly CallResult[]>;
+  stop(): Promise<readonly T[]>;
 }
 
-export interface LoadOptions {
+export interface LoadOptions<T extends CallResult> {
   readonly ratePerS: number;
   readonly random: Random;
-  readonly send: () => Promise<CallResult>;
+  readonly send: () => Promise<T>;
 }
 
-export function startLoad(options: LoadOptions): RunningLoad {
+export function startLoad<T extends CallResult>(
+  options: LoadOptions<T>,
+): RunningLoad<T> {
   const { ratePerS, random, send } = options;
-  const results: CallResult[] = [];
+  const results: T[] = [];
   const pending = new Set<Promise<void>>();
   let sent = 0;
   let nextAtMs = performance.now();
--- a/bench/measure_data_centre.ts
+++ b/bench/measure_data_centre.ts
@@ -6,27 +6,18 @@
 import { Command } from "commander";
 import { request } from "undici";
 import { auditBookings } from "./booking_audit.ts";
-import { sendCompletion } from "./call.ts";
 import type { CallResult } from "./call.ts";
-import { startFleet } from "./fleet.ts";
-import { endpointUrl, LANGUAGE_SERVICE, processUrl } from "./fleet_hosts.ts";
+import { endpointUrl, LANGUAGE_SERVICE } from "./fleet_hosts.ts";
 import { LEDGER_SERVICE } from "./fleet_hosts.ts";
-import { ACCOUNTS, planFleet } from "./fleet_plan.ts";
 import type { PlannedHost } from "./fleet_plan.ts";
 import { waitUntilServing } from "./fleet_status.ts";
-import { sendKeyedBooking } from "./keyed_booking.ts";
-import { startLoad } from "./load.ts";
-import {
-  COLD_CONCURRENCY,
-  ENGINE_PROFILE,
-  WARM_CONCURRENCY,
-} from "./profiles.ts";
-import { createRandom, pickOne } from "./random.ts";
+import { createRandom } from "./random.ts";
 import { computePercentiles, countDetails, countOutcomes } from "./tally.ts";
+import { planTrial } from "./trial_fleet.ts";
+import { startBookingLoad, startLanguageLoad } from "./trial_load.ts";
 
 const STREAMS_PER_S = 30;
 const BOOKINGS_PER_S = 10;
-const MODEL_BYTES = 1024 * 1024;
 const READY_LIMIT_MS = 30_000;
 const POLL_MS = 20;
 const OUT = "siliguri";
@@ -38,22 +29,11 @@
   .parse()
   .opts<{ seed: string; seconds: string; json?: boolean }>();
 
-const plan = planFleet({
-  dataCentres: ["kolkata", OUT, "bardhaman"].map((name) => ({
-    name,
-    region: "bengal",
-    entries: 1,
-    languageEndpoints: 3,
-    ledgerEndpoints: 1,
-  })),
-  files: { sizeBytes: MODEL_BYTES, chunkBytes: 64 * 1024 },
-  hostMbitPerS: 100,
-  storeMbitPerS: 200,
-  regionMbitPerS: 100,
-  coldConcurrency: COLD_CONCURRENCY,
-  warmConcurrency: WARM_CONCURRENCY,
+const trial = planTrial({
+  dataCentres: ["kolkata", OUT, "bardhaman"],
   requestsPerS: 1_000,
 });
+const { plan } = trial;
 
 function delay(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
@@ -96,15 +76,7 @@
   };
 }
 
-const fleet = await startFleet({
-  plan,
-  engine: ENGINE_PROFILE,
-  storeMbitPerS: 200,
-  weightsPolicy: "swarm",
-  weightsMemoryBytes: 4 * MODEL_BYTES,
-  hostsLagMs: 1_000,
-  ledgerWorkMs: 20,
-});
+const fleet = await trial.start();
 try {
   await fleet.publish({ servingVersion: "v1", outDataCentres: [] });
   const entries = plan.hosts.filter((host) => host.role === "entry");
@@ -119,23 +91,15 @@
   await waitUntilServing(plan, "v1", { limitMs: READY_LIMIT_MS });
 
   const random = createRandom(Number(options.seed));
-  const pickUrl = () => processUrl(pickOne(random, entries));
-  const streams = startLoad({
+  const streams = startLanguageLoad({
+    plan,
     ratePerS: STREAMS_PER_S,
     random,
-    send: () =>
-      sendCompletion({
-        baseUrl: pickUrl(),
-        account: pickOne(random, ACCOUNTS),
-        prompt: `Quotation ${Math.floor(random() * 200)}`,
-        maxTokens: 10 + Math.floor(random() * 60),
-      }),
-  });
-  const bookings = startLoad({
-    ratePerS: BOOKINGS_PER_S,
-    random,
-    send: () => sendKeyedBooking(pickUrl(), random),
+    prompts: 200,
+    minTokens: 10,
+    lengths: 60,
   });
+  const bookings = startBookingLoad({ plan, ratePerS: BOOKINGS_PER_S, random });
   const phaseMs = Number(options.seconds) * 1000;
   // The endpoints warm up under the load before anything is measured.
   await delay(6_000);
