Admission: a full queue drops the lowest priority, and no wait is unbounded

A full queue refused every newcomer whatever its priority, so that under overload the priority decided only the order within a queue filled by arrival.

A newcomer now takes the place of the newest waiting request of the lowest priority, which is refused at once with a time to come back. A request that higher priorities overtake again and again is refused after twice its estimated wait, at least 1 s, instead of being held until its deadline.

The old test expected a full queue to refuse priority 9 while priority 0 waited, which contradicts the requirement. Its replacement checks the order and the refusals of the dropped ones; it and the test of the bounded wait fail on the old code.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -15,6 +15,14 @@
 const SERVICE_TIME_WEIGHT = 0.1;
 const MIN_RETRY_AFTER_MS = 100;
 const MAX_RETRY_AFTER_MS = 30_000;
+/**
+ * Higher priorities may overtake a waiting request again and again, or the
+ * limit may fall. It is then refused after this many times the wait estimated
+ * on its arrival, instead of being held until its deadline.
+ */
+const MAX_WAIT_FACTOR = 2;
+/** Covers the error of the estimate for fast services. */
+const MIN_WAIT_LIMIT_MS = 1_000;
 
 export interface Refusal {
   readonly code: string;
@@ -162,12 +170,17 @@
     return hasFreeSlot() && queue.size() === 0;
   }
 
+  function isQueueFull(): boolean {
+    return queue.size() >= (limits()?.maxQueued ?? 0);
+  }
+
   function preview(request: AdmissionRequest): Refusal | undefined {
     if (condition.state === "closed") return condition.refusal;
     if (request.remainingMs <= 0) return DEADLINE_REFUSAL;
     if (hasPrompt()) return undefined;
     const ahead = queue.countAhead(request.priority);
-    const isFull = queue.size() >= (limits()?.maxQueued ?? 0);
+    // A full queue makes room by dropping a request of lower priority.
+    const isFull = isQueueFull() && ahead === queue.size();
     const isHopeless = estimateWaitMs(ahead) > request.remainingMs;
     return isFull || isHopeless ? refuseOverload(ahead) : undefined;
   }
@@ -181,6 +194,13 @@
     return granted;
   }
 
+  function dropLowest() {
+    const dropped = queue.pop();
+    if (dropped === undefined) return;
+    clearTimeout(dropped.timer);
+    dropped.settle(err(refuseOverload(queue.size())));
+  }
+
   function wait(request: AdmissionRequest): Ticket {
     let settle: (result: Result<Slot, Refusal>) => void;
     const result = new Promise<Result<Slot, Refusal>>(
@@ -193,10 +213,18 @@
       waiting.settle(err(refusal));
       onChange();
     }
-    waiting.timer = setTimeout(
-      () => leave(DEADLINE_REFUSAL),
-      request.remainingMs,
+    const limitMs = Math.max(
+      MIN_WAIT_LIMIT_MS,
+      MAX_WAIT_FACTOR * estimateWaitMs(queue.countAhead(request.priority)),
     );
+    waiting.timer =
+      limitMs < request.remainingMs
+        ? setTimeout(
+            () => leave(refuseOverload(queue.countAhead(request.priority))),
+            limitMs,
+          )
+        : setTimeout(() => leave(DEADLINE_REFUSAL), request.remainingMs);
+    if (isQueueFull()) dropLowest();
     queue.push(waiting, request.priority);
     onChange();
     return {
--- a/src/admission/admission_test.ts
+++ b/src/admission/admission_test.ts
@@ -1,6 +1,6 @@
-import { describe, expect, test } from "@jest/globals";
+import { describe, expect, jest, test } from "@jest/globals";
 import { createAdmission } from "./mod.ts";
-import type { Slot } from "./mod.ts";
+import type { Refusal, Slot } from "./mod.ts";
 
 function create(limits = { coldConcurrency: 1, warmConcurrency: 4 }) {
   let nowMs = 0;
@@ -46,8 +46,9 @@
     expect(admission.limit()).toBe(0);
   });
 
-  // Guards against a low priority that holds up a high one.
-  test("higher priority first, then arrival; a full queue refuses", async () => {
+  // Guards against a low priority that holds up a high one, in the queue or by
+  // filling it, and against a drop that is held back.
+  test("higher priority first; a full queue drops the lowest", async () => {
     const { admission } = create();
     admission.setCondition({ state: "cold" });
     const order: string[] = [];
@@ -62,13 +63,54 @@
         return result;
       });
     }
-    const waiting = [add("low", 0), add("high", 5), add("low2", 0)];
-    const refused = await add("extra", 9);
-    expect(refused._unsafeUnwrapErr().code).toBe("overloaded");
-    expect(refused._unsafeUnwrapErr().retryAfterMs).toBeGreaterThan(0);
+    const low = add("low", 0);
+    const dropped = [add("newer low", 0)];
+    const high = add("high", 5);
+    dropped.unshift(add("refused low", 0));
+    const highest = add("highest", 9);
+    const refusals = await Promise.all(dropped);
+    refusals.forEach((refusal) => {
+      expect(refusal._unsafeUnwrapErr().code).toBe("overloaded");
+      expect(refusal._unsafeUnwrapErr().retryAfterMs).toBeGreaterThan(0);
+    });
+    expect(admission.queued()).toBe(3);
     first.release("succeeded");
-    await Promise.all(waiting);
-    expect(order).toEqual(["high", "low", "low2"]);
+    await Promise.all([low, high, highest]);
+    expect(order).toEqual(["highest", "high", "low"]);
+  });
+
+  // Guards against a high priority that is dropped for its equals.
+  test("a queue full of equals refuses the newest", async () => {
+    const { admission } = create();
+    admission.setCondition({ state: "cold" });
+    await admitNow(admission);
+    const request = { priority: 9, remainingMs: 60_000 };
+    const waiting = Array.from({ length: 3 }, () => admission.admit(request));
+    const { result } = admission.admit(request);
+    expect((await result)._unsafeUnwrapErr().code).toBe("overloaded");
+    expect(admission.queued()).toBe(3);
+    waiting.forEach(({ cancel }) => cancel());
+  });
+
+  // Guards against a low priority that is overtaken until its deadline.
+  test("refuses a request that has waited far longer than estimated", async () => {
+    jest.useFakeTimers();
+    try {
+      const { admission } = create();
+      admission.setCondition({ state: "cold" });
+      await admitNow(admission);
+      const { result } = admission.admit({ priority: 0, remainingMs: 60_000 });
+      let refusal: Refusal | undefined;
+      void result.then((r) => (refusal = r._unsafeUnwrapErr()));
+      // One request runs for the assumed second; the wait is at most two.
+      await jest.advanceTimersByTimeAsync(1_900);
+      expect(refusal).toBeUndefined();
+      await jest.advanceTimersByTimeAsync(200);
+      expect(refusal).toMatchObject({ code: "overloaded" });
+      expect(refusal?.retryAfterMs).toBeGreaterThan(0);
+    } finally {
+      jest.useRealTimers();
+    }
   });
 
   // Guards against a wait that cannot end in time, and against retry times
--- a/src/admission/wait_queue.ts
+++ b/src/admission/wait_queue.ts
@@ -3,6 +3,8 @@
 export interface WaitQueue<T> {
   push(item: T, priority: number): void;
   shift(): T | undefined;
+  /** Takes the newest item of the lowest priority. */
+  pop(): T | undefined;
   remove(item: T): boolean;
   /** Number of waiting items that run before a new one of this priority. */
   countAhead(priority: number): number;
@@ -25,6 +27,7 @@
       items.splice(countAhead(priority), 0, { item, priority });
     },
     shift: () => items.shift()?.item,
+    pop: () => items.pop()?.item,
     remove(item) {
       const index = items.findIndex((other) => other.item === item);
       if (index !== -1) items.splice(index, 1);
