--- /dev/null
+++ b/src/weights/chunk_progress.ts
@@ -0,0 +1,63 @@
+/** Which chunks of a manifest are held, and which are still to be requested. */
+
+import { clearBit, createBitmap, hasBit, setBit } from "./bitmap.ts";
+import type { Manifest } from "./manifest.ts";
+
+export interface ChunkProgress {
+  readonly manifest: Manifest;
+  /** One bit for each chunk held. */
+  readonly held: Uint8Array;
+  chunksHeld(): number;
+  isWhole(): boolean;
+  isHeld(index: number): boolean;
+  /** True if the chunk is neither held nor requested. */
+  isWanted(index: number): boolean;
+  /** True if the manifest lists this chunk. */
+  includes(digest: string): boolean;
+  setWanted(digest: string, isWanted: boolean): void;
+  markHeld(digest: string): void;
+}
+
+export function createChunkProgress(
+  manifest: Manifest,
+  isCached: (digest: string) => boolean,
+): ChunkProgress {
+  const { chunks } = manifest;
+  const held = createBitmap(chunks.length);
+  const wanted = createBitmap(chunks.length).fill(0xff);
+  // A chunk whose bytes repeat in the model has several indices.
+  const indicesOf = new Map<string, number[]>();
+  let chunksHeld = 0;
+
+  function setWanted(digest: string, isWanted: boolean) {
+    const change = isWanted ? setBit : clearBit;
+    (indicesOf.get(digest) ?? []).forEach((index) => change(wanted, index));
+  }
+
+  function markHeld(digest: string) {
+    setWanted(digest, false);
+    (indicesOf.get(digest) ?? []).forEach((index) => {
+      if (hasBit(held, index)) return;
+      setBit(held, index);
+      chunksHeld += 1;
+    });
+  }
+
+  chunks.forEach((chunk, index) => {
+    const indices = indicesOf.get(chunk.digest);
+    if (indices === undefined) indicesOf.set(chunk.digest, [index]);
+    else indices.push(index);
+  });
+  [...indicesOf.keys()].filter(isCached).forEach(markHeld);
+  return {
+    manifest,
+    held,
+    chunksHeld: () => chunksHeld,
+    isWhole: () => chunksHeld === chunks.length,
+    isHeld: (index) => hasBit(held, index),
+    isWanted: (index) => hasBit(wanted, index),
+    includes: (digest) => indicesOf.has(digest),
+    setWanted,
+    markHeld,
+  };
+}
--- a/src/weights/create_weights.ts
+++ b/src/weights/create_weights.ts
@@ -4,9 +4,6 @@
  */
 
 import type { Logger } from "../logging/mod.ts";
-import type { Registry } from "../metrics/mod.ts";
-import type { Node } from "../node/mod.ts";
-import { createWireCounters } from "../wire/mod.ts";
 import type { HaveNotice, Phase } from "../wire/mod.ts";
 import { createAnnouncer } from "./announcer.ts";
 import { createBitmap, hasBit } from "./bitmap.ts";
@@ -15,7 +12,12 @@
 import { createChunkServer } from "./chunk_server.ts";
 import { chooseWeightPeers } from "./choose_weight_peers.ts";
 import { MANIFEST_INDEX } from "./fetch_from_peer.ts";
-import { createLinkBucket } from "./link_bucket.ts";
+import {
+  createHostBuckets,
+  readHostBytesPerS,
+  readLinks,
+} from "./link_rates.ts";
+import type { LinkOptions } from "./link_rates.ts";
 import type { Manifest } from "./manifest.ts";
 import { findMembers } from "./members.ts";
 import { createPeerHoldings } from "./peer_holdings.ts";
@@ -31,16 +33,11 @@
 
 export type WeightsPolicy = "store" | "swarm";
 
-export interface WeightsOptions {
-  readonly node: Node;
+export interface WeightsOptions extends LinkOptions {
   readonly service: string;
   readonly storeUrl: string;
   readonly memoryBytes: number;
   readonly policy: WeightsPolicy;
-  /** Lower than the document's, for a host with a slower link. */
-  readonly hostUpMbitPerS?: number | undefined;
-  readonly hostDownMbitPerS?: number | undefined;
-  readonly registry: Registry;
   readonly logger: Logger;
 }
 
@@ -55,9 +52,6 @@
   swarm: { decide: decideInSwarm, usesPeers: true, storeTasks: 2 },
 };
 
-const BYTES_PER_MBIT = 125_000;
-/** Used only until a first document is accepted. */
-const DEFAULT_LINK_MBIT_PER_S = 1_000;
 /** Notices that arrive close together are acted upon together. */
 const NOTICE_DELAY_MS = 25;
 /** Manifests of earlier versions whose chunks can still be served. */
@@ -82,7 +76,7 @@
   let phase: Phase = "unknown";
   let isClosed = false;
 
-  const { up, down } = createBuckets(options);
+  const { up, down } = createHostBuckets(options, nowMs);
   const announcer = createAnnouncer({
     readNotice,
     listPeers: () => holdings.list().map((holding) => holding.peer),
@@ -299,44 +293,3 @@
     chunkCount: holding.chunkCount,
   };
 }
-
-/** The wire counters see all peer traffic of this process, also live. */
-function createBuckets(options: WeightsOptions) {
-  const wire = createWireCounters(options.registry);
-  return {
-    up: createLinkBucket({
-      readBytesPerS: () => readHostBytesPerS(options, "up"),
-      readChargedBytes: () =>
-        wire.bytesSent.samples().reduce((sum, sample) => sum + sample.value, 0),
-      nowMs,
-    }),
-    down: createLinkBucket({
-      readBytesPerS: () => readHostBytesPerS(options, "down"),
-      readChargedBytes: () => wire.bytesReceived.read({}),
-      nowMs,
-    }),
-  };
-}
-
-function readHostBytesPerS(
-  options: WeightsOptions,
-  direction: "up" | "down",
-): number {
-  const links = options.node.view.config()?.document.links;
-  const own =
-    direction === "up" ? options.hostUpMbitPerS : options.hostDownMbitPerS;
-  return (
-    Math.min(links?.hostMbitPerS ?? DEFAULT_LINK_MBIT_PER_S, own ?? Infinity) *
-    BYTES_PER_MBIT
-  );
-}
-
-function readLinks(node: Node) {
-  const links = node.view.config()?.document.links;
-  return {
-    storeBytesPerS:
-      (links?.storeMbitPerS ?? DEFAULT_LINK_MBIT_PER_S) * BYTES_PER_MBIT,
-    regionBytesPerS:
-      (links?.regionMbitPerS ?? DEFAULT_LINK_MBIT_PER_S) * BYTES_PER_MBIT,
-  };
-}
--- /dev/null
+++ b/src/weights/fetch_chunk.ts
@@ -0,0 +1,50 @@
+/** Fetches one chunk from one source, verifies it and keeps it. */
+
+import type { ChunkProgress } from "./chunk_progress.ts";
+import { computeDigest } from "./digest.ts";
+import type { FetchLimits, FetchResult } from "./fetch_result.ts";
+import type { Source } from "./policy.ts";
+import type { TransferState } from "./transfer_state.ts";
+
+/** Room comes free when requests end or another version is given up. */
+const NO_ROOM_DELAY_MS = 1_000;
+
+export interface ChunkSource {
+  /** Host name of a peer, or the store's name. */
+  readonly name: string;
+  readonly from: "store" | Source["distance"];
+  readonly run: (limits: FetchLimits) => Promise<FetchResult>;
+}
+
+export async function fetchChunk(
+  state: TransferState,
+  progress: ChunkProgress,
+  options: ChunkSource & { readonly index: number },
+): Promise<void> {
+  const { context, outcomes, peers } = state;
+  const { cache, changes, counters } = context;
+  const { name, from, run, index } = options;
+  const { digest, sizeBytes } = progress.manifest.chunks[index]!;
+  if (!cache.reserve(sizeBytes, progress.includes)) {
+    outcomes.defer(name, NO_ROOM_DELAY_MS);
+    counters.failedRequests.increment({ source: "cache", reason: "memory" });
+    return;
+  }
+  progress.setWanted(digest, false);
+  const limits = state.createLimits(from, { sizeBytes, isExact: true });
+  const bytes = outcomes.settle(name, await run(limits));
+  if (bytes === undefined || computeDigest(bytes) !== digest) {
+    cache.release(sizeBytes);
+    progress.setWanted(digest, true);
+    if (bytes !== undefined) outcomes.onCorrupt(name);
+    changes.notify();
+    return;
+  }
+  outcomes.onSuccess(name);
+  cache.put(digest, bytes);
+  progress.markHeld(digest);
+  peers.onHoldingsChanged();
+  context.onChunk();
+  changes.notify();
+  if (progress.isWhole()) context.onComplete();
+}
--- /dev/null
+++ b/src/weights/fetch_tasks.ts
@@ -0,0 +1,104 @@
+/**
+ * The tasks that fetch chunks, one for each peer and a few for the store. Each
+ * asks the policy what to do next and does it, until the version is whole or
+ * no longer wanted.
+ */
+
+import { hasBit } from "./bitmap.ts";
+import type { ChunkProgress } from "./chunk_progress.ts";
+import { fetchChunk } from "./fetch_chunk.ts";
+import { fetchFromPeer } from "./fetch_from_peer.ts";
+import type { Holding } from "./peer_holdings.ts";
+import type { Source, TransferView } from "./policy.ts";
+import { STORE_NAME } from "./source_outcomes.ts";
+import type { TransferState } from "./transfer_state.ts";
+import { createTransferView } from "./transfer_view.ts";
+
+/** A peer that wants another version is looked at again after this time. */
+const UNUSABLE_DELAY_MS = 1_000;
+
+export async function runStoreTask(
+  state: TransferState,
+  progress: ChunkProgress,
+): Promise<void> {
+  const { context, outcomes } = state;
+  const source: Source = {
+    kind: "store",
+    distance: "other_region",
+    has: () => true,
+    sentCopies: () => 0,
+  };
+  const view = createTransferView(state, progress, { source });
+  while (isUnfinished(state)) {
+    const index = await chooseNext(state, {
+      view,
+      readyAtMs: outcomes.readyAtMs(STORE_NAME),
+    });
+    if (index === undefined) continue;
+    const { digest } = progress.manifest.chunks[index]!;
+    await fetchChunk(state, progress, {
+      index,
+      name: STORE_NAME,
+      from: "store",
+      run: (limits) => context.store.fetch("chunks", digest, limits),
+    });
+  }
+}
+
+export async function runPeerTask(
+  state: TransferState,
+  progress: ChunkProgress,
+  holding: Holding,
+): Promise<void> {
+  const { context, outcomes, peers, manifestDigest, version } = state;
+  const { peer, host } = holding;
+  const source: Source = {
+    kind: "peer",
+    distance: peers.distanceOf(holding),
+    has: (index) => hasBit(holding.bitmap, index),
+    sentCopies: () => holding.sentBytes / version.sizeBytes,
+  };
+  const view = createTransferView(state, progress, { source, holding });
+  while (isUnfinished(state) && !peer.isClosed()) {
+    if (outcomes.isAvoided(host)) return;
+    const index = await chooseNext(state, {
+      view,
+      readyAtMs: peers.isUsable(holding)
+        ? outcomes.readyAtMs(host)
+        : context.nowMs() + UNUSABLE_DELAY_MS,
+    });
+    if (index === undefined) continue;
+    if (source.distance === "other_region") {
+      state.regionShare.take(progress.manifest.chunks[index]!.sizeBytes);
+    }
+    state.peerRequests += 1;
+    await fetchChunk(state, progress, {
+      index,
+      name: host,
+      from: source.distance,
+      run: (limits) => fetchFromPeer(peer, { manifestDigest, index }, limits),
+    });
+    state.peerRequests -= 1;
+  }
+}
+
+function isUnfinished(state: TransferState): boolean {
+  return !state.isEnded() && !state.isWhole();
+}
+
+/** Undefined after a wait, when everything has to be looked at again. */
+async function chooseNext(
+  { context }: TransferState,
+  options: { readonly view: TransferView; readonly readyAtMs: number },
+): Promise<number | undefined> {
+  const { changes, policy, nowMs } = context;
+  const { view, readyAtMs } = options;
+  if (readyAtMs > nowMs()) {
+    await changes.wait(readyAtMs - nowMs());
+    return undefined;
+  }
+  const decision = policy(view);
+  if (decision.type === "fetch") return decision.index;
+  await changes.wait(decision.untilMs - nowMs());
+  return undefined;
+}
--- /dev/null
+++ b/src/weights/link_rates.ts
@@ -0,0 +1,62 @@
+/**
+ * Rates of the links: the host's own from the settings or the document, the
+ * store's and the regions' from the document.
+ */
+
+import type { Registry } from "../metrics/mod.ts";
+import type { Node } from "../node/mod.ts";
+import { createWireCounters } from "../wire/mod.ts";
+import { createLinkBucket } from "./link_bucket.ts";
+
+export interface LinkOptions {
+  readonly node: Node;
+  readonly registry: Registry;
+  /** Lower than the document's, for a host with a slower link. */
+  readonly hostUpMbitPerS?: number | undefined;
+  readonly hostDownMbitPerS?: number | undefined;
+}
+
+const BYTES_PER_MBIT = 125_000;
+/** Used only until a first document is accepted. */
+const DEFAULT_LINK_MBIT_PER_S = 1_000;
+
+/** The wire counters see all peer traffic of this process, also live. */
+export function createHostBuckets(options: LinkOptions, nowMs: () => number) {
+  const wire = createWireCounters(options.registry);
+  return {
+    up: createLinkBucket({
+      readBytesPerS: () => readHostBytesPerS(options, "up"),
+      readChargedBytes: () =>
+        wire.bytesSent.samples().reduce((sum, sample) => sum + sample.value, 0),
+      nowMs,
+    }),
+    down: createLinkBucket({
+      readBytesPerS: () => readHostBytesPerS(options, "down"),
+      readChargedBytes: () => wire.bytesReceived.read({}),
+      nowMs,
+    }),
+  };
+}
+
+export function readHostBytesPerS(
+  options: LinkOptions,
+  direction: "up" | "down",
+): number {
+  const links = options.node.view.config()?.document.links;
+  const own =
+    direction === "up" ? options.hostUpMbitPerS : options.hostDownMbitPerS;
+  return (
+    Math.min(links?.hostMbitPerS ?? DEFAULT_LINK_MBIT_PER_S, own ?? Infinity) *
+    BYTES_PER_MBIT
+  );
+}
+
+export function readLinks(node: Node) {
+  const links = node.view.config()?.document.links;
+  return {
+    storeBytesPerS:
+      (links?.storeMbitPerS ?? DEFAULT_LINK_MBIT_PER_S) * BYTES_PER_MBIT,
+    regionBytesPerS:
+      (links?.regionMbitPerS ?? DEFAULT_LINK_MBIT_PER_S) * BYTES_PER_MBIT,
+  };
+}
--- /dev/null
+++ b/src/weights/source_outcomes.ts
@@ -0,0 +1,83 @@
+/**
+ * How requests to each source of a transfer ended: which peers are avoided or
+ * distrusted, and when each source may be asked again.
+ */
+
+import type { FetchResult } from "./fetch_result.ts";
+import { createRetryTimes } from "./retry_times.ts";
+import type { TransferContext } from "./transfer_context.ts";
+
+/** Name of the weight store among the sources; the others are host names. */
+export const STORE_NAME = "";
+
+export interface SourceOutcomes {
+  /** True for a peer that has sent corrupt bytes. */
+  isAvoided(host: string): boolean;
+  /** Its chunks do not count as held until it has sent one again. */
+  isDistrusted(host: string): boolean;
+  readyAtMs(name: string): number;
+  defer(name: string, delayMs: number): void;
+  /** Records a failure; returns the bytes if the request succeeded. */
+  settle(name: string, result: FetchResult): Uint8Array | undefined;
+  onCorrupt(name: string): void;
+  onSuccess(name: string): void;
+}
+
+export interface SourceOutcomesOptions {
+  readonly context: TransferContext;
+  readonly manifestDigest: string;
+  readonly isEnded: () => boolean;
+  /** Runs when a peer's chunks may no longer count, or count again. */
+  readonly onChange: () => void;
+}
+
+export function createSourceOutcomes(
+  options: SourceOutcomesOptions,
+): SourceOutcomes {
+  const { manifestDigest, isEnded, onChange } = options;
+  const { counters, changes, logger, nowMs, random } = options.context;
+  const retries = createRetryTimes({ nowMs, random });
+  const avoided = new Set<string>();
+
+  function settle(name: string, result: FetchResult): Uint8Array | undefined {
+    if (isEnded()) return undefined;
+    if (result.type === "ok") return result.bytes;
+    const source = describeSource(name);
+    if (result.type === "refused") {
+      retries.defer(name, result.retryAfterMs);
+      if (source === "peer") return undefined;
+      retries.backOff(name);
+      counters.failedRequests.increment({ source, reason: result.code });
+      return undefined;
+    }
+    counters.failedRequests.increment({ source, reason: result.reason });
+    if (result.type === "corrupt") onCorrupt(name);
+    else retries.backOff(name);
+    onChange();
+    return undefined;
+  }
+
+  function onCorrupt(name: string) {
+    const source = describeSource(name);
+    counters.corruptChunks.increment({ source });
+    logger.warn({ source, host: name, manifestDigest }, "Corrupt chunk");
+    if (source === "store") return retries.backOff(name);
+    avoided.add(name);
+    onChange();
+    changes.notify();
+  }
+
+  return {
+    isAvoided: (host) => avoided.has(host),
+    isDistrusted: (host) => avoided.has(host) || retries.failures(host) > 0,
+    readyAtMs: retries.readyAtMs,
+    defer: retries.defer,
+    settle,
+    onCorrupt,
+    onSuccess: retries.succeed,
+  };
+}
+
+function describeSource(name: string): "store" | "peer" {
+  return name === STORE_NAME ? "store" : "peer";
+}
--- /dev/null
+++ b/src/weights/transfer_context.ts
@@ -0,0 +1,38 @@
+/** What a transfer uses of the agent around it. */
+
+import type { Logger } from "../logging/mod.ts";
+import type { ChangeSignal } from "./change_signal.ts";
+import type { ChunkCache } from "./chunk_cache.ts";
+import type { Manifest } from "./manifest.ts";
+import type { Member } from "./members.ts";
+import type { PeerHoldings } from "./peer_holdings.ts";
+import type { Policy } from "./policy.ts";
+import type { StoreClient } from "./store_client.ts";
+import type { WeightCounters } from "./weight_counters.ts";
+
+export interface TransferContext {
+  readonly selfHost: string;
+  readonly policy: Policy;
+  readonly usesPeers: boolean;
+  readonly storeTasks: number;
+  readonly cache: ChunkCache;
+  readonly holdings: PeerHoldings;
+  readonly store: StoreClient;
+  readonly changes: ChangeSignal;
+  readonly counters: WeightCounters;
+  readonly logger: Logger;
+  readonly waitForRoom: () => Promise<void>;
+  readonly chargeStoreBytes: (bytes: number) => void;
+  readonly listMembers: () => readonly Member[];
+  readonly readLinks: () => {
+    readonly storeBytesPerS: number;
+    readonly regionBytesPerS: number;
+  };
+  /** A manifest that is already known. */
+  readonly findManifest: (digest: string) => Manifest | undefined;
+  readonly onManifest: (manifest: Manifest) => void;
+  readonly onChunk: () => void;
+  readonly onComplete: () => void;
+  readonly nowMs: () => number;
+  readonly random: () => number;
+}
--- /dev/null
+++ b/src/weights/transfer_state.ts
@@ -0,0 +1,124 @@
+/** The state that the tasks of one transfer share. */
+
+import { createBitmap } from "./bitmap.ts";
+import { createChunkProgress } from "./chunk_progress.ts";
+import type { ChunkProgress } from "./chunk_progress.ts";
+import type { FetchLimits } from "./fetch_result.ts";
+import type { Manifest } from "./manifest.ts";
+import type { Source } from "./policy.ts";
+import { createRegionShare } from "./region_share.ts";
+import type { RegionShare } from "./region_share.ts";
+import { createSourceOutcomes } from "./source_outcomes.ts";
+import type { SourceOutcomes } from "./source_outcomes.ts";
+import { createTakeover } from "./takeover.ts";
+import type { Takeover } from "./takeover.ts";
+import type { TransferContext } from "./transfer_context.ts";
+import { createTransferPeers } from "./transfer_peers.ts";
+import type { TransferPeers } from "./transfer_peers.ts";
+import type { WantedVersion } from "./weights.ts";
+
+export interface TransferState {
+  readonly context: TransferContext;
+  readonly version: WantedVersion;
+  /** The object that holdings of this version refer to. */
+  readonly manifestDigest: string;
+  readonly startedAtMs: number;
+  readonly outcomes: SourceOutcomes;
+  readonly peers: TransferPeers;
+  readonly regionShare: RegionShare;
+  readonly takeover: Takeover;
+  /** Requests to peers that are in flight. */
+  peerRequests: number;
+  /** Undefined until the manifest is known. */
+  progress(): ChunkProgress | undefined;
+  /** Empty until the manifest is known. */
+  bitmap(): Uint8Array;
+  setManifest(manifest: Manifest): void;
+  createLimits(
+    from: "store" | Source["distance"],
+    size: Pick<FetchLimits, "sizeBytes" | "isExact">,
+  ): FetchLimits;
+  isEnded(): boolean;
+  isWhole(): boolean;
+  end(): void;
+}
+
+export function createTransferState(
+  version: WantedVersion,
+  context: TransferContext,
+): TransferState {
+  const { holdings, cache, counters, nowMs } = context;
+  const manifestDigest = holdings.intern(version.manifestDigest);
+  const aborter = new AbortController();
+  const startedAtMs = nowMs();
+  const noChunks = createBitmap(0);
+  let progress: ChunkProgress | undefined;
+
+  function isEnded() {
+    return aborter.signal.aborted;
+  }
+
+  const outcomes = createSourceOutcomes({
+    context,
+    manifestDigest,
+    isEnded,
+    onChange: () => peers.onHoldingsChanged(),
+  });
+  const peers = createTransferPeers({
+    context,
+    outcomes,
+    manifestDigest,
+    sizeBytes: version.sizeBytes,
+    chunkCount: () => progress?.manifest.chunks.length,
+  });
+  const takeover = createTakeover({
+    assignments: peers.assignments,
+    findHolding(host) {
+      const holding = holdings.find(host);
+      return holding?.manifestDigest === manifestDigest ? holding : undefined;
+    },
+    lostAtMs: holdings.lostAtMs,
+    isDistrusted: outcomes.isDistrusted,
+    startedAtMs,
+    nowMs,
+    onTakeover: (level) => counters.takeovers.increment({ level }),
+  });
+
+  return {
+    context,
+    version,
+    manifestDigest,
+    startedAtMs,
+    outcomes,
+    peers,
+    regionShare: createRegionShare({
+      readBytesPerS: () => context.readLinks().regionBytesPerS,
+      countGateways: () => peers.assignments().regionGatewayCount,
+      nowMs,
+    }),
+    takeover,
+    peerRequests: 0,
+    progress: () => progress,
+    bitmap: () => progress?.held ?? noChunks,
+    setManifest(manifest) {
+      progress = createChunkProgress(
+        manifest,
+        (digest) => cache.get(digest) !== undefined,
+      );
+      peers.onManifest();
+      context.onManifest(manifest);
+    },
+    createLimits: (from, size) => ({
+      ...size,
+      waitForRoom: context.waitForRoom,
+      signal: aborter.signal,
+      onBytes(bytes) {
+        if (from === "store") context.chargeStoreBytes(bytes);
+        counters.receivedBytes.increment({ from }, bytes);
+      },
+    }),
+    isEnded,
+    isWhole: () => progress?.isWhole() ?? false,
+    end: () => aborter.abort(),
+  };
+}
--- /dev/null
+++ b/src/weights/transfer_view.ts
@@ -0,0 +1,47 @@
+/** What the policy sees of a transfer and of one source of it. */
+
+import type { ChunkProgress } from "./chunk_progress.ts";
+import type { Holding } from "./peer_holdings.ts";
+import type { Source, TransferView } from "./policy.ts";
+import type { TransferState } from "./transfer_state.ts";
+
+/** Part of the fleet's chunks that the store sends at one time. */
+const STORE_WINDOW_MS = 400;
+const MIN_STORE_WINDOW = 4;
+
+/** Built once for each task: tasks decide many times a second. */
+export function createTransferView(
+  state: TransferState,
+  progress: ChunkProgress,
+  options: { readonly source: Source; readonly holding?: Holding },
+): TransferView {
+  const { source, holding } = options;
+  const { context, peers, regionShare, takeover } = state;
+  const { chunks, sizeBytes } = progress.manifest;
+  const averageBytes = sizeBytes / chunks.length;
+  return {
+    get nowMs() {
+      return context.nowMs();
+    },
+    source,
+    chunkCount: chunks.length,
+    get peerRequests() {
+      return state.peerRequests;
+    },
+    isHeld: progress.isHeld,
+    isWanted: progress.isWanted,
+    holders: peers.holders,
+    hasBetterHolder: (index) =>
+      holding !== undefined && peers.hasBetterHolder(holding, index),
+    mayFetch: takeover.mayFetch,
+    get storeWindowChunks() {
+      const { storeBytesPerS } = context.readLinks();
+      const windowBytes = (storeBytesPerS * STORE_WINDOW_MS) / 1000;
+      return Math.max(MIN_STORE_WINDOW, Math.ceil(windowBytes / averageBytes));
+    },
+    get regionLinkFreeAtMs() {
+      return regionShare.freeAtMs();
+    },
+    random: context.random,
+  };
+}
