--- a/bench/mechanisms.ts
+++ b/bench/mechanisms.ts
@@ -28,10 +28,10 @@
   {
     guarantee: 1,
     name: "chunk digest check before use",
-    file: "src/weights/transfer.ts",
-    find: "computeDigest(bytes) === digest",
-    replace: "computeDigest(bytes) !== ''",
-    testFile: "src/weights/weights_test.ts",
+    file: "src/weights/fetch_chunk.ts",
+    find: "computeDigest(bytes) !== digest",
+    replace: "computeDigest(bytes) === ''",
+    testFile: "src/weights/weight_faults_test.ts",
     test: "rejects a corrupt chunk of the store and asks again",
   },
   {
