--- a/bench/mechanisms.ts
+++ b/bench/mechanisms.ts
@@ -40,7 +40,7 @@
     file: "src/entry/attempt.ts",
     find: "return versionDigest === continued.versionDigest;",
     replace: "return true;",
-    testFile: "src/entry/faults_test.ts",
+    testFile: "src/entry/stream_faults_test.ts",
     test: "does not continue on an endpoint of another digest",
   },
   {
@@ -113,7 +113,7 @@
     file: "src/entry/dispatch.ts",
     find: "history.loss = result.refusal;",
     replace: "history.failure = { ...result.refusal, outcome: 'not_run' };",
-    testFile: "src/entry/faults_test.ts",
+    testFile: "src/entry/key_faults_test.ts",
     test: "is unknown when lost",
   },
   {
@@ -194,7 +194,7 @@
     file: "src/entry/choose_step.ts",
     find: "else if (!budget.take()) {",
     replace: "else if (budget === undefined) {",
-    testFile: "src/entry/faults_test.ts",
+    testFile: "src/entry/dispatch_faults_test.ts",
     test: "stops retrying when the budget is used up",
   },
 ];
