Say in the status what is the transfer and what the roll-out

The line "the rest can load in about 75 s" gave the time of the transfer and read as the time until all serve. The rate behind it was the mean since /status was first read, so a first read in the middle of a transfer found a rate of 0 and said that some receive nothing.

The transfer counts its bytes over the last 10 s now, whether or not anyone reads the status. The command says "transfer done in about" and lists the endpoints that are still to serve the version by roll-out step, which agents report already. No time for the roll-out: no process knows how long engines load and become warm, so one would be a guess.

--- a/src/agent/agent_status.ts
+++ b/src/agent/agent_status.ts
@@ -6,7 +6,7 @@
 import type { StatusReport, TransferStatus } from "../status/mod.ts";
 import type { Weights } from "../weights/mod.ts";
 import type { RequestContext } from "./request_context.ts";
-import { createTransferStatusReader } from "./transfer_status.ts";
+import { createTransferStatus } from "./transfer_status.ts";
 
 export interface StatusSources {
   readonly context: RequestContext;
@@ -37,18 +37,17 @@
   ]);
 }
 
-/** Reads the status page; keeps what it needs for the transfer rate. */
+/** Reads the status page. */
 export function createAgentStatusReader(sources: StatusSources) {
   const { context, weights, rolloutPhase } = sources;
   const { node, admission, control, keyTable, keyFloor, quarantine } = context;
   const { identity, view } = node;
-  const transferStatus = createTransferStatusReader(context.clock.monotonicMs);
 
   function readTransfers(): readonly TransferStatus[] {
     const target = sources.readTarget();
     if (target === undefined) return [];
     const progress = weights.progress(target.manifestDigest);
-    return [transferStatus.read(progress, target.sizeBytes)];
+    return [createTransferStatus(progress, target.sizeBytes)];
   }
 
   return () => {
@@ -64,13 +63,13 @@
       phase: control.phase(),
       ...(servingDigest === undefined ? {} : { servingDigest }),
       transfers: readTransfers(),
+      rollout: rolloutPhase(),
       inFlight: admission.inFlight(),
     };
     return {
       ...report,
       configFloor: control.configFloor(),
       hostListSequence: view.hosts().sequence,
-      rollout: rolloutPhase(),
       closed: closed?.code,
       closedReason: closed?.message,
       queued: admission.queued(),
--- a/src/agent/testing/fake_weights.ts
+++ b/src/agent/testing/fake_weights.ts
@@ -25,6 +25,7 @@
       chunksHeld: held.has(manifestDigest) ? 2 : 0,
       chunkCount: 2,
       bytesHeld: held.has(manifestDigest) ? 6 : 0,
+      bytesPerS: 0,
       isComplete: held.has(manifestDigest),
     }),
     onComplete: (handler) => void handlers.push(handler),
--- a/src/cli/run_command_test.ts
+++ b/src/cli/run_command_test.ts
@@ -6,6 +6,7 @@
 const PRODUCTION = "examples/aloshikha/production.yaml";
 const TRIAL = "examples/aloshikha/trial.yaml";
 const DIGEST = `sha256:${"a".repeat(64)}`;
+const OTHER_DIGEST = `sha256:${"b".repeat(64)}`;
 
 interface Answers {
   readonly files?: Readonly<Record<string, string>>;
@@ -61,6 +62,7 @@
     phase: "loading",
     servingDigest: undefined as never,
     transfers: [TRANSFER],
+    rollout: "transferring",
   }),
   "http://127.0.0.1:3/status": { not: "a status" },
 };
@@ -135,6 +137,31 @@
     expect(out).toMatch(/new\.yaml:\d+:\d+: services\[1\]\.runner_sets\[0\]/);
   });
 
+  // Guards against a time for the transfer that operators take for the time
+  // until all serve.
+  test("tells the transfer from the roll-out", async () => {
+    const whole = { ...TRANSFER, bytesHeld: TRANSFER.sizeBytes, bytesPerS: 0 };
+    const report = { servingDigest: OTHER_DIGEST, transfers: [whole] };
+    const urls = {
+      "http://127.0.0.1:1/status": createReport({ transfers: [whole] }),
+      "http://127.0.0.1:2/status": createReport({
+        ...report,
+        rollout: "waiting",
+      }),
+      "http://127.0.0.1:3/status": createReport({
+        ...report,
+        phase: "loading",
+        rollout: "loading",
+      }),
+    };
+    const addresses = [1, 2, 3].map((n) => `127.0.0.1:${n}`);
+    const { out } = await run(["status", ...addresses], { urls });
+    expect(out).toMatch(
+      /1 of 3 serve, .* \(100%\), transfer done, roll-out not done \(1 loading, 1 waiting\)/,
+    );
+    expect(out).not.toContain("done in about");
+  });
+
   // Guards against a status that leaves out what it could not read.
   test("prints status and names unreachable processes", async () => {
     const addresses = [1, 2, 3, 4].map((n) => `127.0.0.1:${n}`);
@@ -143,7 +170,9 @@
     expect(out).toContain("config version 7: 1 of 2 processes lag");
     expect(out).toContain("data centre kolkata (out)");
     expect(out).toContain("endpoints: 1 loading, 1 warm");
-    expect(out).toMatch(/1 of 2 serve, .* held \(62%\), .* in about 75 s/);
+    expect(out).toMatch(
+      /1 of 2 serve, .* held \(62%\), transfer done in about 75 s, roll-out not done \(1 transferring\)/,
+    );
     expect(out).toContain("127.0.0.1:3: The answer is not a status");
     expect(out).toContain("127.0.0.1:4: connection refused");
   });
--- a/src/cli/status.ts
+++ b/src/cli/status.ts
@@ -131,14 +131,12 @@
   document: EnvironmentDocument | undefined,
 ): readonly string[] {
   const { name, out, entries, agents, lagging, inFlight } = dataCentre;
-  const phases = Object.entries(dataCentre.endpointsByPhase).map(
-    ([phase, count]) => `${count} ${phase}`,
-  );
+  const phases = listCounts(dataCentre.endpointsByPhase);
   return [
     `data centre ${name}${out ? " (out)" : ""}`,
     `  processes: entries ${entries}, agents ${agents}, requests in flight ${inFlight}`,
     ...(lagging.length === 0 ? [] : [`  config lags on: ${listSome(lagging)}`]),
-    ...(phases.length === 0 ? [] : [`  endpoints: ${phases.join(", ")}`]),
+    ...(phases.length === 0 ? [] : [`  endpoints: ${phases}`]),
     ...dataCentre.versions.map(
       (version) =>
         `  ${nameVersion(version.manifestDigest, document)}: ${describeProgress(version)}`,
@@ -148,16 +146,29 @@
 
 function describeProgress(version: VersionProgress): string {
   const { endpoints, serving, bytesHeld, sizeBytes, percent } = version;
+  const { transferRemainingS, leftByStep } = version;
   const served = `${serving} of ${endpoints} serve`;
   if (sizeBytes === 0) return served;
   const held =
     `${formatBytes(bytesHeld)} of ${formatBytes(sizeBytes)} held ` +
     `(${Math.floor(percent)}%)`;
   if (serving === endpoints) return `${served}, ${held}`;
-  if (version.remainingS === undefined) {
-    return `${served}, ${held}, some receive nothing now`;
-  }
-  return `${served}, ${held}, the rest can load in about ${formatDuration(version.remainingS)}`;
+  const steps = listCounts(leftByStep);
+  const left = steps === "" ? "" : `, roll-out not done (${steps})`;
+  return `${served}, ${held}, ${describeTransfer(transferRemainingS)}${left}`;
+}
+
+/** Speaks of the transfer only: no process can tell how long engines load. */
+function describeTransfer(remainingS: number | undefined): string {
+  if (remainingS === undefined) return "transfer: some receive nothing now";
+  if (remainingS === 0) return "transfer done";
+  return `transfer done in about ${formatDuration(remainingS)}`;
+}
+
+function listCounts(counts: Readonly<Record<string, number>>): string {
+  return Object.entries(counts)
+    .map(([name, count]) => `${count} ${name}`)
+    .join(", ");
 }
 
 function nameVersion(
--- a/src/cli/summarise_status.ts
+++ b/src/cli/summarise_status.ts
@@ -12,9 +12,12 @@
   readonly percent: number;
   /**
    * Time until the last of these endpoints holds the version at its present
-   * rate, without the time to load it. Absent while one receives nothing.
+   * rate. Absent while one receives nothing. The time of the roll-out that
+   * follows depends on engines and is not known.
    */
-  readonly remainingS?: number;
+  readonly transferRemainingS?: number;
+  /** Endpoints that are to serve the version and do not, by roll-out step. */
+  readonly leftByStep: Readonly<Record<string, number>>;
 }
 
 export interface DataCentreStatus {
@@ -86,11 +89,7 @@
     lagging: reports
       .filter(({ config }) => (config?.version ?? 0) < newestVersion)
       .map(({ host }) => host),
-    endpointsByPhase: Object.fromEntries(
-      [...new Set(phases)]
-        .sort()
-        .map((phase) => [phase, phases.filter((p) => p === phase).length]),
-    ),
+    endpointsByPhase: countEach(phases),
     inFlight: reports.reduce((sum, { inFlight }) => sum + inFlight, 0),
     versions: summariseVersions(agents),
   };
@@ -110,28 +109,46 @@
       agent.transfers.filter((t) => t.manifestDigest === digest),
     );
     const involved = agents.filter(
-      (agent) =>
-        agent.servingDigest === digest ||
-        agent.transfers.some((t) => t.manifestDigest === digest),
+      (agent) => agent.servingDigest === digest || wantsVersion(agent, digest),
     );
     const bytesHeld = sum(transfers.map((t) => t.bytesHeld));
     const sizeBytes = sum(transfers.map((t) => t.sizeBytes));
-    const remainingS = estimateRemaining(transfers);
+    const transferRemainingS = estimateRemaining(transfers);
+    const left = involved.filter((agent) => !isServing(agent, digest));
     return {
       manifestDigest: digest,
       endpoints: involved.length,
-      serving: agents.filter(
-        ({ servingDigest, phase }) =>
-          servingDigest === digest && (phase === "warm" || phase === "cold"),
-      ).length,
+      serving: involved.length - left.length,
       bytesHeld,
       sizeBytes,
       percent: sizeBytes === 0 ? 100 : (100 * bytesHeld) / sizeBytes,
-      ...(remainingS === undefined ? {} : { remainingS }),
+      ...(transferRemainingS === undefined ? {} : { transferRemainingS }),
+      leftByStep: countEach(
+        left
+          .filter((agent) => wantsVersion(agent, digest))
+          .map(({ rollout }) => rollout ?? "unknown"),
+      ),
     };
   });
 }
 
+function wantsVersion({ transfers }: StatusReport, digest: string): boolean {
+  return transfers.some((t) => t.manifestDigest === digest);
+}
+
+function isServing(agent: StatusReport, digest: string): boolean {
+  const { servingDigest, phase } = agent;
+  return servingDigest === digest && (phase === "warm" || phase === "cold");
+}
+
+function countEach(names: readonly string[]): Readonly<Record<string, number>> {
+  return Object.fromEntries(
+    [...new Set(names)]
+      .sort()
+      .map((name) => [name, names.filter((n) => n === name).length]),
+  );
+}
+
 function estimateRemaining(
   transfers: readonly TransferStatus[],
 ): number | undefined {
--- a/src/status/parse_status_report.ts
+++ b/src/status/parse_status_report.ts
@@ -29,6 +29,7 @@
       bytesPerS: z.number(),
     }),
   ),
+  rollout: z.string().optional(),
   inFlight: z.number(),
   rejected: z
     .object({
--- a/src/status/status_report.ts
+++ b/src/status/status_report.ts
@@ -47,6 +47,11 @@
   /** Manifest digest that the endpoint serves. */
   readonly servingDigest?: string;
   readonly transfers: readonly TransferStatus[];
+  /**
+   * Step of an agent's roll-out: idle, transferring, waiting, draining or
+   * loading; later versions may report others.
+   */
+  readonly rollout?: string;
   /** Requests in progress through this process. */
   readonly inFlight: number;
   readonly rejected?: RejectedDocument;
--- a/src/weights/create_weights.ts
+++ b/src/weights/create_weights.ts
@@ -233,11 +233,14 @@
       (chunk) => cache.get(chunk.digest) !== undefined,
     );
     const isComplete = chunks.length > 0 && heldChunks.length === chunks.length;
+    const isMoving =
+      !isComplete && transfer?.version.manifestDigest === manifestDigest;
     return {
       manifestDigest,
       chunksHeld: heldChunks.length,
       chunkCount: chunks.length,
       bytesHeld: heldChunks.reduce((sum, chunk) => sum + chunk.sizeBytes, 0),
+      bytesPerS: isMoving ? transfer!.bytesPerS() : 0,
       isComplete,
     };
   }
--- /dev/null
+++ b/src/weights/recent_rate.ts
@@ -0,0 +1,41 @@
+/** Rate of bytes over the last seconds, in slots of one second. */
+
+const SLOT_MS = 1_000;
+const SLOTS = 10;
+
+export interface RecentRate {
+  add(bytes: number): void;
+  /** 0 if nothing came in the last seconds. */
+  bytesPerS(): number;
+}
+
+export function createRecentRate(nowMs: () => number): RecentRate {
+  const startedAtMs = nowMs();
+  const slots = Array.from({ length: SLOTS }, () => ({ number: -1, bytes: 0 }));
+
+  function currentNumber(): number {
+    return Math.floor((nowMs() - startedAtMs) / SLOT_MS);
+  }
+
+  return {
+    add(bytes) {
+      const number = currentNumber();
+      const slot = slots[number % SLOTS]!;
+      if (slot.number !== number) Object.assign(slot, { number, bytes: 0 });
+      slot.bytes += bytes;
+    },
+    bytesPerS() {
+      const number = currentNumber();
+      const bytes = slots
+        .filter((slot) => slot.number > number - SLOTS)
+        .reduce((sum, slot) => sum + slot.bytes, 0);
+      const elapsedMs = nowMs() - startedAtMs;
+      // The current slot is not over yet; at the start there are few.
+      const windowMs = Math.min(
+        elapsedMs,
+        (SLOTS - 1) * SLOT_MS + (elapsedMs % SLOT_MS),
+      );
+      return bytes / (Math.max(SLOT_MS, windowMs) / 1000);
+    },
+  };
+}
--- a/src/weights/transfer.ts
+++ b/src/weights/transfer.ts
@@ -16,6 +16,8 @@
   manifest(): Manifest | undefined;
   /** One bit for each chunk held; empty until the manifest is known. */
   bitmap(): Uint8Array;
+  /** Over the last seconds, from all sources. */
+  bytesPerS(): number;
   addPeer(holding: Holding): void;
   onMembersChanged(): void;
   onHoldingsChanged(): void;
@@ -54,6 +56,7 @@
     version,
     manifest: () => state.progress()?.manifest,
     bitmap: state.bitmap,
+    bytesPerS: state.bytesPerS,
     addPeer,
     onMembersChanged() {
       if (state.peers.onMembersChanged()) changes.notify();
--- a/src/weights/transfer_state.ts
+++ b/src/weights/transfer_state.ts
@@ -6,6 +6,7 @@
 import type { FetchLimits } from "./fetch_result.ts";
 import type { Manifest } from "./manifest.ts";
 import type { Source } from "./policy.ts";
+import { createRecentRate } from "./recent_rate.ts";
 import { createRegionShare } from "./region_share.ts";
 import type { RegionShare } from "./region_share.ts";
 import { createSourceOutcomes } from "./source_outcomes.ts";
@@ -31,6 +32,8 @@
   peerRequests: number;
   /** Undefined until the manifest is known. */
   progress(): ChunkProgress | undefined;
+  /** Over the last seconds, from all sources. */
+  bytesPerS(): number;
   /** Empty until the manifest is known. */
   bitmap(): Uint8Array;
   setManifest(manifest: Manifest): void;
@@ -52,6 +55,7 @@
   const aborter = new AbortController();
   const startedAtMs = nowMs();
   const noChunks = createBitmap(0);
+  const rate = createRecentRate(nowMs);
   let progress: ChunkProgress | undefined;
 
   function isEnded() {
@@ -99,6 +103,7 @@
     takeover,
     peerRequests: 0,
     progress: () => progress,
+    bytesPerS: rate.bytesPerS,
     bitmap: () => progress?.held ?? noChunks,
     setManifest(manifest) {
       progress = createChunkProgress(
@@ -113,6 +118,7 @@
       waitForRoom: context.waitForRoom,
       signal: aborter.signal,
       onBytes(bytes) {
+        rate.add(bytes);
         if (from === "store") context.chargeStoreBytes(bytes);
         counters.receivedBytes.increment({ from }, bytes);
       },
--- a/src/weights/weights.ts
+++ b/src/weights/weights.ts
@@ -16,6 +16,8 @@
   /** 0 until the manifest is known. */
   readonly chunkCount: number;
   readonly bytesHeld: number;
+  /** Received over the last seconds; 0 while nothing arrives. */
+  readonly bytesPerS: number;
   readonly isComplete: boolean;
 }
 
