Run no new idempotency key by a clock that differs from its peers'

The key floor of a restarted agent is its start time plus an allowance that covers 1 s between the clocks of a host and its replacement. With a larger difference a key could run twice, and nothing noticed it.

Each answer to a ping now carries the sender's clock. A runner whose clock differs by more than 350 ms from the median of its peers' answers "unknown" (clock_skewed) for keys that it has not run; keys in its table are answered as before. Weighed: raising the floor by the skew, which needs the earlier process's clock as well; the time of a request's head, which a queue or a pause delays.

--- a/bench/mechanisms.ts
+++ b/bench/mechanisms.ts
@@ -116,6 +116,15 @@
     testFile: "src/entry/key_faults_test.ts",
     test: "is unknown when lost",
   },
+  {
+    guarantee: 6,
+    name: "no new key by a wrong clock",
+    file: "src/agent/key_check.ts",
+    find: "if (options.isClockSkewed()) {",
+    replace: "if (service === null) {",
+    testFile: "src/agent/key_faults_test.ts",
+    test: "an agent whose clock is wrong runs no new key",
+  },
   {
     guarantee: 6,
     name: "key floor of a restarted agent",
--- a/src/agent/handle_request.ts
+++ b/src/agent/handle_request.ts
@@ -233,6 +233,7 @@
     floor: keyFloor,
     wallMs: clock.wallMs,
     configConfirmedAtMs: () => node.view.configConfirmedAtMs(),
+    isClockSkewed: node.isClockSkewed,
   };
 }
 
--- a/src/agent/key_check.ts
+++ b/src/agent/key_check.ts
@@ -35,6 +35,7 @@
   readonly floor: KeyFloor;
   readonly wallMs: () => number;
   readonly configConfirmedAtMs: () => number;
+  readonly isClockSkewed: () => boolean;
 }
 
 /**
@@ -56,6 +57,12 @@
   const keyTimeMs = readKeyTimeMs(key);
   const known = table.look(key, keyTimeMs, head.fingerprint);
   if (known !== undefined) return explainKey(known, { key, keyTimeMs });
+  // The floor stands for the keys of an earlier process, by this clock.
+  if (options.isClockSkewed()) {
+    const message = "The runner's clock differs too much from its peers'";
+    const trailer = unknownAs("clock_skewed", message);
+    return { type: "refuse", trailer: { ...trailer, retryAfterMs: RETRY_MS } };
+  }
   if (floor.isTooNew(keyTimeMs, wallMs())) {
     return refuse("key_not_time_ordered", "The key's time is in the future");
   }
--- a/src/agent/key_faults_test.ts
+++ b/src/agent/key_faults_test.ts
@@ -103,6 +103,24 @@
     expect(engine.requests).toHaveLength(0);
   });
 
+  // Guards against a floor by a wrong clock: the host and its replacement
+  // would run the same key if their clocks differed by more than 1 s.
+  test("an agent whose clock is wrong runs no new key", async () => {
+    const { entry, engine, fake } = await start();
+    const known = createKey();
+    await ask(entry, book(known));
+    fake.setClockSkewed(true);
+    const reply = await ask(entry, book(createKey()));
+    expect(reply.accepted).toBe(false);
+    expect(reply.trailer).toEqual(endedUnknown("clock_skewed"));
+    const again = await ask(entry, book(known));
+    expect(again.trailer?.outcome).toBe("answered");
+    expect(engine.requests).toHaveLength(1);
+    fake.setClockSkewed(false);
+    const later = await ask(entry, book(createKey()));
+    expect(later.trailer?.outcome).toBe("answered");
+  });
+
   // Guards against one key running in two processes of one host name.
   test("of two incarnations at most one runs a key", async () => {
     const old = await start();
--- a/src/agent/testing/fake_node.ts
+++ b/src/agent/testing/fake_node.ts
@@ -29,6 +29,7 @@
   let config: AcceptedConfig | undefined = options.config;
   let hosts: HostList = { sequence: 1, hosts: [] };
   let waking = false;
+  let isClockSkewed = false;
   let confirmedAtMs = options.confirmedAtMs;
   const fetched: number[] = [];
   const floors: number[] = [];
@@ -88,6 +89,7 @@
       onFetch(version);
       return Promise.resolve();
     },
+    isClockSkewed: () => isClockSkewed,
     raiseConfigFloor(version) {
       floors.push(version);
       options.notify();
@@ -110,6 +112,9 @@
     setWaking(next: boolean) {
       waking = next;
     },
+    setClockSkewed(next: boolean) {
+      isClockSkewed = next;
+    },
     setConfirmedAtMs(next: number) {
       confirmedAtMs = next;
     },
--- a/src/entry/key_faults_test.ts
+++ b/src/entry/key_faults_test.ts
@@ -104,6 +104,7 @@
     { code: "key_in_use", outcome: "unknown", status: 409 },
     { code: "key_mismatch", outcome: "not_run", status: 422 },
     { code: "key_outcome_unknown", outcome: "unknown", status: 502 },
+    { code: "clock_skewed", outcome: "unknown", status: 502 },
   ];
 
   // Guards against a refusal that moves the request to another host.
--- a/src/entry/testing/fake_fleet.ts
+++ b/src/entry/testing/fake_fleet.ts
@@ -217,6 +217,7 @@
     onStream: () => undefined,
     onNotice: (topic, handler) => noticeHandlers.set(topic, handler),
     fetchConfig: async (_, version) => void fetchedVersions.push(version),
+    isClockSkewed: () => false,
     raiseConfigFloor: () => undefined,
     close: async () => undefined,
   };
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -51,6 +51,8 @@
    * `peer`, and resolves when it is in force or the peer could not give it.
    */
   fetchConfig(peer: Peer, version: number): Promise<void>;
+  /** True if the clocks of most peers differ too much from this one's. */
+  isClockSkewed(): boolean;
   /** A floor below which no configuration is accepted. */
   raiseConfigFloor(version: number): void;
   /**
--- a/src/node/start_node.ts
+++ b/src/node/start_node.ts
@@ -28,6 +28,7 @@
   PROTOCOL_VERSION,
 } from "../wire/mod.ts";
 import type { Hello, Notice, Peer, Stream } from "../wire/mod.ts";
+import { createClockSkew } from "./clock_skew.ts";
 import { createConnections } from "./connections.ts";
 import { createDialler } from "./dialler.ts";
 import type { DialTarget } from "./dialler.ts";
@@ -114,6 +115,11 @@
   );
   const fetches = new Map<Peer, Promise<unknown>>();
   const connections = createConnections({ identity, logger });
+  const clockSkew = createClockSkew({
+    peers: connections.peers,
+    registry,
+    logger,
+  });
   let neighbours: readonly Host[] = [];
   let neighbourNames: ReadonlySet<string> = new Set();
   let wanted: readonly DialTarget[] = [];
@@ -277,6 +283,7 @@
   const transport = {
     hello: createHello,
     counters: createWireCounters(registry),
+    wallMs: clock.wallMs,
     handlers: { onStream: dispatchStream, onNotice: dispatchNotice },
     ...(options.openSocket === undefined
       ? {}
@@ -388,6 +395,7 @@
       if (config.knownVersion() >= version) return;
       await (fetches.get(peer) ?? startFetch(peer));
     },
+    isClockSkewed: clockSkew.isTooLarge,
     raiseConfigFloor(version) {
       const before = config.current()?.version;
       config.raiseFloor(version);
--- a/src/node/start_node_test.ts
+++ b/src/node/start_node_test.ts
@@ -1,5 +1,6 @@
 import { afterEach, describe, expect, test } from "@jest/globals";
 import { ok } from "neverthrow";
+import { SYSTEM_CLOCK } from "../membership/mod.ts";
 import { createRegistry } from "../metrics/mod.ts";
 import type { Logger } from "../logging/mod.ts";
 import type {
@@ -222,6 +223,20 @@
   });
 });
 
+describe("clocks", () => {
+  // Guards against a wrong clock that no process notices, and against one that
+  // stops the others.
+  test("a node notices that its clock differs from its peers'", async () => {
+    const { nodes, add } = await startAt(1, { names: ["a", "b", "c"] });
+    const behind = { ...SYSTEM_CLOCK, wallMs: () => Date.now() - 2_000 };
+    const late = await add("late", { clock: behind });
+    await until(() => late.isClockSkewed());
+    expect(nodes.map((node) => node.isClockSkewed())).toEqual(
+      nodes.map((node) => node === late),
+    );
+  });
+});
+
 describe("faults", () => {
   // Guards against a return to a version that was replaced.
   test("ignores a platform that falls back to an older version", async () => {
--- a/src/weights/testing/weight_fleet.ts
+++ b/src/weights/testing/weight_fleet.ts
@@ -368,6 +368,7 @@
       });
     },
     fetchConfig: () => Promise.resolve(),
+    isClockSkewed: () => false,
     raiseConfigFloor: ignore,
     async close() {
       isClosed = true;
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -39,7 +39,12 @@
     }
   | { readonly type: "notice"; readonly notice: unknown }
   | { readonly type: "ping"; readonly nonce: number }
-  | { readonly type: "pong"; readonly nonce: number };
+  | {
+      readonly type: "pong";
+      readonly nonce: number;
+      /** Clock of the sender. */
+      readonly wallMs?: number;
+    };
 
 export type FrameError = "frame_too_large" | "malformed_frame";
 
--- a/src/wire/peer.ts
+++ b/src/wire/peer.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Socket } from "node:net";
+import { createClockOffset } from "./clock_offset.ts";
 import { createFrameDecoder, encodeFrame, MAX_FRAME_BYTES } from "./frame.ts";
 import type { Frame } from "./frame.ts";
 import { err, ok } from "neverthrow";
@@ -38,6 +39,8 @@
   /** Fails only if the connection is closed, and then nothing was sent. */
   openStream(head: OpenHead): Result<Stream, StreamLost>;
   sendNotice(notice: Notice): void;
+  /** How far the other side's clock is ahead; undefined before a sample. */
+  clockAheadMs?(): number | undefined;
   /** Number of streams that are not closed in both directions. */
   openStreams?(): number;
   isClosed(): boolean;
@@ -52,6 +55,7 @@
   readonly hello: () => Hello;
   readonly handlers: PeerHandlers;
   readonly counters: WireCounters;
+  readonly wallMs?: () => number;
 }
 
 /** Exchanges hellos; resolves with the peer or the reason it failed. */
@@ -59,7 +63,8 @@
   socket: Socket,
   options: PeerOptions,
 ): Promise<Result<Peer, string>> {
-  const { handlers, counters } = options;
+  const { handlers, counters, wallMs = Date.now } = options;
+  const clockOffset = createClockOffset(wallMs);
   const decoder = createFrameDecoder();
   const ports = new Map<number, StreamPort>();
   let nextStreamId = options.isDialler ? 1 : 2;
@@ -174,9 +179,13 @@
       case "notice":
         return onNotice(frame.notice);
       case "ping":
-        return sendFrame({ type: "pong", nonce: frame.nonce });
+        return sendFrame({
+          type: "pong",
+          nonce: frame.nonce,
+          wallMs: wallMs(),
+        });
       case "pong":
-        return;
+        return clockOffset.onPong(frame.wallMs);
       default: {
         const port = ports.get(frame.streamId);
         if (port === undefined) {
@@ -206,6 +215,7 @@
       remoteAddress: `${socket.remoteAddress}:${socket.remotePort}`,
       closed,
       close,
+      clockAheadMs: clockOffset.aheadMs,
       openStreams: () => ports.size,
       isClosed: () => closeReason !== undefined,
       openStream(head) {
@@ -221,13 +231,19 @@
       sendNotice: (notice) => sendFrame({ type: "notice", notice }),
     };
     resolvePeer(ok(peer));
+    sendPing();
+  }
+
+  function sendPing() {
+    clockOffset.onPing();
+    sendFrame({ type: "ping", nonce: 0 });
   }
 
   const helloTimer = setTimeout(() => close("hello_timeout"), HELLO_TIMEOUT_MS);
   const pingTimer = setInterval(() => {
     const silentMs = performance.now() - lastHeardMs;
     if (silentMs > SILENCE_LIMIT_MS) return close("silent");
-    sendFrame({ type: "ping", nonce: 0 });
+    sendPing();
   }, PING_INTERVAL_MS);
   pingTimer.unref();
 
