Keep half of the retry budget for other causes than overload

Under overload the refusals used up the whole retry budget, so requests whose endpoint had died were refused as endpoint_cold or, if they had been sent, ended unknown. Refusals for overload now use at most half of the budget.

The test of the budget at the entry expects 5 of 60 instead of 10 of 60, which is stricter against the storm that it guards against.

--- a/bench/mechanisms.ts
+++ b/bench/mechanisms.ts
@@ -183,7 +183,7 @@
     guarantee: 4,
     name: "retry budget",
     file: "src/entry/choose_step.ts",
-    find: "else if (!budget.take()) {",
+    find: "else if (!budget.take(cause)) {",
     replace: "else if (budget === undefined) {",
     testFile: "src/entry/faults_test.ts",
     test: "stops retrying when the budget is used up",
--- a/src/entry/choose_step.ts
+++ b/src/entry/choose_step.ts
@@ -132,8 +132,9 @@
   { caller }: Call,
   failure: Refusal,
 ): boolean {
+  const cause = failure.code === "overloaded" ? "overloaded" : "other";
   if (caller.isStarted()) budget.charge();
-  else if (!budget.take()) {
+  else if (!budget.take(cause)) {
     metrics.retriesDenied.increment({ cause: "budget" });
     return false;
   }
--- a/src/entry/faults_test.ts
+++ b/src/entry/faults_test.ts
@@ -242,7 +242,8 @@
     },
   );
 
-  // Guards against a retry storm when all endpoints are full.
+  // Guards against a retry storm when all endpoints are full. Half of the
+  // budget is for other causes.
   test("stops retrying when the budget is used up", async () => {
     const fleet = await startFleet({
       agents: createAgents(refuseWith("overloaded"), refuseWith("overloaded")),
@@ -253,10 +254,10 @@
     const statuses = responses.map(({ status }) => status);
     expect(new Set(statuses)).toEqual(new Set([503]));
     const retries = fleet.counter("retries_total", { reason: "overloaded" });
-    expect(retries).toBe(10);
-    expect(fleet.counter("retries_denied_total", { cause: "budget" })).toBe(50);
+    expect(retries).toBe(5);
+    expect(fleet.counter("retries_denied_total", { cause: "budget" })).toBe(55);
     const sent = fleet.agents.flatMap(({ requests }) => requests);
-    expect(sent).toHaveLength(70);
+    expect(sent).toHaveLength(65);
   });
 
   // Guards against new work for a data centre that this entry believes is in.
--- a/src/limits/limits_test.ts
+++ b/src/limits/limits_test.ts
@@ -58,4 +58,14 @@
     now += 5_000;
     expect(countGranted(50, budget.take)).toBe(10);
   });
+
+  // Guards against refusals under overload that leave no retry for requests
+  // whose endpoint died.
+  test("keeps half of the budget for other causes than overload", () => {
+    const budget = createRetryBudget(() => 0);
+    Array.from({ length: 500 }, budget.onRequest);
+    expect(countGranted(500, () => budget.take("overloaded"))).toBe(25);
+    expect(countGranted(500, () => budget.take("other"))).toBe(25);
+    expect(budget.take("overloaded")).toBe(false);
+  });
 });
--- a/src/limits/mod.ts
+++ b/src/limits/mod.ts
@@ -3,6 +3,6 @@
 export { createAccountLimits } from "./account_limits.ts";
 export type { AccountLimits, AccountLimitsOptions } from "./account_limits.ts";
 export { createRetryBudget } from "./retry_budget.ts";
-export type { RetryBudget } from "./retry_budget.ts";
+export type { RetryBudget, RetryCause } from "./retry_budget.ts";
 export { createTokenBucket } from "./token_bucket.ts";
 export type { TokenBucket, TokenBucketOptions } from "./token_bucket.ts";
--- a/src/limits/retry_budget.ts
+++ b/src/limits/retry_budget.ts
@@ -7,11 +7,19 @@
 const SLOTS = 10;
 const SHARE = 0.1;
 const MIN_PER_SLOT = 1;
+/**
+ * Under overload almost every request is refused once, and another endpoint is
+ * likely to be full as well. The rest of the budget stays for requests that
+ * lost their endpoint, whose outcome would otherwise be unknown.
+ */
+const OVERLOAD_SHARE = 0.5;
+
+export type RetryCause = "overloaded" | "other";
 
 export interface RetryBudget {
   onRequest(): void;
-  /** Takes a retry if the budget allows one. */
-  take(): boolean;
+  /** Takes a retry if the budget allows one for this cause. */
+  take(cause?: RetryCause): boolean;
   /** Counts a retry that is made whether or not the budget allows it. */
   charge(): void;
 }
@@ -41,20 +49,21 @@
     return slot;
   }
 
-  function isAllowed(current: Slot): boolean {
+  function isAllowed(current: Slot, cause: RetryCause): boolean {
     const recent = slots.filter((slot) => slot.index > current.index - SLOTS);
     const requests = recent.reduce((sum, slot) => sum + slot.requests, 0);
     const retries = recent.reduce((sum, slot) => sum + slot.retries, 0);
-    return retries < Math.max(MIN_PER_SLOT * SLOTS, requests * SHARE);
+    const budget = Math.max(MIN_PER_SLOT * SLOTS, requests * SHARE);
+    return retries < budget * (cause === "overloaded" ? OVERLOAD_SHARE : 1);
   }
 
   return {
     onRequest() {
       currentSlot().requests += 1;
     },
-    take() {
+    take(cause = "other") {
       const slot = currentSlot();
-      if (!isAllowed(slot)) return false;
+      if (!isAllowed(slot, cause)) return false;
       slot.retries += 1;
       return true;
     },
