--- a/src/weights/testing/weight_fleet.ts
+++ b/src/weights/testing/weight_fleet.ts
@@ -1,133 +1,14 @@
-/**
- * Agents in one process for tests of weight transfer: real peer connections
- * on loopback, a small node instead of the product's, and a rate-limited store
- * whose answers a test can replace.
- */
+/** Agents in one process for tests of weight transfer. */
 
-import { createHash } from "node:crypto";
-import { createServer } from "node:http";
-import type { IncomingMessage, ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
 import type { EnvironmentDocument, Links } from "../../document/mod.ts";
-import type { Logger } from "../../logging/mod.ts";
 import type { FleetView, Host, HostList } from "../../membership/mod.ts";
 import { createRegistry } from "../../metrics/mod.ts";
 import type { Registry } from "../../metrics/mod.ts";
 import type { Node } from "../../node/mod.ts";
+import type { Peer, Stream } from "../../wire/mod.ts";
 import { createWeights } from "../mod.ts";
 import type { Weights, WeightsPolicy } from "../mod.ts";
-import {
-  connectPeer,
-  createWireCounters,
-  listenForPeers,
-} from "../../wire/mod.ts";
-import type { Hello, Notice, Peer, Stream } from "../../wire/mod.ts";
-
-export interface TestModel {
-  readonly manifestDigest: string;
-  readonly sizeBytes: number;
-  readonly manifest: Buffer;
-  readonly chunks: ReadonlyMap<string, Buffer>;
-}
-
-export function digestOf(bytes: Uint8Array): string {
-  return `sha256:${createHash("sha256").update(bytes).digest("hex")}`;
-}
-
-export function createTestModel(
-  chunkCount: number,
-  chunkBytes: number,
-  seed = 1,
-): TestModel {
-  const chunks = Array.from({ length: chunkCount }, (_, index) => {
-    const bytes = Buffer.alloc(chunkBytes, `${seed}/${index};`);
-    return { digest: digestOf(bytes), bytes };
-  });
-  const manifest = Buffer.from(
-    JSON.stringify({
-      model: "m",
-      version: String(seed),
-      size_bytes: chunkCount * chunkBytes,
-      chunks: chunks.map(({ digest }) => ({ digest, size_bytes: chunkBytes })),
-    }),
-  );
-  return {
-    manifestDigest: digestOf(manifest),
-    sizeBytes: chunkCount * chunkBytes,
-    manifest,
-    chunks: new Map(chunks.map(({ digest, bytes }) => [digest, bytes])),
-  };
-}
-
-export interface TestStore {
-  readonly url: string;
-  readonly sentBytes: () => number;
-  /** Requests by digest. */
-  readonly requests: ReadonlyMap<string, number>;
-  close(): Promise<void>;
-}
-
-export interface TestStoreOptions {
-  readonly models: readonly TestModel[];
-  readonly bytesPerS: number;
-  /** Answers instead of the store if it returns true. */
-  readonly intercept?: (
-    request: IncomingMessage,
-    response: ServerResponse,
-  ) => boolean;
-}
-
-const STORE_PIECE_BYTES = 16 * 1024;
-
-export async function startTestStore(
-  options: TestStoreOptions,
-): Promise<TestStore> {
-  const requests = new Map<string, number>();
-  let sentBytes = 0;
-  let freeAtMs = 0;
-  const server = createServer((request, response) => {
-    void answer(request, response);
-  });
-
-  async function answer(request: IncomingMessage, response: ServerResponse) {
-    const digest = decodeURIComponent(request.url!.split("/").at(-1)!);
-    requests.set(digest, (requests.get(digest) ?? 0) + 1);
-    if (options.intercept?.(request, response)) return;
-    const bytes = options.models
-      .map((model) =>
-        model.manifestDigest === digest
-          ? model.manifest
-          : model.chunks.get(digest),
-      )
-      .find((found) => found !== undefined);
-    if (bytes === undefined) return response.writeHead(404).end();
-    response.writeHead(200, { "content-length": bytes.length });
-    // Pieces of all responses take turns on one link.
-    for (let at = 0; at < bytes.length; at += STORE_PIECE_BYTES) {
-      const piece = bytes.subarray(at, at + STORE_PIECE_BYTES);
-      const now = performance.now();
-      freeAtMs =
-        Math.max(now, freeAtMs) + (piece.length / options.bytesPerS) * 1000;
-      await new Promise((resolve) => setTimeout(resolve, freeAtMs - now));
-      if (response.destroyed) return;
-      response.write(piece);
-      sentBytes += piece.length;
-    }
-    response.end();
-  }
-
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  return {
-    url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
-    sentBytes: () => sentBytes,
-    requests,
-    close: () =>
-      new Promise((resolve) => {
-        server.close(() => resolve());
-        server.closeAllConnections();
-      }),
-  };
-}
+import { SERVICE, SILENT, startTestNode } from "./test_node.ts";
 
 export interface TestAgent {
   readonly name: string;
@@ -161,8 +42,6 @@
   readonly memoryBytes: number;
 }
 
-const SERVICE = "assistant";
-
 export function createTestFleet(options: TestFleetOptions): TestFleet {
   const agents: TestAgent[] = [];
   const view = createTestView(options);
@@ -221,16 +100,6 @@
   };
 }
 
-function ignore() {}
-
-const SILENT: Logger = {
-  debug: ignore,
-  info: ignore,
-  warn: ignore,
-  error: ignore,
-  fatal: ignore,
-} as unknown as Logger;
-
 interface TestView extends FleetView {
   addHost(host: Host): void;
 }
@@ -274,109 +143,6 @@
   };
 }
 
-async function startTestNode(options: {
-  readonly name: string;
-  readonly dataCentre: string;
-  readonly view: FleetView;
-  readonly registry: Registry;
-}): Promise<Node> {
-  const { name, dataCentre, view, registry } = options;
-  const peers = new Map<string, Peer>();
-  const dialling = new Set<string>();
-  const peerHandlers: ((peer: Peer) => void)[] = [];
-  const streamHandlers = new Map<
-    string,
-    (peer: Peer, stream: Stream) => void
-  >();
-  const noticeHandlers: ((peer: Peer, notice: Notice) => void)[] = [];
-  const choosers: ((view: FleetView) => readonly Host[])[] = [];
-  let isClosed = false;
-  const transport = {
-    hello: (): Hello => ({
-      protocolVersion: 1,
-      role: "agent",
-      host: name,
-      dataCentre,
-      incarnation: name,
-      service: SERVICE,
-      configVersion: 1,
-    }),
-    handlers: {
-      onStream: (peer: Peer, stream: Stream) =>
-        streamHandlers.get(stream.head.kind)?.(peer, stream),
-      onNotice: (peer: Peer, notice: Notice) =>
-        noticeHandlers.forEach((handler) => handler(peer, notice)),
-    },
-    counters: createWireCounters(registry),
-  };
-  const listener = await listenForPeers("127.0.0.1:0", {
-    ...transport,
-    onPeer: addPeer,
-  });
-
-  function addPeer(peer: Peer) {
-    if (isClosed) return peer.close("closing");
-    const { host } = peer.hello;
-    peers.set(host, peer);
-    peerHandlers.forEach((handler) => handler(peer));
-    void peer.closed.then(() => {
-      if (peers.get(host) === peer) peers.delete(host);
-    });
-  }
-
-  async function dial(host: Host) {
-    // Only one side dials, so there is one connection for each pair.
-    const isNeeded = !peers.has(host.name) && !dialling.has(host.name);
-    if (isClosed || host.name <= name || !isNeeded) return;
-    dialling.add(host.name);
-    const peer = await connectPeer(host.peerAddress, transport);
-    dialling.delete(host.name);
-    if (peer.isOk()) addPeer(peer.value);
-  }
-
-  function connectChosen() {
-    choosers.forEach((choose) =>
-      choose(view).forEach((host) => void dial(host)),
-    );
-  }
-
-  view.onChange(connectChosen);
-  return {
-    identity: {
-      host: name,
-      role: "agent",
-      dataCentre,
-      service: SERVICE,
-      incarnation: name,
-      startedAtMs: Date.now(),
-    },
-    view,
-    registry,
-    logger: SILENT,
-    peerAddress: listener.address,
-    peers: () => [...peers.values()],
-    findPeer: (host) => peers.get(host),
-    onPeer: (handler) => void peerHandlers.push(handler),
-    addPeerChooser(choose) {
-      choosers.push(choose);
-      connectChosen();
-    },
-    onStream: (kind, handler) => void streamHandlers.set(kind, handler),
-    onNotice(topic, handler) {
-      noticeHandlers.push((peer, notice) => {
-        if (notice?.topic === topic) handler(peer, notice);
-      });
-    },
-    fetchConfig: () => Promise.resolve(),
-    raiseConfigFloor: ignore,
-    async close() {
-      isClosed = true;
-      peers.forEach((peer) => peer.close("killed"));
-      await listener.close();
-    },
-  };
-}
-
 /** Resolves when the agent holds the whole version. */
 export function waitForVersion(
   agent: TestAgent,
--- a/src/weights/testing/weight_setup.ts
+++ b/src/weights/testing/weight_setup.ts
@@ -1,18 +1,10 @@
 /** Set-up that the tests of weight transfer share. */
 
 import { expect } from "@jest/globals";
-import {
-  createTestFleet,
-  createTestModel,
-  startTestStore,
-  waitForVersion,
-} from "./weight_fleet.ts";
-import type {
-  AgentOptions,
-  TestAgent,
-  TestModel,
-  TestStoreOptions,
-} from "./weight_fleet.ts";
+import { createTestModel, startTestStore } from "./test_store.ts";
+import type { TestModel, TestStoreOptions } from "./test_store.ts";
+import { createTestFleet, waitForVersion } from "./weight_fleet.ts";
+import type { AgentOptions, TestAgent } from "./weight_fleet.ts";
 
 export const MODEL = createTestModel(32, 16 * 1024);
 export const OTHER_MODEL = createTestModel(32, 16 * 1024, 2);
--- a/src/weights/weight_faults_test.ts
+++ b/src/weights/weight_faults_test.ts
@@ -1,7 +1,7 @@
 import { afterEach, describe, expect, test } from "@jest/globals";
 import { connect } from "node:net";
 import type { Peer, Stream } from "../wire/mod.ts";
-import { digestOf } from "./testing/weight_fleet.ts";
+import { digestOf } from "./testing/test_store.ts";
 import {
   closeStarted,
   expectExactBytes,
