Count failures of parallel store requests as one

Two tasks of each agent ask the store at the same time. When it is down both fail, and each failure doubled the wait, so that it grew fourfold with each attempt and outlasted the outage by seconds. Chunks leave the store in order, so the fleet waits for the agent with the longest wait.

A failure of a source that is being waited for already does not lengthen the wait. The wait that a store asks for with Retry-After still holds.

--- a/src/weights/retry_times.ts
+++ b/src/weights/retry_times.ts
@@ -7,7 +7,10 @@
   readyAtMs(name: string): number;
   /** Waits for the time that the source asked for, and a little at random. */
   defer(name: string, delayMs: number): void;
-  /** Exponential backoff with jitter. */
+  /**
+   * Exponential backoff with jitter. A source that is being waited for already
+   * fails requests that were in flight; they do not lengthen the wait.
+   */
   backOff(name: string): void;
   succeed(name: string): void;
   /** Failures since the last success. */
@@ -31,6 +34,7 @@
     readyAtMs: (name) => readyAt.get(name) ?? 0,
     defer: (name, delayMs) => delay(name, delayMs * (1 + random() / 2)),
     backOff(name) {
+      if ((readyAt.get(name) ?? 0) > nowMs()) return;
       const count = failures.get(name) ?? 0;
       failures.set(name, count + 1);
       const limitMs = Math.min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** count);
--- a/src/weights/source_outcomes.ts
+++ b/src/weights/source_outcomes.ts
@@ -44,10 +44,11 @@
     if (result.type === "ok") return result.bytes;
     const source = describeSource(name);
     if (result.type === "refused") {
+      if (source === "store") {
+        retries.backOff(name);
+        counters.failedRequests.increment({ source, reason: result.code });
+      }
       retries.defer(name, result.retryAfterMs);
-      if (source === "peer") return undefined;
-      retries.backOff(name);
-      counters.failedRequests.increment({ source, reason: result.code });
       return undefined;
     }
     counters.failedRequests.increment({ source, reason: result.reason });
