--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -16,7 +16,7 @@
   endpointUrl,
   HTTP_PORT,
   LANGUAGE_SERVICE,
-  PEER_PORT,
+  peerAddress,
   processUrl,
 } from "./fleet_hosts.ts";
 import { MODEL, VERSIONS } from "./fleet_plan.ts";
@@ -36,6 +36,10 @@
   readonly weightsMemoryBytes: number;
   readonly hostsLagMs: number;
   readonly ledgerWorkMs: number;
+  /** Peer address that the host list gives; by default the bound one. */
+  readonly listedPeerAddress?: (host: PlannedHost) => string;
+  /** Settings of the entries other than the defaults. */
+  readonly entrySettings?: Readonly<Record<string, number>>;
   /** Folder of the compiled programs; by default the one of this module. */
   readonly programRoot?: string;
 }
@@ -109,6 +113,10 @@
     return found;
   }
 
+  function listedPeerAddress(host: PlannedHost): string {
+    return options.listedPeerAddress?.(host) ?? peerAddress(host);
+  }
+
   function startBinary(host: PlannedHost, extra: Record<string, unknown>) {
     const file = join(folder, `${host.name}.yaml`);
     writeFileSync(
@@ -117,7 +125,8 @@
         host: host.name,
         data_centre: host.dataCentre,
         http_address: `${host.ip}:${HTTP_PORT}`,
-        peer_address: `${host.ip}:${PEER_PORT}`,
+        peer_address: peerAddress(host),
+        listed_peer_address: listedPeerAddress(host),
         platform_url: platformUrl,
         ...extra,
       }),
@@ -153,7 +162,7 @@
   }
 
   function startEntry(hostName: string) {
-    startBinary(findHost(hostName), {});
+    startBinary(findHost(hostName), { ...options.entrySettings });
   }
 
   async function replaceHost(hostName: string, ip: string) {
@@ -179,7 +188,7 @@
         role: host.role,
         service: host.service,
         data_centre: host.dataCentre,
-        peer_address: `${host.ip}:${PEER_PORT}`,
+        peer_address: listedPeerAddress(host),
         state: "live",
       }));
     await put(`${platformUrl}/admin/hosts`, JSON.stringify(hosts));
--- a/bench/fleet_hosts.ts
+++ b/bench/fleet_hosts.ts
@@ -12,6 +12,11 @@
   return `http://${host.ip}:${HTTP_PORT}`;
 }
 
+/** Address that an entry or agent binds for the other ones. */
+export function peerAddress(host: PlannedHost): string {
+  return `${host.ip}:${PEER_PORT}`;
+}
+
 export function endpointUrl(host: PlannedHost): string {
   return `http://${host.ip}:${ENDPOINT_PORT}`;
 }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -24,7 +24,7 @@
   readonly view: FleetView;
   readonly registry: Registry;
   readonly logger: Logger;
-  /** "IP:port" that the peer listener is bound to. */
+  /** "IP:port" of the peer listener, as the host list should give it. */
   readonly peerAddress: string;
   /** Open connections, at most one for each remote host. */
   peers(): readonly Peer[];
--- a/src/node/start_node.ts
+++ b/src/node/start_node.ts
@@ -48,6 +48,8 @@
   readonly incarnation?: string;
   /** "IP:port" to bind; port 0 picks a free one. */
   readonly peerAddress: string;
+  /** "IP:port" in the host list; by default the bound address. */
+  readonly listedPeerAddress?: string | undefined;
   readonly platformUrl: string;
   /** "IP:port" of processes to ask when the host list is not available. */
   readonly seedPeers?: readonly string[];
@@ -327,7 +329,7 @@
     await closeParts();
     throw error;
   });
-  peerAddress = listener.address;
+  peerAddress = options.listedPeerAddress ?? listener.address;
   updateTargets();
 
   async function closeParts() {
--- a/src/settings/agent_settings.ts
+++ b/src/settings/agent_settings.ts
@@ -24,6 +24,11 @@
   readonly httpAddress: string;
   /** "IP:port" for the system's other processes. */
   readonly peerAddress: string;
+  /**
+   * "IP:port" of this process in the host list, where that is not
+   * `peerAddress`, as behind address translation.
+   */
+  readonly listedPeerAddress?: string | undefined;
   readonly platformUrl: string;
   /** "IP:port" of peers to ask while the platform does not answer. */
   readonly seedPeers: readonly string[];
@@ -47,6 +52,7 @@
   service: nameField,
   http_address: listenAddressField,
   peer_address: listenAddressField,
+  listed_peer_address: peerAddressField.optional(),
   platform_url: urlField,
   seed_peers: z.array(peerAddressField).default([]),
   endpoint_url: urlField,
--- a/src/settings/entry_settings.ts
+++ b/src/settings/entry_settings.ts
@@ -22,6 +22,11 @@
   readonly httpAddress: string;
   /** "IP:port" for the system's other processes. */
   readonly peerAddress: string;
+  /**
+   * "IP:port" of this process in the host list, where that is not
+   * `peerAddress`, as behind address translation.
+   */
+  readonly listedPeerAddress?: string | undefined;
   readonly platformUrl: string;
   /** "IP:port" of peers to ask while the platform does not answer. */
   readonly seedPeers: readonly string[];
@@ -42,6 +47,7 @@
   data_centre: nameField,
   http_address: listenAddressField,
   peer_address: listenAddressField,
+  listed_peer_address: peerAddressField.optional(),
   platform_url: urlField,
   seed_peers: z.array(peerAddressField).default([]),
   max_body_bytes: bytesField.max(67_108_864).default(4_194_304),
--- /dev/null
+++ b/test/fleet_calls.ts
@@ -0,0 +1,93 @@
+/** Calls to a test fleet, and counts of what its endpoints made of them. */
+
+import { request } from "undici";
+import { sendBooking } from "../bench/call.ts";
+import type { CallResult } from "../bench/call.ts";
+import { ACCOUNTS } from "../bench/fleet_plan.ts";
+import { createUuidV7 } from "../src/uuid/mod.ts";
+import { chooseRunner } from "../src/idempotency/mod.ts";
+import { readJson, sendStream } from "./fleet_fixture.ts";
+import type { TestFleet } from "./fleet_fixture.ts";
+import { waitUntil } from "./wait_until.ts";
+
+export function book(
+  fleet: TestFleet,
+  entryName: string,
+  idempotencyKey: string,
+): Promise<CallResult> {
+  return sendBooking({
+    baseUrl: fleet.urlOf(entryName),
+    account: ACCOUNTS[0]!,
+    idempotencyKey,
+  });
+}
+
+/** Runs of a key at these plain services. */
+export async function countRuns(
+  urls: readonly string[],
+  key: string,
+): Promise<number> {
+  const all = await Promise.all(
+    urls.map((url) => readJson<Record<string, number>>(`${url}/admin/runs`)),
+  );
+  return all.reduce((sum, runs) => sum + (runs[key] ?? 0), 0);
+}
+
+/** A new key whose runner in the configured set is this ledger. */
+export function createKeyOf(
+  ledger: string,
+  runners: readonly string[],
+): string {
+  const keys = Array.from({ length: 200 }, () => createUuidV7(Date.now()));
+  const sets = [{ fromMs: 0, runners }];
+  return keys.find((key) => chooseRunner(key, sets) === ledger)!;
+}
+
+export async function isReady(
+  fleet: TestFleet,
+  hostName: string,
+): Promise<boolean> {
+  const { statusCode, body } = await request(`${fleet.urlOf(hostName)}/readyz`);
+  await body.dump();
+  return statusCode === 200;
+}
+
+export async function countAllStarted(
+  fleet: TestFleet,
+  names: readonly string[],
+): Promise<number> {
+  const counts = await Promise.all(names.map((n) => fleet.countStarted(n)));
+  return counts.reduce((sum, count) => sum + count, 0);
+}
+
+export interface StreamsOptions {
+  readonly entries: readonly string[];
+  readonly count: number;
+  readonly maxTokens: number;
+}
+
+/** Starts streams through the entries in turn; returns in mid-stream. */
+export async function startStreams(
+  fleet: TestFleet,
+  { entries, count, maxTokens }: StreamsOptions,
+): Promise<readonly Promise<CallResult>[]> {
+  let begun = 0;
+  const streams = Array.from({ length: count }, (_, index) =>
+    sendStream(fleet, entries[index % entries.length]!, {
+      prompt: `Long ${index} ${Math.random()}`,
+      maxTokens,
+      onFirstToken: () => (begun += 1),
+    }),
+  );
+  await waitUntil("all streams have begun", () => begun === count);
+  return streams;
+}
+
+/** The outcome and, for other than whole answers, the reason. */
+export function describeResult({ outcome, detail }: CallResult): string {
+  return detail === "" ? outcome : `${outcome} ${detail}`;
+}
+
+export function isWholeOrUnknown({ outcome }: CallResult): boolean {
+  return outcome === "answered_whole" || outcome === "unknown";
+}
