--- a/test/partition_test.ts
+++ b/test/partition_test.ts
@@ -153,18 +153,6 @@
 
     const ended = await Promise.all(streams);
     const lost = await Promise.all([running.result, held.result]);
-      ended.map((r) =>
-        [
-          Math.round(r.totalMs),
-          r.gapsMs.length,
-          Math.round(Math.max(...r.gapsMs)),
-        ].join(" "),
-      ),
-    );
-      early.map((r) => [Math.round(r.totalMs), describeResult(r)].join(" ")),
-    );
-      lost.map((r) => [Math.round(r.totalMs), describeResult(r)].join(" ")),
-    );
     expect(ended.map(describeResult)).toEqual(
       streams.map(() => "answered_whole"),
     );
