--- a/bench/mechanisms.ts
+++ b/bench/mechanisms.ts
@@ -188,6 +188,15 @@
     testFile: "src/node/start_node_test.ts",
     test: "ignores a platform that falls back to an older version",
   },
+  {
+    guarantee: 9,
+    name: "floor that the engine remembers",
+    file: "src/agent/endpoint_control.ts",
+    find: "if (floor > configFloor) {",
+    replace: "if (floor < configFloor) {",
+    testFile: "test/engine_floor_test.ts",
+    test: "it waits for the newer version",
+  },
   {
     guarantee: 9,
     name: "comparison of versions after a pause",
--- a/stand_ins/engine.ts
+++ b/stand_ins/engine.ts
@@ -9,6 +9,7 @@
 import { Hono } from "hono";
 import { randomUUID } from "node:crypto";
 import type { ServerResponse } from "node:http";
+import { formatChunk, formatWhole } from "./answer_format.ts";
 import { createToken, hashAnswerKey } from "./answer_text.ts";
 import { createPrefixCache } from "./engine_prefix_cache.ts";
 import { fetchWeights } from "./engine_weights.ts";
@@ -71,7 +72,15 @@
   let running: Run[] = [];
   let waiting: Run[] = [];
   const reports: EngineState[] = [];
-  const counts = { started: 0, finished: 0, cancelled: 0, crashes: 0 };
+  const counts = {
+    started: 0,
+    finished: 0,
+    cancelled: 0,
+    crashes: 0,
+    loads: 0,
+    /** Most requests at once, waiting ones included, since it was last cold. */
+    cold_peak: 0,
+  };
   const app = new Hono<{ Bindings: HttpBindings }>();
 
   function capacity() {
@@ -110,6 +119,10 @@
 
   function startRuns() {
     if (phase === "cold") {
+      counts.cold_peak = Math.max(
+        counts.cold_peak,
+        running.length + waiting.length,
+      );
       if (running.length + waiting.length > options.coldCapacity) {
         return fallOver();
       }
@@ -188,6 +201,7 @@
   }
 
   async function load(order: LoadOrder) {
+    counts.loads += 1;
     phase = "loading";
     digest = null;
     [...running, ...waiting].forEach((run) => run.out.destroy());
@@ -284,20 +298,3 @@
     ? String(body["prompt"] ?? "")
     : messages.map((message) => message.content).join("\n");
 }
-
-function formatChunk(run: Run, text: string, finish: string | null): string {
-  const choice = run.isChat
-    ? { index: 0, delta: { content: text }, finish_reason: finish }
-    : { index: 0, text, finish_reason: finish };
-  return `data: ${JSON.stringify({ id: run.requestId, choices: [choice] })}\n\n`;
-}
-
-function formatWhole(run: Run) {
-  const choice = run.isChat
-    ? { message: { role: "assistant", content: run.text } }
-    : { text: run.text };
-  return {
-    id: run.requestId,
-    choices: [{ index: 0, ...choice, finish_reason: "stop" }],
-  };
-}
--- a/test/fleet_calls.ts
+++ b/test/fleet_calls.ts
@@ -4,6 +4,7 @@
 import { sendBooking } from "../bench/call.ts";
 import type { CallResult } from "../bench/call.ts";
 import { ACCOUNTS } from "../bench/fleet_plan.ts";
+import type { Availability } from "../stand_ins/platform.ts";
 import { createUuidV7 } from "../src/uuid/mod.ts";
 import { chooseRunner } from "../src/idempotency/mod.ts";
 import { readJson, sendStream } from "./fleet_fixture.ts";
@@ -91,3 +92,22 @@
 export function isWholeOrUnknown({ outcome }: CallResult): boolean {
   return outcome === "answered_whole" || outcome === "unknown";
 }
+
+export async function kill(fleet: TestFleet, name: string): Promise<void> {
+  const handle = fleet.processes().get(name)!;
+  handle.signal("SIGKILL");
+  await handle.exited;
+}
+
+export function start(fleet: TestFleet, name: string): void {
+  if (name.startsWith("entry-")) fleet.startEntry(name);
+  else fleet.startAgent(name);
+}
+
+/** The host list stays readable, as it comes from another service. */
+export function setConfigService(
+  fleet: TestFleet,
+  availability: Availability,
+): Promise<void> {
+  return fleet.setPlatform(availability, ["config"]);
+}
--- a/test/fleet_fixture.ts
+++ b/test/fleet_fixture.ts
@@ -27,6 +27,7 @@
   ENGINE_PROFILE,
   WARM_CONCURRENCY,
 } from "../bench/profiles.ts";
+import type { Availability } from "../stand_ins/platform.ts";
 import { relayAddress, startPeerRelays } from "./peer_relay.ts";
 import type { PeerRelays } from "./peer_relay.ts";
 import { waitUntil } from "./wait_until.ts";
@@ -45,7 +46,11 @@
   /** `/status` of an entry or agent; undefined when it does not answer. */
   readStatus(hostName: string): Promise<Status | undefined>;
   signal(processName: string, signal: NodeJS.Signals): void;
-  setPlatform(availability: "up" | "down" | "stale"): Promise<void>;
+  /** Of both topics by default. */
+  setPlatform(
+    availability: Availability,
+    topics?: readonly string[],
+  ): Promise<void>;
   /** Sends short requests until every engine is warm. */
   warmUp(): Promise<void>;
   countCrashes(): Promise<number>;
@@ -59,6 +64,9 @@
   readonly phase?: string;
   readonly inFlight: number;
   readonly closed?: string;
+  readonly servingDigest?: string;
+  readonly configFloor?: number;
+  readonly rollout?: string;
   readonly isWaking?: boolean;
 }
 
@@ -143,8 +151,8 @@
         () => undefined,
       ),
     signal: (name, signal) => fleet.processes().get(name)!.signal(signal),
-    async setPlatform(availability) {
-      for (const topic of ["config", "hosts"]) {
+    async setPlatform(availability, topics = ["config", "hosts"]) {
+      for (const topic of topics) {
         const { body } = await request(
           `${fleet.platformUrl}/admin/${topic}/availability`,
           { method: "POST", body: availability },
--- a/test/stale_platform_test.ts
+++ b/test/stale_platform_test.ts
@@ -8,10 +8,8 @@
   expect,
   test,
 } from "@jest/globals";
-import { request } from "undici";
-import { sendBooking } from "../bench/call.ts";
-import { ACCOUNTS } from "../bench/fleet_plan.ts";
 import { createUuidV7 } from "../src/uuid/mod.ts";
+import { book, isReady, kill, setConfigService, start } from "./fleet_calls.ts";
 import { FLEET_START_MS, startTestFleet } from "./fleet_fixture.ts";
 import type { TestFleet } from "./fleet_fixture.ts";
 import { waitUntil } from "./wait_until.ts";
@@ -33,32 +31,12 @@
   });
 }, FLEET_START_MS);
 
-afterEach(() => setConfigService("up"));
+afterEach(() => setConfigService(fleet, "up"));
 
 afterAll(async () => {
   await fleet?.close();
 }, 30_000);
 
-/** The host list stays readable, as it comes from another service. */
-async function setConfigService(availability: "up" | "down" | "stale") {
-  const { body } = await request(
-    `${fleet.platformUrl}/admin/config/availability`,
-    { method: "POST", body: availability },
-  );
-  await body.dump();
-}
-
-async function kill(name: string) {
-  const handle = fleet.processes().get(name)!;
-  handle.signal("SIGKILL");
-  await handle.exited;
-}
-
-function start(name: string) {
-  if (name.startsWith("entry-")) fleet.startEntry(name);
-  else fleet.startAgent(name);
-}
-
 async function readVersion(name: string): Promise<number> {
   return (await fleet.readStatus(name))?.config?.version ?? 0;
 }
@@ -80,12 +58,6 @@
   return newest + 1;
 }
 
-async function isReady(name: string): Promise<boolean> {
-  const { statusCode, body } = await request(`${fleet.urlOf(name)}/readyz`);
-  await body.dump();
-  return statusCode === 200;
-}
-
 describe("processes restart while the configuration service is not right", () => {
   // Guards against a return to an older version after a restart.
   test.each([
@@ -98,13 +70,13 @@
     async (fault, name) => {
       const out = fault === "stale" ? ["siliguri"] : [];
       const version = await publishEverywhere(out);
-      await setConfigService(fault);
-      await kill(name);
-      start(name);
+      await setConfigService(fleet, fault);
+      await kill(fleet, name);
+      start(fleet, name);
       const first = await waitUntil(
         `${name} is ready`,
         async () => {
-          const ready = await isReady(name).catch(() => false);
+          const ready = await isReady(fleet, name).catch(() => false);
           return ready && readVersion(name);
         },
         RESTART_LIMIT_MS,
@@ -116,24 +88,22 @@
 
   // Guards against an entry that routes by no configuration at all.
   test("an entry without peers and platform refuses everything", async () => {
-    await setConfigService("down");
-    await Promise.all([ENTRY, AGENT, ...PEERS].map(kill));
-    start(ENTRY);
+    await setConfigService(fleet, "down");
+    await Promise.all(
+      [ENTRY, AGENT, ...PEERS].map((name) => kill(fleet, name)),
+    );
+    start(fleet, ENTRY);
     const result = await waitUntil("the entry answers", async () => {
-      const told = await sendBooking({
-        baseUrl: fleet.urlOf(ENTRY),
-        account: ACCOUNTS[0]!,
-        idempotencyKey: createUuidV7(Date.now()),
-      });
+      const told = await book(fleet, ENTRY, createUuidV7(Date.now()));
       return told.detail.includes("ECONNREFUSED") ? undefined : told;
     });
     expect([result.outcome, result.detail]).toEqual([
       "not_run",
       "no_configuration",
     ]);
-    expect(await isReady(ENTRY)).toBe(false);
+    expect(await isReady(fleet, ENTRY)).toBe(false);
 
-    await setConfigService("up");
+    await setConfigService(fleet, "up");
     await fleet.waitUntilReady([ENTRY], 20_000);
   }, 30_000);
 });
