Send some requests to cold endpoints first

A cold endpoint needs some requests to become warm and got a share like any other.

An entry now sends half of its requests to cold endpoints of its data centre while these have free slots, and a tenth to those elsewhere, since an agent's entries may all be in other data centres. In the other choices a cold endpoint counts one request more than it reports.

The agent still decides what a cold endpoint bears.

--- a/src/routing/candidate.ts
+++ b/src/routing/candidate.ts
@@ -8,4 +8,6 @@
   readonly peer: Peer;
   /** Estimated load plus distance; 1 is a full endpoint in this place. */
   readonly cost: number;
+  /** Set for a cold endpoint with a free slot: in this data centre or not. */
+  readonly warmUp?: "near" | "far";
 }
--- a/src/routing/choose_by_prefix_and_load.ts
+++ b/src/routing/choose_by_prefix_and_load.ts
@@ -1,6 +1,7 @@
 /**
  * Compares the endpoint that probably holds the prompt's prefix in its cache
- * with the less loaded of two random ones.
+ * with the less loaded of two random ones. Some requests go to cold endpoints
+ * first, because a roll-out waits until these are warm.
  */
 
 import { rankByHash } from "../hashing/mod.ts";
@@ -8,8 +9,17 @@
 import { chooseRandom } from "./choice_policy.ts";
 import type { ChoiceInput, ChoicePolicy } from "./choice_policy.ts";
 
+/**
+ * Share of the requests that go to cold endpoints while these have free slots.
+ * Half leaves the other requests their prefix caches. Few cross between data
+ * centres, but some must, because an agent's entries may all be elsewhere.
+ */
+const WARM_UP_SHARES = { near: 0.5, far: 0.1 };
+
 export const chooseByPrefixAndLoad: ChoicePolicy = (candidates, input) => {
   if (candidates.length < 2) return candidates[0];
+  const cold = chooseToWarmUp(candidates, input);
+  if (cold !== undefined) return cold;
   const light = chooseLighterOfTwo(candidates, input);
   if (input.promptPrefix === "") return light;
   const names = candidates.map(({ host }) => host);
@@ -18,6 +28,20 @@
   return affine.cost <= light.cost ? affine : light;
 };
 
+function chooseToWarmUp(
+  candidates: readonly Candidate[],
+  input: ChoiceInput,
+): Candidate | undefined {
+  const near = candidates.filter(({ warmUp }) => warmUp === "near");
+  const far = candidates.filter(({ warmUp }) => warmUp === "far");
+  if (near.length + far.length === 0) return undefined;
+  const drawn = input.random();
+  if (near.length > 0 && drawn < WARM_UP_SHARES.near) {
+    return chooseRandom(near, input);
+  }
+  return drawn < WARM_UP_SHARES.far ? chooseRandom(far, input) : undefined;
+}
+
 function chooseLighterOfTwo(
   candidates: readonly Candidate[],
   input: ChoiceInput,
--- a/src/routing/list_candidates.ts
+++ b/src/routing/list_candidates.ts
@@ -70,9 +70,18 @@
       dataCentre: peer.hello.dataCentre,
       peer,
       cost: estimateLoad(hint, service) + distance(peer.hello.dataCentre),
+      ...(isWarmingUp(hint) && {
+        warmUp: peer.hello.dataCentre === options.dataCentre ? "near" : "far",
+      }),
     }));
 }
 
+/** Cold with a free slot, as far as the last report and own requests tell. */
+function isWarmingUp({ report, sinceReport }: LoadHint): boolean {
+  if (report?.phase !== "cold") return false;
+  return sinceReport + report.inFlight + report.queued < report.limit;
+}
+
 const leavingOf = new WeakMap<HostList, ReadonlySet<string>>();
 
 /** Kept for one host list, which holds thousands of hosts. */
@@ -104,6 +113,9 @@
   if (report === undefined) {
     return (inFlight + 1) / Math.max(1, admission.coldConcurrency);
   }
-  const load = sinceReport + report.inFlight + report.queued;
+  // A cold endpoint counts as if it ran the request already: it has so few
+  // slots that several entries with the same old report would queue there.
+  const own = report.phase === "cold" ? 1 : 0;
+  const load = own + sinceReport + report.inFlight + report.queued;
   return load / Math.max(1, report.limit);
 }
--- a/src/routing/routing_test.ts
+++ b/src/routing/routing_test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, test } from "@jest/globals";
+import { createRandom } from "../../bench/random.ts";
 import type { FleetView, Host } from "../membership/mod.ts";
 import type { LoadNotice, Peer } from "../wire/mod.ts";
 import { createDocument } from "../entry/testing/fake_fleet.ts";
@@ -33,6 +34,10 @@
   peers: readonly Peer[],
   options: Partial<CandidateOptions> = {},
 ) {
+  return list(peers, options).map(({ host }) => host);
+}
+
+function list(peers: readonly Peer[], options: Partial<CandidateOptions> = {}) {
   const document = createDocument();
   return listCandidates(document.services[0]!, {
     document,
@@ -43,7 +48,7 @@
     tried: new Set(),
     outDataCentres: new Set(),
     ...options,
-  }).map(({ host }) => host);
+  });
 }
 
 describe("listCandidates", () => {
@@ -95,6 +100,48 @@
   });
 });
 
+describe("warming up", () => {
+  // Guards against cold endpoints that get more work than they can bear, and
+  // against a roll-out that waits for ones that get none.
+  test.each([
+    { phase: "cold", dataCentre: "d1", inFlight: 1, warmUp: "near", cost: 1 },
+    { phase: "cold", dataCentre: "d1", inFlight: 2, cost: 1.5 },
+    { phase: "cold", dataCentre: "d2", inFlight: 0, warmUp: "far", cost: 0.5 },
+    { phase: "warm", dataCentre: "d1", inFlight: 1, cost: 0.5 },
+  ] as const)(
+    "a $phase endpoint in $dataCentre that runs $inFlight of 2",
+    ({ phase, dataCentre, inFlight, cost, ...expected }) => {
+      const hints = createLoadHints();
+      const peer = createPeer("h1", dataCentre);
+      hints.onReport(peer, createReport({ phase, inFlight, limit: 2 }));
+      const [candidate] = list([peer], { hints });
+      const warmUp = "warmUp" in expected ? expected.warmUp : undefined;
+      expect(candidate!.warmUp).toBe(warmUp);
+      const distance = dataCentre === "d1" ? [0, 0] : [0.01, 0.5];
+      expect(candidate!.cost).toBeGreaterThanOrEqual(cost + distance[0]!);
+      expect(candidate!.cost).toBeLessThanOrEqual(cost + distance[1]!);
+    },
+  );
+
+  // Guards against cold endpoints that draw all requests from the others.
+  test.each([
+    { warmUp: "near", least: 430, most: 570 },
+    { warmUp: "far", least: 60, most: 140 },
+  ] as const)("a share goes to $warmUp ones", ({ warmUp, least, most }) => {
+    const random = createRandom(1);
+    const warm = { dataCentre: "d1", cost: 0, peer: createPeer("warm") };
+    const candidates: readonly Candidate[] = [
+      { ...warm, host: "warm" },
+      { ...warm, host: "cold", cost: 0.5, warmUp },
+    ];
+    const chosen = Array.from({ length: 1_000 }, (_, i) =>
+      chooseByPrefixAndLoad(candidates, { promptPrefix: `p${i}`, random }),
+    ).filter((candidate) => candidate!.host === "cold").length;
+    expect(chosen).toBeGreaterThan(least);
+    expect(chosen).toBeLessThan(most);
+  });
+});
+
 describe("chooseByPrefixAndLoad", () => {
   function createCandidates(costs: readonly number[]): readonly Candidate[] {
     return costs.map((cost, index) => ({
