Switch while enough others are sure to stay warm, not in groups

Cause of the 11 s between the last replica that is whole and the last that serves: each group of a quarter waited until the slowest of the group before was warm. In a trial at 16 replicas a group took 4 to 7 s (drain 0.3 to 1.0 s, load 0.5 to 0.8 s, wait for the turn up to 0.4 s, the rest until warm), and three groups followed each other.

An agent now counts the others that are warm and have switched or come after it in rank, and switches when they are enough: half of the data centre, up to three quarters when it is busy. This needs no view to be current. The loop looks every 100 ms while it waits, every 50 ms with a read of the engine's state during a switch, and at once when the engine's phase changes. Members that cannot switch are left out after 60 s without progress, and a change of target waits 1 s. In data centres of more than 32 agents an agent takes its shares of those that it should or does see; before, it waited 60 s for each group with a member that it never sees.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -30,7 +30,7 @@
 import { findOwnListing, isListedElsewhere } from "./own_listing.ts";
 import { createPauseGuard } from "./pause_guard.ts";
 import type { RequestContext } from "./request_context.ts";
-import { readSwitchView, readTarget } from "./rollout_view.ts";
+import { createSwitchViewReader, readTarget } from "./rollout_view.ts";
 import { findService } from "./service_config.ts";
 
 /** Used until the document gives a service's own limit. */
@@ -150,7 +150,7 @@
     control,
     order: createSwitchOrder(clock.monotonicMs),
     readTarget: () => readTarget(node, service),
-    readSwitchView: () => readSwitchView(node, weights, service),
+    readSwitchView: createSwitchViewReader({ node, weights, service }),
     incarnation: identity.incarnation,
     sourceUrl: (digest) => `http://${httpAddress}/v1/weights/${digest}`,
     monotonicMs: clock.monotonicMs,
@@ -299,6 +299,9 @@
       httpAddress = `${address}:${port}`;
       view.onChange(() => rollout.wake());
       weights.onComplete(() => rollout.wake());
+      monitor.onStatus(({ phase }, previous) => {
+        if (phase !== previous.phase) rollout.wake();
+      });
       monitor.start();
       rollout.start();
     },
--- a/src/agent/rollout_faults_test.ts
+++ b/src/agent/rollout_faults_test.ts
@@ -76,6 +76,44 @@
     expect((await ask(entry)).trailer?.outcome).toBe("answered");
   });
 
+  // Guards against an agent that takes the last warm endpoint away, and against
+  // one that decides before the others know of the version.
+  test("switches only when another one stays warm", async () => {
+    const { fake, setDocument, weights, engine, until, clock, registry } =
+      await start();
+    const hosts = ["h1", "h2"].map((name) => ({
+      name,
+      role: "endpoint" as const,
+      service: "assistant",
+      dataCentre: "d1",
+      peerAddress: fake.node.peerAddress,
+      state: "live" as const,
+    }));
+    fake.setHosts({ sequence: 2, hosts });
+    const tellOther = (phase: "cold" | "warm") =>
+      weights.setPeers([
+        {
+          ...{ host: "h2", dataCentre: "d1", service: "assistant", phase },
+          ...{ servingDigest: DIGEST_2, wantedDigest: DIGEST_2 },
+          ...{ chunksHeld: 2, chunkCount: 2 },
+        },
+      ]);
+    const isWaiting = () => /phase="waiting"} 1\n/.test(registry.render());
+    let calls = 0;
+    engine.onActivity(() => void (calls += 1));
+    tellOther("cold");
+    weights.complete(DIGEST_2);
+    setDocument(createServing("v2"));
+    await until(isWaiting);
+    clock.advance(1_000);
+    calls = 0;
+    // The state is read every 10 ms and the loop looks every 100 ms.
+    await until(() => calls >= 50);
+    expect(isWaiting()).toBe(true);
+    tellOther("warm");
+    await until(() => engine.orders.length === 1);
+  });
+
   // Guards against a version that is served although it was withdrawn.
   test("a version withdrawn during its load is replaced", async () => {
     const { setDocument, weights, engine, until, lastLoad } = await start();
--- a/src/agent/rollout_view.ts
+++ b/src/agent/rollout_view.ts
@@ -2,7 +2,8 @@
 
 import type { Node } from "../node/mod.ts";
 import type { RolloutTarget, SwitchView } from "../rollout/mod.ts";
-import type { Weights } from "../weights/mod.ts";
+import { chooseWeightPeers } from "../weights/mod.ts";
+import type { WeightPeer, Weights } from "../weights/mod.ts";
 import { findService, findServingVersion } from "./service_config.ts";
 
 /** The version that the configuration wants here; none for plain services. */
@@ -23,33 +24,78 @@
   };
 }
 
-/** The agents of the same service and data centre. */
-export function readSwitchView(
-  { view, identity }: Node,
-  weights: Weights,
-  serviceName: string,
-): Omit<SwitchView, "ownState" | "targetDigest"> {
-  const names = view
-    .hosts()
-    .hosts.filter(
-      (host) =>
-        host.role === "endpoint" &&
-        host.state === "live" &&
-        host.service === serviceName &&
-        host.dataCentre === identity.dataCentre,
-    )
-    .map(({ name }) => name);
-  return {
-    ownHost: identity.host,
-    hosts: [...new Set([...names, identity.host])],
-    members: weights
+export interface SwitchViewOptions {
+  readonly node: Pick<Node, "view" | "identity">;
+  readonly weights: Pick<Weights, "peers">;
+  readonly service: string;
+}
+
+/**
+ * The agents of the same service and data centre with which this one compares
+ * itself: those that it should be connected to and those that it is connected
+ * to. In a data centre of up to 32 agents these are all of them.
+ */
+export function createSwitchViewReader(options: SwitchViewOptions) {
+  const { weights, node } = options;
+  const { host: ownHost } = node.identity;
+  const readListed = createListedReader(options);
+
+  return (
+    targetDigest: string,
+  ): Pick<SwitchView, "ownHost" | "hosts" | "members"> => {
+    const { listed, expected } = readListed();
+    const peers = weights
       .peers()
-      .filter((peer) => peer.host !== identity.host)
-      .map(({ host, phase, servingDigest }) => ({
-        host,
-        isServing: phase === "cold" || phase === "warm",
-        isWarm: phase === "warm",
-        ...(servingDigest === undefined ? {} : { servingDigest }),
-      })),
+      .filter(({ host }) => host !== ownHost && listed.has(host));
+    const seen = peers.map(({ host }) => host);
+    return {
+      ownHost,
+      hosts: [...new Set([...expected, ...seen, ownHost])],
+      members: peers.map((peer) => describeMember(peer, targetDigest)),
+    };
+  };
+}
+
+/** Kept for one host list and document: thousands of hosts are ranked. */
+function createListedReader({ node, service }: SwitchViewOptions) {
+  const { view, identity } = node;
+  let sources: readonly unknown[] = [];
+  let read = { listed: new Set<string>(), expected: [] as readonly string[] };
+
+  return () => {
+    const next = [view.hosts(), view.config()];
+    if (next.every((source, i) => source === sources[i]) && sources[0]) {
+      return read;
+    }
+    sources = next;
+    const listed = new Set(
+      view
+        .hosts()
+        .hosts.filter(
+          (host) =>
+            host.role === "endpoint" &&
+            host.state === "live" &&
+            host.service === service &&
+            host.dataCentre === identity.dataCentre,
+        )
+        .map(({ name }) => name),
+    );
+    const expected = chooseWeightPeers(view, { host: identity.host, service })
+      .map(({ name }) => name)
+      .filter((name) => listed.has(name));
+    read = { listed, expected };
+    return read;
+  };
+}
+
+function describeMember(peer: WeightPeer, targetDigest: string) {
+  const { host, phase, servingDigest, chunksHeld, chunkCount } = peer;
+  const isWanted = peer.wantedDigest === targetDigest;
+  return {
+    host,
+    isServing: phase === "cold" || phase === "warm",
+    isWarm: phase === "warm",
+    isWhole: isWanted && chunkCount > 0 && chunksHeld >= chunkCount,
+    ...(servingDigest === undefined ? {} : { servingDigest }),
   };
 }
--- a/src/rollout/rollout.ts
+++ b/src/rollout/rollout.ts
@@ -12,9 +12,14 @@
 import type { Logger } from "../logging/mod.ts";
 import type { Counter } from "../metrics/mod.ts";
 import type { WantedVersion, Weights } from "../weights/mod.ts";
+import { createMeanLoad } from "./mean_load.ts";
 import type { SwitchOrder, SwitchView } from "./switch_order.ts";
 
 const TICK_MS = 250;
+/** Others have no means to wake an agent that waits for them. */
+const WAITING_TICK_MS = 100;
+/** While the endpoint is out, each step costs its capacity. */
+const SWITCHING_TICK_MS = 50;
 const RETRY_MS = 1_000;
 /** An engine that neither loads nor serves after this time is ordered again. */
 const LOAD_START_LIMIT_MS = 5_000;
@@ -43,21 +48,20 @@
   readonly weights: Weights;
   readonly monitor: EndpointMonitor;
   readonly client: Pick<EndpointClient, "order">;
-  readonly admission: Pick<Admission, "waitUntilIdle" | "inFlight">;
+  readonly admission: Pick<Admission, "inFlight" | "queued" | "limit">;
   readonly control: SwitchControl;
   readonly order: SwitchOrder;
   /** The version wanted now; undefined for a plain service. */
   readonly readTarget: () => RolloutTarget | undefined;
   readonly readSwitchView: (
-    target: RolloutTarget,
-  ) => Omit<SwitchView, "ownState" | "targetDigest">;
+    targetDigest: string,
+  ) => Pick<SwitchView, "ownHost" | "hosts" | "members">;
   readonly incarnation: string;
   readonly sourceUrl: (digest: string) => string;
   readonly monotonicMs: () => number;
   readonly wallMs: () => number;
   readonly orders: Counter;
   readonly logger: Logger;
-  readonly tickMs?: number;
 }
 
 export interface Rollout {
@@ -73,21 +77,48 @@
   const { readTarget, monotonicMs, orders, logger } = options;
   let phase: RolloutPhase = "idle";
   let isClosed = false;
-  let wakeSleeper: () => void = () => undefined;
+  let hasChanged = false;
+  let isWakeable = false;
+  let endSleep: () => void = () => undefined;
   let running: Promise<void> | undefined;
+  let seenDigest: string | undefined;
+  // The target of an agent that starts may be of any age.
+  let seenSinceMs = -Infinity;
+  const meanLoad = createMeanLoad(monotonicMs);
 
   function sleep(durationMs: number): Promise<void> {
     return new Promise((resolve) => {
       const timer = setTimeout(resolve, durationMs);
-      wakeSleeper = () => {
+      endSleep = () => {
         clearTimeout(timer);
         resolve();
       };
+      if (isClosed) endSleep();
     });
   }
 
-  function tick() {
-    return sleep(options.tickMs ?? TICK_MS);
+  /** Ends early, and at once if there was a change since the last one. */
+  async function sleepUntilChange(durationMs: number) {
+    isWakeable = true;
+    if (!hasChanged) await sleep(durationMs);
+    isWakeable = hasChanged = false;
+  }
+
+  function wake() {
+    hasChanged = true;
+    if (isWakeable) endSleep();
+  }
+
+  function noteTarget({ manifestDigest }: RolloutTarget) {
+    if (manifestDigest === seenDigest) return;
+    if (seenDigest !== undefined) seenSinceMs = monotonicMs();
+    seenDigest = manifestDigest;
+  }
+
+  function noteLoad() {
+    const limit = admission.limit();
+    if (limit === 0) return;
+    meanLoad.add((admission.inFlight() + admission.queued()) / limit);
   }
 
   /** False when the target changed or the agent is about to end. */
@@ -120,9 +151,11 @@
 
   function decide(target: RolloutTarget) {
     return order.decide({
-      ...options.readSwitchView(target),
+      ...options.readSwitchView(target.manifestDigest),
       targetDigest: target.manifestDigest,
+      targetAgeMs: monotonicMs() - seenSinceMs,
       ownState: readOwnState(),
+      ownLoad: meanLoad.value(),
     });
   }
 
@@ -134,11 +167,12 @@
         orders.increment({ result: "error" });
         logger.error({ err: error }, "roll-out step failed");
       }
-      await tick();
+      await sleepUntilChange(phase === "waiting" ? WAITING_TICK_MS : TICK_MS);
     }
   }
 
   async function step() {
+    noteLoad();
     const target = control.isLeaving() ? undefined : readTarget();
     if (target === undefined) {
       phase = "idle";
@@ -146,6 +180,7 @@
       if (!control.isLeaving()) weights.want(undefined);
       return;
     }
+    noteTarget(target);
     weights.want({
       manifestDigest: target.manifestDigest,
       sizeBytes: target.sizeBytes,
@@ -175,6 +210,11 @@
     }
   }
 
+  async function pollSoon() {
+    await sleep(SWITCHING_TICK_MS);
+    await monitor.poll();
+  }
+
   /** Waits for own work and for work of an earlier agent at the engine. */
   async function drain(target: RolloutTarget) {
     const startedMs = options.wallMs();
@@ -188,7 +228,7 @@
       const servesNothing = engine === "empty" || engine === "loading";
       const isEngineIdle = reportedAtMs > startedMs && inFlight + queued === 0;
       if (admission.inFlight() === 0 && (servesNothing || isEngineIdle)) return;
-      await tick();
+      await pollSoon();
     }
   }
 
@@ -207,6 +247,7 @@
       logger.warn({ result, fencing }, "load order was not accepted");
       // The refusal's reason, a higher fencing number, comes with the state.
       await monitor.poll();
+      // Not cut short by changes, which would repeat the order at their rate.
       return sleep(RETRY_MS);
     }
     control.setOrdered(target.manifestDigest);
@@ -229,20 +270,20 @@
         orders.increment({ result: "not_loaded" });
         return;
       }
-      await tick();
+      await pollSoon();
     }
     orders.increment({ result: "withdrawn" });
   }
 
   return {
     phase: () => phase,
-    wake: () => wakeSleeper(),
+    wake,
     start() {
       running ??= run();
     },
     async close() {
       isClosed = true;
-      wakeSleeper();
+      endSleep();
       await running;
     },
   };
--- a/src/rollout/switch_order.ts
+++ b/src/rollout/switch_order.ts
@@ -1,36 +1,46 @@
 /**
- * The order in which the endpoints of one service and data centre switch: in
- * groups of a quarter, ranked by hash, each agent deciding from what it knows.
+ * The order in which the endpoints of one service and data centre switch. Each
+ * agent decides alone: it switches while enough others are sure to stay warm,
+ * which are those that have switched and those that are ranked after it.
  */
 
 import { rankByHash } from "../hashing/mod.ts";
+import { countNeeded } from "./count_needed.ts";
 
-const GROUP_SHARE = 0.25;
-/** A group that does not finish in this time no longer holds up the next. */
-const GROUP_LIMIT_MS = 60_000;
-/** Time after which an endpoint that serves while cold counts as well. */
-const WARM_LIMIT_MS = 60_000;
+/** Without progress for this time, members that hold up the rest do no more. */
+const LATE_MS = 60_000;
+/**
+ * Far above the time that a configuration (0.25 s) and a notice (0.2 s) take to
+ * reach the others, which may decide for an earlier target until then.
+ */
+const SETTLE_MS = 1_000;
 
 export interface SwitchMember {
   readonly host: string;
   /** Serves some version, but may still be cold. */
   readonly isServing: boolean;
   readonly isWarm: boolean;
+  /** Holds the whole target and may therefore switch at any time. */
+  readonly isWhole: boolean;
   readonly servingDigest?: string;
 }
 
 export interface SwitchView {
   readonly ownHost: string;
   readonly targetDigest: string;
-  /** Names of the listed, not leaving agents, including this one. */
+  /** Time since this agent learned of the target. */
+  readonly targetAgeMs: number;
+  /** Names of the agents that this one compares itself with, and its own. */
   readonly hosts: readonly string[];
   /** What is known of the other agents; a missing one counts as not warm. */
   readonly members: readonly SwitchMember[];
   /** How the own endpoint serves a version; "none" takes no work. */
   readonly ownState: "none" | "cold" | "warm";
+  /** Recent share of the own limit that was in use; 1 is a full endpoint. */
+  readonly ownLoad: number;
 }
 
-export type SwitchDecision = "switch" | "wait_for_group" | "wait_for_warm";
+export type SwitchDecision = "switch" | "wait_for_view" | "wait_for_warm";
 
 export interface SwitchOrder {
   decide(view: SwitchView): SwitchDecision;
@@ -38,66 +48,77 @@
 
 export function createSwitchOrder(monotonicMs: () => number): SwitchOrder {
   let targetDigest: string | undefined;
-  // Time at which all groups before this one were first seen settled.
-  let turnStartedMs: (number | undefined)[] = [];
+  let askedMs = 0;
+  let progressMs = 0;
+  let mostSwitched = 0;
+
+  function noteTarget(view: SwitchView) {
+    if (view.targetDigest === targetDigest) return;
+    targetDigest = view.targetDigest;
+    askedMs = progressMs = monotonicMs();
+    mostSwitched = 0;
+  }
 
-  function decideGroup(view: SwitchView): SwitchDecision {
-    const ranked = rankByHash(view.targetDigest, view.hosts);
-    const size = Math.max(1, Math.ceil(ranked.length * GROUP_SHARE));
-    const ownGroup = Math.floor(ranked.indexOf(view.ownHost) / size);
-    for (let group = 0; group < ownGroup; group += 1) {
-      const startedMs = (turnStartedMs[group] ??= monotonicMs());
-      const isLate = monotonicMs() - startedMs >= GROUP_LIMIT_MS;
-      const names = ranked.slice(group * size, (group + 1) * size);
-      const isSettled = names.every((name) => isSwitched(view, name));
-      if (!isSettled && !isLate) return "wait_for_group";
-    }
-    const groupNames = ranked.slice(ownGroup * size, (ownGroup + 1) * size);
-    const ownStartedMs = (turnStartedMs[ownGroup] ??= monotonicMs());
-    // Without traffic the others may stay cold, which must not stop a roll-out.
-    const mayBeCold =
-      view.ownState === "cold" || monotonicMs() - ownStartedMs >= WARM_LIMIT_MS;
-    const isEnough = (member: SwitchMember) =>
-      mayBeCold ? member.isServing : member.isWarm;
-    const isSafe = leavesOne(view, groupNames, isEnough);
-    return isSafe ? "switch" : "wait_for_warm";
+  function noteProgress({ members, targetDigest: target }: SwitchView) {
+    const switched = members.filter(
+      ({ isServing, servingDigest }) => isServing && servingDigest === target,
+    ).length;
+    if (switched <= mostSwitched) return;
+    mostSwitched = switched;
+    progressMs = monotonicMs();
+  }
+
+  /**
+   * Others rely on an agent that lacks the weights for long. It gives them the
+   * time to learn that it no longer does, and itself the time to see them go.
+   */
+  function isSettled({ targetAgeMs }: SwitchView): boolean {
+    const waitedMs = monotonicMs() - askedMs;
+    const wasWholeSoon = targetAgeMs - waitedMs < LATE_MS / 2;
+    return targetAgeMs >= SETTLE_MS && (wasWholeSoon || waitedMs >= SETTLE_MS);
   }
 
   return {
     decide(view) {
-      if (view.targetDigest !== targetDigest) {
-        targetDigest = view.targetDigest;
-        turnStartedMs = [];
-      }
+      noteTarget(view);
+      noteProgress(view);
       // An endpoint that serves nothing takes no capacity away.
-      return view.ownState === "none" ? "switch" : decideGroup(view);
+      if (view.ownState === "none" || view.hosts.length <= 1) return "switch";
+      if (!isSettled(view)) return "wait_for_view";
+      const isLate =
+        monotonicMs() - progressMs >= LATE_MS && view.targetAgeMs >= LATE_MS;
+      return leavesEnough(view, isLate) ? "switch" : "wait_for_warm";
     },
   };
 }
 
-function isSwitched(view: SwitchView, name: string): boolean {
-  const member = view.members.find(({ host }) => host === name);
-  if (member === undefined) return false;
-  return member.isWarm && member.servingDigest === view.targetDigest;
-}
-
 /**
- * Two members of a group may decide at the same time, so each relies only on
- * endpoints that will not switch meanwhile: those outside the group, those of
- * the group that have switched, and those ranked after it, which wait for it.
+ * Safe with views of any age: among those that switch at a time, the one with
+ * the last rank relies on endpoints that have switched or have not begun to.
  */
-function leavesOne(
-  view: SwitchView,
-  groupNames: readonly string[],
-  isEnough: (member: SwitchMember) => boolean,
-): boolean {
-  if (view.hosts.length <= 1) return true;
-  const ownRank = groupNames.indexOf(view.ownHost);
-  return view.members
-    .filter((member) => isEnough(member) && view.hosts.includes(member.host))
-    .some(({ host, servingDigest }) => {
-      const rank = groupNames.indexOf(host);
-      const isOutside = rank === -1;
-      return isOutside || rank > ownRank || servingDigest === view.targetDigest;
-    });
+function leavesEnough(view: SwitchView, isLate: boolean): boolean {
+  const { ownHost, targetDigest, hosts } = view;
+  const ranked = rankByHash(targetDigest, hosts);
+  const ownRank = ranked.indexOf(ownHost);
+  const others = view.members.filter(
+    ({ host }) => host !== ownHost && hosts.includes(host),
+  );
+  // Without traffic the others may stay cold, which must not stop a roll-out.
+  const mayBeCold = view.ownState === "cold" || isLate;
+  const staying = others
+    .filter(({ isServing, isWarm }) => (mayBeCold ? isServing : isWarm))
+    .filter(
+      ({ host, servingDigest, isWhole }) =>
+        servingDigest === targetDigest ||
+        ranked.indexOf(host) > ownRank ||
+        (isLate && !isWhole),
+    );
+  const warm = 1 + others.filter(({ isWarm }) => isWarm).length;
+  const serving = 1 + others.filter(({ isServing }) => isServing).length;
+  const needed = countNeeded({
+    endpoints: isLate ? serving : hosts.length,
+    // In units of one endpoint, whichever of them carry it now.
+    load: view.ownLoad * warm,
+  });
+  return staying.length >= needed;
 }
