Count a 204 as a confirmation only if it names the version held

A 204 named no version, so that of a stale platform confirmed an old configuration: a wake check ended by it, and runners went on taking keys past runner_lead_s. The platform's 204 now carries Config-Version (or Hosts-Sequence). Another version confirms nothing; a lower one is counted as older_version. A 204 without the header confirms nothing either; the reader then asks for the value held, which a stale platform does not have, at once after a pause and otherwise every ten minutes, so that a platform without the header still works.

--- a/bench/mechanisms.ts
+++ b/bench/mechanisms.ts
@@ -197,6 +197,15 @@
     testFile: "test/engine_floor_test.ts",
     test: "it waits for the newer version",
   },
+  {
+    guarantee: 9,
+    name: "a 204 confirms only the version it names",
+    file: "src/node/platform_reader.ts",
+    find: 'if (version !== after) return "stale";',
+    replace: "",
+    testFile: "src/node/platform_reader_test.ts",
+    test: "confirms by an older version",
+  },
   {
     guarantee: 9,
     name: "comparison of versions after a pause",
--- a/src/node/platform_reader.ts
+++ b/src/node/platform_reader.ts
@@ -6,7 +6,7 @@
 
 import type { Clock } from "../membership/mod.ts";
 import { createBackoff, delay } from "../platform/mod.ts";
-import type { Backoff, PlatformRead } from "../platform/mod.ts";
+import type { Backoff, PlatformRead, PlatformValue } from "../platform/mod.ts";
 import type { SnapshotStore } from "../snapshots/mod.ts";
 
 /**
@@ -14,6 +14,12 @@
  * the time after which other processes read for themselves.
  */
 const DEFAULT_WATCH_WAIT_MS = 10_000;
+/**
+ * Without a version in its 204, a platform confirms by its value only. Values
+ * of up to 1 MB are worth less than 2 KB/s at this interval, and a runner may
+ * take keys for hours after the last confirmation.
+ */
+const VALUE_READ_MS = 600_000;
 /** A platform that answers sooner doesn't wait; asking on would be a loop. */
 const SHORTEST_WATCH_MS = 1_000;
 const WATCH_BACKOFF = { firstMs: 200, maxMs: 2_000 };
@@ -21,7 +27,7 @@
 const START_BACKOFF = { firstMs: 200, maxMs: 10_000 };
 
 export interface PlatformReader {
-  /** Reads at once; false unless the platform confirmed what is held. */
+  /** Reads at once; false unless the platform has what is held or newer. */
   readNow(): Promise<boolean>;
   /** True once the first read has succeeded or failed. */
   isSettled(): boolean;
@@ -33,8 +39,11 @@
 type ReadOutcome =
   /** A value newer than the one known before, valid or not. */
   | "newer"
-  | "nothing_newer"
-  /** A value that changes nothing, and that asking again would return. */
+  /** The platform's version is the one known before. */
+  | "confirmed"
+  /** Nothing newer, but the platform did not say what it has. */
+  | "unconfirmed"
+  /** Another version that changes nothing; asking again would return it. */
   | "stale"
   | "failed";
 
@@ -71,14 +80,39 @@
     const startedAtMs = clock.wallMs();
     const answer = await read({ after, waitMs, signal });
     if (answer.isErr()) return "failed";
-    const value = answer.value;
-    if (value === undefined) {
-      // A pause of this process may delay the answer; it was made no later
-      // than the wait ended.
-      const answeredAtMs = Math.min(clock.wallMs(), startedAtMs + waitMs);
-      store.confirm(after, answeredAtMs);
-      return "nothing_newer";
+    if (answer.value.type === "value") {
+      acceptValue(answer.value, startedAtMs);
+      return store.knownVersion() > after ? "newer" : "stale";
+    }
+    const { version } = answer.value;
+    if (version === undefined) return "unconfirmed";
+    if (version < after) {
+      store.reject("older_version", { version, knownVersion: after });
+    }
+    if (version !== after) return "stale";
+    // A pause of this process may delay the answer; it was made no later
+    // than the wait ended.
+    const answeredAtMs = Math.min(clock.wallMs(), startedAtMs + waitMs);
+    store.confirm(version, answeredAtMs);
+    return "confirmed";
+  }
+
+  /** Asks for the value that is held, which a stale platform does not have. */
+  async function readHeldValue(signal: AbortSignal): Promise<ReadOutcome> {
+    const held = store.held()?.version;
+    if (held === undefined || held !== store.knownVersion()) {
+      return "unconfirmed";
     }
+    const startedAtMs = clock.wallMs();
+    const answer = await read({ after: held - 1, waitMs: 0, signal });
+    if (answer.isErr()) return "failed";
+    if (answer.value.type === "unchanged") return "stale";
+    acceptValue(answer.value, startedAtMs);
+    if (store.knownVersion() > held) return "newer";
+    return answer.value.version === held ? "confirmed" : "stale";
+  }
+
+  function acceptValue(value: PlatformValue, startedAtMs: number) {
     const { version, publishedAtMs, text } = value;
     const confirmedAtMs = Math.max(
       startedAtMs,
@@ -90,15 +124,25 @@
       confirmedAtMs,
       bytes: Buffer.from(text, "utf8"),
     });
-    return store.knownVersion() > after ? "newer" : "stale";
+  }
+
+  /** Reads that go on for ever ask for the whole value only now and then. */
+  async function readAndConfirm(
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<ReadOutcome> {
+    const outcome = await readOnce(waitMs, signal);
+    const ageMs = clock.wallMs() - store.confirmedAtMs();
+    if (outcome !== "unconfirmed" || ageMs < VALUE_READ_MS) return outcome;
+    return readHeldValue(signal);
   }
 
   async function watch(signal: AbortSignal, backoff: Backoff) {
     const startedAtMs = clock.monotonicMs();
-    const outcome = await readOnce(watchWaitMs, signal);
+    const outcome = await readAndConfirm(watchWaitMs, signal);
     const tookMs = clock.monotonicMs() - startedAtMs;
     if (outcome === "newer") return backoff.reset();
-    if (outcome === "nothing_newer" && tookMs >= SHORTEST_WATCH_MS) {
+    if (outcome !== "failed" && tookMs >= SHORTEST_WATCH_MS) {
       return backoff.reset();
     }
     await delay(backoff.nextMs(), signal);
@@ -135,7 +179,7 @@
       await delay(restMs + Math.random() * 0.2 * unconfirmedMs, signal);
       return;
     }
-    await readOnce(0, signal);
+    await readAndConfirm(0, signal);
     // With the platform down, each process asks again once in this time.
     const isConfirmed = clock.wallMs() - store.confirmedAtMs() < unconfirmedMs;
     if (!isConfirmed) {
@@ -147,8 +191,11 @@
 
   return {
     async readNow() {
-      const outcome = await readOnce(0, closing.signal);
-      return outcome === "newer" || outcome === "nothing_newer";
+      const { signal } = closing;
+      const told = await readOnce(0, signal);
+      const outcome =
+        told === "unconfirmed" ? await readHeldValue(signal) : told;
+      return outcome === "newer" || outcome === "confirmed";
     },
     isSettled: () => isSettled,
     update() {
--- a/src/node/testing/fake_platform.ts
+++ b/src/node/testing/fake_platform.ts
@@ -5,7 +5,7 @@
 import type { AddressInfo } from "node:net";
 import type { Host } from "../../membership/mod.ts";
 
-/** How calls are answered; `stale` answers with the value of `freeze`. */
+/** How calls are answered; `stale` answers with the value held, however old. */
 export type PlatformMode = "up" | "error" | "stalled" | "stale";
 
 export interface FakePlatform {
@@ -65,7 +65,10 @@
     }
     await waitForNewer({ topic, after, waitMs, response });
     const { version, body } = stored[topic];
-    if (version <= after) return void response.writeHead(204).end();
+    if (version <= after) {
+      const header = topic === "config" ? "config-version" : "hosts-sequence";
+      return void response.writeHead(204, { [header]: version }).end();
+    }
     response.end(body);
   }
 
--- a/src/platform/mod.ts
+++ b/src/platform/mod.ts
@@ -5,6 +5,7 @@
 export { delay } from "./delay.ts";
 export { createPlatformClient } from "./platform_client.ts";
 export type {
+  PlatformAnswer,
   PlatformClient,
   PlatformFailure,
   PlatformRead,
--- a/src/platform/platform_client.ts
+++ b/src/platform/platform_client.ts
@@ -31,10 +31,18 @@
   readonly signal?: AbortSignal;
 }
 
-/** Resolves with `undefined` when the platform has nothing newer. */
+export type PlatformAnswer =
+  | ({ readonly type: "value" } & PlatformValue)
+  /** Nothing newer than `after`; a stale platform may have less than that. */
+  | {
+      readonly type: "unchanged";
+      /** The platform's own version, if the answer names it. */
+      readonly version?: number | undefined;
+    };
+
 export type PlatformRead = (
   options: ReadOptions,
-) => Promise<Result<PlatformValue | undefined, PlatformFailure>>;
+) => Promise<Result<PlatformAnswer, PlatformFailure>>;
 
 export interface PlatformClient {
   readonly readConfig: PlatformRead;
@@ -43,6 +51,12 @@
   close(): Promise<void>;
 }
 
+interface TopicForm {
+  readonly parse: (body: unknown) => PlatformValue | undefined;
+  /** Names the platform's version in an answer without a body. */
+  readonly versionHeader: string;
+}
+
 const configSchema = z.object({
   version: z.number().int().nonnegative(),
   published_at_ms: z.number(),
@@ -77,7 +91,7 @@
 
   function createRead(
     topic: "config" | "hosts",
-    parse: (body: unknown) => PlatformValue | undefined,
+    { parse, versionHeader }: TopicForm,
   ): PlatformRead {
     return async ({ after, waitMs, signal }) => {
       reads.increment({ topic });
@@ -88,20 +102,30 @@
         agent,
         timeoutMs: waitMs + ANSWER_ALLOWANCE_MS,
         signal,
+        versionHeader,
       });
-      const parsed = result.andThen((body) => {
-        if (body === undefined) return ok(undefined);
-        const value = parse(body);
-        return value === undefined ? err("malformed" as const) : ok(value);
-      });
+      const parsed = result.andThen(
+        (answer): Result<PlatformAnswer, PlatformFailure> => {
+          if (answer.type === "unchanged") return ok(answer);
+          const value = parse(answer.json);
+          if (value === undefined) return err("malformed");
+          return ok({ type: "value", ...value });
+        },
+      );
       if (parsed.isErr()) failures.increment({ topic, reason: parsed.error });
       return parsed;
     };
   }
 
   return {
-    readConfig: createRead("config", parseConfigBody),
-    readHosts: createRead("hosts", parseHostsBody),
+    readConfig: createRead("config", {
+      parse: parseConfigBody,
+      versionHeader: "config-version",
+    }),
+    readHosts: createRead("hosts", {
+      parse: parseHostsBody,
+      versionHeader: "hosts-sequence",
+    }),
     close: () => agent.destroy(),
   };
 }
@@ -136,13 +160,18 @@
   readonly agent: Agent;
   readonly timeoutMs: number;
   readonly signal: AbortSignal | undefined;
+  readonly versionHeader: string;
 }
 
+type RawAnswer =
+  | { readonly type: "json"; readonly json: unknown }
+  | Extract<PlatformAnswer, { type: "unchanged" }>;
+
 async function readJson(
   url: URL,
   options: FetchOptions,
-): Promise<Result<unknown, PlatformFailure>> {
-  const { agent, timeoutMs, signal } = options;
+): Promise<Result<RawAnswer, PlatformFailure>> {
+  const { agent, timeoutMs, signal, versionHeader } = options;
   // AbortSignal.any would keep each call's signal for as long as the caller's.
   const controller = new AbortController();
   let failure: PlatformFailure = "connection";
@@ -155,7 +184,11 @@
   signal?.addEventListener("abort", abortForCaller);
   const timer = setTimeout(() => abort("timeout"), timeoutMs);
   try {
-    return await requestJson(url, { agent, signal: controller.signal });
+    return await requestJson(url, {
+      agent,
+      signal: controller.signal,
+      versionHeader,
+    });
   } catch {
     return err(failure);
   } finally {
@@ -166,13 +199,18 @@
 
 async function requestJson(
   url: URL,
-  options: { readonly agent: Agent; readonly signal: AbortSignal },
-): Promise<Result<unknown, PlatformFailure>> {
-  const { agent, signal } = options;
-  const response = await request(url, { dispatcher: agent, signal });
+  options: Pick<FetchOptions, "agent" | "signal" | "versionHeader">,
+): Promise<Result<RawAnswer, PlatformFailure>> {
+  const { agent, signal, versionHeader } = options;
+  const response = await request(url, {
+    dispatcher: agent,
+    ...(signal && { signal }),
+  });
   if (response.statusCode !== 200) {
     await response.body.dump();
-    return response.statusCode === 204 ? ok(undefined) : err("status");
+    if (response.statusCode !== 204) return err("status");
+    const version = parseVersion(response.headers[versionHeader]);
+    return ok({ type: "unchanged", version });
   }
   const chunks: Buffer[] = [];
   let sizeBytes = 0;
@@ -184,9 +222,17 @@
   return parseJson(Buffer.concat(chunks).toString("utf8"));
 }
 
-function parseJson(text: string): Result<unknown, PlatformFailure> {
+/** What is not a number counts as no answer about the version. */
+function parseVersion(
+  header: string | string[] | undefined,
+): number | undefined {
+  const text = String(header);
+  return /^\d{1,15}$/.test(text) ? Number(text) : undefined;
+}
+
+function parseJson(text: string): Result<RawAnswer, PlatformFailure> {
   try {
-    return ok(JSON.parse(text));
+    return ok({ type: "json", json: JSON.parse(text) as unknown });
   } catch {
     return err("malformed");
   }
--- a/src/platform/platform_client_test.ts
+++ b/src/platform/platform_client_test.ts
@@ -67,6 +67,29 @@
     expect(first._unsafeUnwrap()).toEqual(second._unsafeUnwrap());
   });
 
+  // Guards against a stale platform whose 204 counts as a confirmation.
+  test.each([
+    ["7", 7],
+    ["0", 0],
+    ["-7", undefined],
+    ["7, 8", undefined],
+    ["", undefined],
+  ])("reads the version of a 204 from header %p", async (header, version) => {
+    const { client } = await createFor((_, response) =>
+      response
+        .writeHead(204, { "config-version": header, "hosts-sequence": header })
+        .end(),
+    );
+    const answers = await Promise.all(
+      [client.readConfig, client.readHosts].map((read) =>
+        read({ after: 7, waitMs: 0 }),
+      ),
+    );
+    answers.forEach((answer) =>
+      expect(answer._unsafeUnwrap()).toEqual({ type: "unchanged", version }),
+    );
+  });
+
   // Guards against a watch that never sees the query it depends on.
   test("asks with the version and wait given, and takes 204 as no news", async () => {
     const urls: (string | undefined)[] = [];
@@ -75,7 +98,7 @@
       response.writeHead(204).end();
     });
     const result = await client.readConfig({ after: 7, waitMs: 50 });
-    expect(result._unsafeUnwrap()).toBeUndefined();
+    expect(result._unsafeUnwrap()).toEqual({ type: "unchanged" });
     expect(urls).toEqual(["/v1/config?after=7&wait_ms=50"]);
   });
 });
--- a/stand_ins/platform.ts
+++ b/stand_ins/platform.ts
@@ -56,7 +56,11 @@
   app.get("/v1/config", async (c) => {
     const found = await read(c, topics.config, Number(c.req.query("after")));
     if (found === undefined) return c.text("Unavailable", 503);
-    if (found === "unchanged") return c.body(null, 204);
+    if (found === "unchanged") {
+      return c.body(null, 204, {
+        "Config-Version": nameVersion(topics.config),
+      });
+    }
     return c.json({
       version: found.version,
       published_at_ms: found.publishedAtMs,
@@ -66,7 +70,9 @@
   app.get("/v1/hosts", async (c) => {
     const found = await read(c, topics.hosts, Number(c.req.query("after")));
     if (found === undefined) return c.text("Unavailable", 503);
-    if (found === "unchanged") return c.body(null, 204);
+    if (found === "unchanged") {
+      return c.body(null, 204, { "Hosts-Sequence": nameVersion(topics.hosts) });
+    }
     return c.json({
       sequence: found.version,
       hosts: JSON.parse(found.value) as unknown,
@@ -114,6 +120,11 @@
   return topic.history.at(-1 - back) ?? topic.history[0];
 }
 
+/** The version that readers can see, which may be older than the newest. */
+function nameVersion(topic: Topic): string {
+  return String(findVisible(topic)?.version ?? 0);
+}
+
 function wakeAll(topic: Topic) {
   topic.waiting.splice(0).forEach((wake) => wake());
 }
