Request a chunk in the same step that chooses it

A test counts how often the store is asked for each chunk by an agent with two store tasks: 2 before, 1 now. Ruled out: takeovers (none counted) and failed or aborted requests (none in a log of all requests).

--- a/src/weights/fetch_tasks.ts
+++ b/src/weights/fetch_tasks.ts
@@ -9,7 +9,7 @@
 import { fetchChunk } from "./fetch_chunk.ts";
 import { fetchFromPeer } from "./fetch_from_peer.ts";
 import type { Holding } from "./peer_holdings.ts";
-import type { Source, TransferView } from "./policy.ts";
+import type { Decision, Source, TransferView } from "./policy.ts";
 import { STORE_NAME } from "./source_outcomes.ts";
 import type { TransferState } from "./transfer_state.ts";
 import { createTransferView } from "./transfer_view.ts";
@@ -30,11 +30,15 @@
   };
   const view = createTransferView(state, progress, { source });
   while (isUnfinished(state)) {
-    const index = await chooseNext(state, {
+    const decision = decideNext(state, {
       view,
       readyAtMs: outcomes.readyAtMs(STORE_NAME),
     });
-    if (index === undefined) continue;
+    if (decision.type === "wait") {
+      await waitUntil(state, decision.untilMs);
+      continue;
+    }
+    const { index } = decision;
     const { digest } = progress.manifest.chunks[index]!;
     await fetchChunk(state, progress, {
       index,
@@ -61,13 +65,17 @@
   const view = createTransferView(state, progress, { source, holding });
   while (isUnfinished(state) && !peer.isClosed()) {
     if (outcomes.isAvoided(host)) return;
-    const index = await chooseNext(state, {
+    const decision = decideNext(state, {
       view,
       readyAtMs: peers.isUsable(holding)
         ? outcomes.readyAtMs(host)
         : context.nowMs() + UNUSABLE_DELAY_MS,
     });
-    if (index === undefined) continue;
+    if (decision.type === "wait") {
+      await waitUntil(state, decision.untilMs);
+      continue;
+    }
+    const { index } = decision;
     if (source.distance === "other_region") {
       state.regionShare.take(progress.manifest.chunks[index]!.sizeBytes);
     }
@@ -86,19 +94,19 @@
   return !state.isEnded() && !state.isWhole();
 }
 
-/** Undefined after a wait, when everything has to be looked at again. */
-async function chooseNext(
+/**
+ * Decides without a pause, and the caller starts the request at once: between
+ * the two no other task may choose the same chunk.
+ */
+function decideNext(
   { context }: TransferState,
   options: { readonly view: TransferView; readonly readyAtMs: number },
-): Promise<number | undefined> {
-  const { changes, policy, nowMs } = context;
+): Decision {
   const { view, readyAtMs } = options;
-  if (readyAtMs > nowMs()) {
-    await changes.wait(readyAtMs - nowMs());
-    return undefined;
-  }
-  const decision = policy(view);
-  if (decision.type === "fetch") return decision.index;
-  await changes.wait(decision.untilMs - nowMs());
-  return undefined;
+  if (readyAtMs > context.nowMs()) return { type: "wait", untilMs: readyAtMs };
+  return context.policy(view);
+}
+
+function waitUntil({ context }: TransferState, untilMs: number): Promise<void> {
+  return context.changes.wait(untilMs - context.nowMs());
 }
--- a/src/weights/weights_test.ts
+++ b/src/weights/weights_test.ts
@@ -25,6 +25,15 @@
     expect(store.sentBytes() / MODEL.sizeBytes).toBeLessThan(1.25);
   });
 
+  // Guards against two tasks that choose the same chunk before one of them has
+  // marked it as requested.
+  test("asks the store for each chunk once", async () => {
+    const { store, agents } = await start(["kolkata"]);
+    await wantModel(agents);
+    expect(store.requests.size).toBe(MODEL.chunks.size + 1);
+    expect(Math.max(...store.requests.values())).toBe(1);
+  });
+
   // Guards against a joining agent that goes to the store although its peers
   // have everything.
   test("serves a late joiner from its peers", async () => {
