A request that lost its endpoint goes before new ones until it is answered

Two answers were still lost in each burst. The entries' logs of a trial showed that each had lost one endpoint only, before its first token: the second attempt carried no resume text, so it was refused as any new request of its priority, and the refusal for overload had no retries left. A second lost endpoint, crash turns and quarantine were ruled out by the same logs.

The request head now says that an endpoint was lost, which covers continued answers too; agents admit such requests before new ones, and their retries count as "other" in the budget.

--- a/src/agent/handle_request.ts
+++ b/src/agent/handle_request.ts
@@ -190,11 +190,12 @@
 }
 
 /**
- * A continued answer goes before all new ones: a refusal would cost its caller
- * what it already has, and only as many continue as were in progress.
+ * A request that lost its endpoint goes before all new ones: a refusal would
+ * cost its caller what it already has, and leave the outcome unknown. There are
+ * only as many as were in progress at that endpoint.
  */
-function readPriority({ priority, resume }: RequestHead): number {
-  return resume === undefined ? priority : Infinity;
+function readPriority({ priority, hasLostEndpoint }: RequestHead): number {
+  return hasLostEndpoint === true ? Infinity : priority;
 }
 
 /** Refuses at once what would be refused after the body has arrived. */
--- a/src/agent/language_faults_test.ts
+++ b/src/agent/language_faults_test.ts
@@ -141,7 +141,7 @@
 describe("admission under overload", () => {
   // Guards against an answer that is cut because new requests, even of a higher
   // priority, fill the queue of the endpoint that would continue it.
-  test("a continued answer goes before a full queue", async () => {
+  test("a request that lost its endpoint goes before a full queue", async () => {
     const { entry, engine, until, lastLoad } = await start();
     engine.onRequest(() => undefined);
     const running = [ask(entry), ask(entry)];
@@ -151,7 +151,7 @@
     );
     await until(() => lastLoad()?.queued === 4);
     const resume = { text: "abc", tokens: 2 };
-    const continued = ask(entry, { resume });
+    const continued = ask(entry, { resume, hasLostEndpoint: true });
     const dropped = await Promise.race(waiting);
     expect(dropped.trailer).toEqual(notRun("overloaded"));
     expect(dropped.trailer?.retryAfterMs).toBeGreaterThan(0);
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -35,6 +35,8 @@
   readonly metrics: EntryMetrics;
   /** True if an answer of this digest may be passed on. */
   readonly isServedDigest: (digest: string) => boolean;
+  /** True if an earlier attempt may have run. */
+  readonly hasLostEndpoint: boolean;
   /** Set if the caller already has a part of the answer. */
   readonly continued?: Continued | undefined;
 }
@@ -64,6 +66,7 @@
     repeatable: request.repeatable,
     fingerprint: request.fingerprint,
     ...(request.key && { idempotencyKey: request.key.text }),
+    ...(options.hasLostEndpoint && { hasLostEndpoint: true }),
     ...(continued && {
       versionDigest: continued.versionDigest,
       resume: {
--- a/src/entry/choose_step.ts
+++ b/src/entry/choose_step.ts
@@ -112,7 +112,7 @@
   if (peer === undefined) {
     return createFail(failure ?? refuseNoEndpoint(call, document));
   }
-  if (failure !== undefined && !takeRetry(context, call, failure)) {
+  if (failure !== undefined && !takeRetry(context, call, { failure, loss })) {
     return createFail(failure);
   }
   return { type: "attempt", peer };
@@ -130,9 +130,10 @@
 function takeRetry(
   { budget, metrics }: EntryContext,
   { caller }: Call,
-  failure: Refusal,
+  { failure, loss }: { failure: Refusal; loss: Refusal | undefined },
 ): boolean {
-  const cause = failure.code === "overloaded" ? "overloaded" : "other";
+  const isOverload = loss === undefined && failure.code === "overloaded";
+  const cause = isOverload ? "overloaded" : "other";
   if (caller.isStarted()) budget.charge();
   else if (!budget.take(cause)) {
     metrics.retriesDenied.increment({ cause: "budget" });
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -97,6 +97,7 @@
     peer,
     configVersion: config.version,
     metrics,
+    hasLostEndpoint: history.loss !== undefined,
     continued,
     isServedDigest: (digest) => {
       const isServed = isDigestServed(context, call, { digest, config });
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -43,6 +43,8 @@
   /** Digest the answer must come from; absent when any served one will do. */
   versionDigest: z.string().optional(),
   resume: resumeSchema.optional(),
+  /** Another endpoint was lost while it had the request. */
+  hasLostEndpoint: z.boolean().optional(),
 });
 export type RequestHead = Readonly<z.infer<typeof requestHeadSchema>>;
 
