--- a/bench/mechanisms.ts
+++ b/bench/mechanisms.ts
@@ -188,4 +188,22 @@
     testFile: "src/entry/faults_test.ts",
     test: "stops retrying when the budget is used up",
   },
+  {
+    guarantee: 4,
+    name: "a request that lost its endpoint goes before new ones",
+    file: "src/agent/handle_request.ts",
+    find: "hasLostEndpoint === true ? Infinity : priority",
+    replace: "hasLostEndpoint === true ? priority : priority",
+    testFile: "src/agent/language_faults_test.ts",
+    test: "a request that lost its endpoint goes before a full queue",
+  },
+  {
+    guarantee: 4,
+    name: "a full queue drops the lowest priority",
+    file: "src/admission/admission.ts",
+    find: "if (isQueueFull()) dropLowest();",
+    replace: "",
+    testFile: "src/admission/admission_test.ts",
+    test: "higher priority first; a full queue drops the lowest",
+  },
 ];
--- a/src/admission/admission_test.ts
+++ b/src/admission/admission_test.ts
@@ -68,12 +68,12 @@
     const high = add("high", 5);
     dropped.unshift(add("refused low", 0));
     const highest = add("highest", 9);
+    expect(admission.queued()).toBe(3);
     const refusals = await Promise.all(dropped);
     refusals.forEach((refusal) => {
       expect(refusal._unsafeUnwrapErr().code).toBe("overloaded");
       expect(refusal._unsafeUnwrapErr().retryAfterMs).toBeGreaterThan(0);
     });
-    expect(admission.queued()).toBe(3);
     first.release("succeeded");
     await Promise.all([low, high, highest]);
     expect(order).toEqual(["highest", "high", "low"]);
