--- a/bench/measure_overload.ts
+++ b/bench/measure_overload.ts
@@ -27,7 +27,7 @@
 } from "./overload_report.ts";
 import { ENGINE_PROFILE } from "./profiles.ts";
 import { createRandom } from "./random.ts";
-import { findRecoveryMs } from "./recovery.ts";
+import { findRecovery } from "./recovery.ts";
 import {
   computePercentiles,
   countDetails,
@@ -198,7 +198,7 @@
       entries: entries.length,
       durationMs: endMs - beforeAtMs,
     }),
-    recoveredMs: findRecoveryMs(after.results(), {
+    recovery: findRecovery(after.results(), {
       fromMs: endMs,
       normalP95Ms: NORMAL_SLOWDOWN * normalMs.p95,
     }),
@@ -221,7 +221,8 @@
     first_token_after_ms: computePercentiles(listFirstTokenMs(after.results())),
     by_priority: { [high.priority]: figures.high, [low.priority]: figures.low },
     retries: figures.retries,
-    recovered_ms: figures.recoveredMs,
+    recovered_answers_ms: figures.recovery.answeredMs,
+    recovered_first_token_ms: figures.recovery.firstTokenMs,
     ...outcomes,
     duplicate_runs: figures.audit.duplicateRuns,
     false_not_run: figures.audit.falseNotRun,
--- a/bench/overload_report.ts
+++ b/bench/overload_report.ts
@@ -2,6 +2,7 @@
 
 import type { BookingAudit } from "./booking_audit.ts";
 import type { EntryCounters } from "./entry_counters.ts";
+import type { Recovery } from "./recovery.ts";
 import {
   computePercentiles,
   countDetails,
@@ -69,7 +70,7 @@
   readonly high: PriorityReport;
   readonly low: PriorityReport;
   readonly retries: ReturnType<typeof describeRetries>;
-  readonly recoveredMs: number | null;
+  readonly recovery: Recovery;
   readonly outcomes: Readonly<Record<"wrong" | "cut" | "unknown", number>>;
   readonly audit: BookingAudit;
 }
@@ -85,14 +86,15 @@
 }
 
 export function listMisses(figures: OverloadFigures): readonly string[] {
-  const { high, low, retries, outcomes, audit } = figures;
+  const { high, low, retries, recovery, outcomes, audit } = figures;
   const highShare = MIN_GOODPUT_SHARE * figures.possibleHighShare;
   return [
     figures.goodputShare < MIN_GOODPUT_SHARE && "goodput",
     high.answered_share < highShare && "high priority not answered",
     high.answered_share <= low.answered_share && "low priority served first",
     retries.retries > retries.budget && "retries over the budget",
-    figures.recoveredMs === null && "no recovery",
+    recovery.answeredMs === null && "no recovery of answers",
+    recovery.firstTokenMs === null && "no recovery of first tokens",
     outcomes.wrong > 0 && "wrong answers",
     outcomes.cut > 0 && "answers cut without a word",
     outcomes.unknown > 0 && "answers lost",
--- a/bench/recovery.ts
+++ b/bench/recovery.ts
@@ -11,14 +11,19 @@
   readonly normalP95Ms: number;
 }
 
-/**
- * Time until the first window from which on every request was answered whole
- * and with a normal first-token time; null if the last window is not normal.
- */
-export function findRecoveryMs(
+/** Each is null if service was still not normal in the last window. */
+export interface Recovery {
+  /** Time from which on every request was answered whole. */
+  readonly answeredMs: number | null;
+  /** Time from which on first tokens came as fast as normally. */
+  readonly firstTokenMs: number | null;
+}
+
+/** Looks at windows of requests by the time at which they were sent. */
+export function findRecovery(
   results: readonly CallResult[],
   { fromMs, normalP95Ms }: RecoveryOptions,
-): number | null {
+): Recovery {
   const lastMs = Math.max(...results.map(({ sentAtMs }) => sentAtMs));
   const count = Math.max(1, Math.ceil((lastMs - fromMs) / WINDOW_MS));
   const windows = Array.from({ length: count }, (_, index) => {
@@ -27,10 +32,22 @@
       ({ sentAtMs }) => sentAtMs >= startMs && sentAtMs < startMs + WINDOW_MS,
     );
   });
-  const lastBad = windows.findLastIndex((window) => {
-    const { p95 } = computePercentiles(listFirstTokenMs(window));
-    const isWhole = window.every((r) => r.outcome === "answered_whole");
-    return !isWhole || p95 > normalP95Ms;
-  });
-  return lastBad === windows.length - 1 ? null : (lastBad + 1) * WINDOW_MS;
+  return {
+    answeredMs: findLastingMs(windows, (window) =>
+      window.every(({ outcome }) => outcome === "answered_whole"),
+    ),
+    firstTokenMs: findLastingMs(
+      windows,
+      (window) =>
+        computePercentiles(listFirstTokenMs(window)).p95 <= normalP95Ms,
+    ),
+  };
+}
+
+function findLastingMs(
+  windows: readonly (readonly CallResult[])[],
+  isNormal: (window: readonly CallResult[]) => boolean,
+): number | null {
+  const last = windows.findLastIndex((window) => !isNormal(window));
+  return last === windows.length - 1 ? null : (last + 1) * WINDOW_MS;
 }
