--- a/bench/mechanisms.ts
+++ b/bench/mechanisms.ts
@@ -222,7 +222,7 @@
     find: 'if (version !== after) return "stale";',
     replace: "",
     testFile: "src/node/platform_reader_test.ts",
-    test: "confirms by an older version",
+    test: "an older version",
   },
   {
     guarantee: 9,
