Test engines that turn cold under full demand and two data centres out

Engines that turn cold with no more than their cold capacity in flight, and then the demand of 60 callers: none falls over or runs more than its cold capacity. Two of three data centres out at once, and back: no dispatch into either once every process has the version, no request lost or run twice. The stand-in engine counts its peak while cold and the reads that were told so, which the test waits for.

--- a/bench/mechanisms.ts
+++ b/bench/mechanisms.ts
@@ -61,6 +61,25 @@
     testFile: "src/agent/language_faults_test.ts",
     test: "a restarted agent counts what its endpoint runs",
   },
+  {
+    guarantee: 2,
+    name: "a report that a warm engine turned cold counts",
+    file: "src/engine/endpoint_monitor.ts",
+    find: "    setStatus(state);",
+    replace:
+      'setStatus(status.phase === "warm" ? { ...state, phase: "warm" } : state);',
+    testFile: "test/lost_capacity_test.ts",
+    test: "full demand runs none of them beyond its cold limit",
+  },
+  {
+    guarantee: 3,
+    name: "agent of a key's runner refuses while its data centre is out",
+    file: "src/agent/service_config.ts",
+    find: "return found?.out ?? false;",
+    replace: "return found === undefined;",
+    testFile: "test/lost_capacity_test.ts",
+    test: "no new work enters them",
+  },
   {
     guarantee: 3,
     name: "agent refuses while its data centre is out",
--- a/stand_ins/engine.ts
+++ b/stand_ins/engine.ts
@@ -78,8 +78,10 @@
     cancelled: 0,
     crashes: 0,
     loads: 0,
-    /** Most requests at once, waiting ones included, since it was last cold. */
+    /** Most requests at once while cold, waiting ones included. */
     cold_peak: 0,
+    /** Reads of the state that were told that it is cold. */
+    cold_reports: 0,
   };
   const app = new Hono<{ Bindings: HttpBindings }>();
 
@@ -241,6 +243,7 @@
     if (isRestarting) return c.text("Restarting", 503);
     const visibleAtMs = Date.now() - options.stateLagMs;
     const visible = reports.findLast((r) => r.reported_at_ms <= visibleAtMs);
+    if (visible?.phase === "cold") counts.cold_reports += 1;
     return c.json(visible ?? reports[0]);
   });
   app.post("/v1/orders/load", async (c) => {
--- a/test/fleet_fixture.ts
+++ b/test/fleet_fixture.ts
@@ -67,6 +67,7 @@
   readonly servingDigest?: string;
   readonly configFloor?: number;
   readonly rollout?: string;
+  readonly limit?: number;
   readonly isWaking?: boolean;
 }
 
--- /dev/null
+++ b/test/lost_capacity_test.ts
@@ -0,0 +1,224 @@
+/**
+ * Capacity that goes away at once: engines that turn cold without warning, and
+ * two of three data centres that leave together.
+ */
+
+import { afterAll, beforeAll, describe, expect, test } from "@jest/globals";
+import { request } from "undici";
+import { requestKey } from "../bench/call.ts";
+import type { CallResult } from "../bench/call.ts";
+import { ACCOUNTS } from "../bench/fleet_plan.ts";
+import { ENGINE_PROFILE, WARM_CONCURRENCY } from "../bench/profiles.ts";
+import {
+  book,
+  countRuns,
+  createKeyOf,
+  describeResult,
+  startStreams,
+} from "./fleet_calls.ts";
+import {
+  FLEET_START_MS,
+  readJson,
+  sendStream,
+  startTestFleet,
+} from "./fleet_fixture.ts";
+import type { TestFleet } from "./fleet_fixture.ts";
+import { waitUntil } from "./wait_until.ts";
+
+/** Design, section 1.5: last new dispatch into a data centre that left. */
+const DISPATCH_LIMIT_MS = 2_000;
+const DATA_CENTRES = ["kolkata", "siliguri", "bardhaman"] as const;
+const OUT = DATA_CENTRES.slice(0, 2);
+const ENTRIES = DATA_CENTRES.map((name) => `entry-${name}-1`);
+const ENGINES = DATA_CENTRES.map((name) => `assistant-${name}-1`);
+const LEDGERS = DATA_CENTRES.map((name) => `ledger-${name}-1`);
+const CALLERS = 60;
+
+let fleet: TestFleet;
+
+beforeAll(async () => {
+  fleet = await startTestFleet({
+    dataCentres: DATA_CENTRES,
+    languageEndpoints: 1,
+    ledgerEndpoints: 1,
+    ledgerWorkMs: 20,
+  });
+}, FLEET_START_MS);
+
+afterAll(async () => {
+  await fleet?.close();
+}, 30_000);
+
+function readPhases() {
+  return Promise.all(
+    ENGINES.map(async (name) => (await fleet.readStatus(name))?.phase),
+  );
+}
+
+function readCounters(name: string) {
+  return readJson<{ cold_peak: number; cold_reports: number; crashes: number }>(
+    `${fleet.endpointUrlOf(name)}/admin/counters`,
+  );
+}
+
+async function turnCold(name: string) {
+  const { body } = await request(`${fleet.endpointUrlOf(name)}/admin/fault`, {
+    method: "POST",
+    body: JSON.stringify({ kind: "cold" }),
+  });
+  await body.dump();
+}
+
+/** The agent handles one report before it asks for the next one. */
+async function waitForReport(name: string) {
+  const before = await readCounters(name);
+  await waitUntil("the agent has read that the engine is cold", async () => {
+    const { cold_reports } = await readCounters(name);
+    return cold_reports >= before.cold_reports + 2;
+  });
+}
+
+/** Callers that ask again at once, until they are told to stop. */
+function startDemand() {
+  const results: CallResult[] = [];
+  let isOver = false;
+  async function callOnAndOn(caller: number) {
+    while (!isOver) {
+      const prompt = `Caller ${caller}, question ${results.length}`;
+      const entry = ENTRIES[caller % ENTRIES.length]!;
+      results.push(await sendStream(fleet, entry, { prompt, maxTokens: 5 }));
+    }
+  }
+  const callers = Array.from({ length: CALLERS }, (_, n) => callOnAndOn(n));
+  return {
+    results,
+    async stop() {
+      isOver = true;
+      await Promise.all(callers);
+      return results;
+    },
+  };
+}
+
+function isAnsweredOrNotRun({ outcome }: CallResult): boolean {
+  return outcome === "answered_whole" || outcome === "not_run";
+}
+
+describe("every engine turns cold without warning", () => {
+  // Guards against a full load on engines that are cold, which brings them
+  // down. Work that was inside before is within what they bear cold.
+  test("full demand runs none of them beyond its cold limit", async () => {
+    const before = startDemand();
+    await waitUntil("all agents allow the warm limit", async () => {
+      const all = await Promise.all(ENGINES.map(fleet.readStatus));
+      return all.every((status) => status?.limit === WARM_CONCURRENCY);
+    });
+    await before.stop();
+    const streams = await startStreams(fleet, {
+      entries: ENTRIES,
+      count: ENGINE_PROFILE.coldCapacity,
+      maxTokens: 50,
+    });
+    await Promise.all(ENGINES.map(turnCold));
+    await Promise.all(ENGINES.map(waitForReport));
+    const demand = startDemand();
+    await waitUntil("all are warm again", async () =>
+      (await readPhases()).every((phase) => phase === "warm"),
+    );
+    const results = await demand.stop();
+    const ended = await Promise.all(streams);
+    const counters = await Promise.all(ENGINES.map(readCounters));
+
+    expect(counters.map(({ crashes }) => crashes)).toEqual([0, 0, 0]);
+    const peaks = counters.map(({ cold_peak }) => cold_peak);
+    expect(Math.max(...peaks)).toBeLessThanOrEqual(ENGINE_PROFILE.coldCapacity);
+    expect(results.filter((r) => !isAnsweredOrNotRun(r))).toEqual([]);
+    expect(results.some((r) => r.outcome === "answered_whole")).toBe(true);
+    expect(ended.map(describeResult)).toEqual(
+      streams.map(() => "answered_whole"),
+    );
+  }, 20_000);
+});
+
+describe("two of three data centres leave at once and return", () => {
+  const outEngines = ENGINES.slice(0, OUT.length);
+  const leaving = [...outEngines, ...LEDGERS.slice(0, OUT.length)];
+  const countEach = (names: readonly string[]) =>
+    Promise.all(names.map((name) => fleet.countStarted(name)));
+  const ledgerUrls = () => LEDGERS.map(fleet.endpointUrlOf);
+
+  async function publishOut(outDataCentres: readonly string[]) {
+    const before = await fleet.readStatus(ENTRIES[0]!);
+    await fleet.publish({ servingVersion: "v1", outDataCentres });
+    await waitUntil(
+      "every process has it",
+      async () => {
+        const all = await Promise.all(
+          [...ENTRIES, ...ENGINES, ...LEDGERS].map(fleet.readStatus),
+        );
+        return all.every(
+          (s) => (s?.config?.version ?? 0) > before!.config!.version,
+        );
+      },
+      DISPATCH_LIMIT_MS,
+    );
+  }
+
+  // Guards against dispatches into either of them, and against work that is
+  // cut off or run twice while the last one carries everything.
+  test("no new work enters them, and nothing is lost", async () => {
+    const streams = await startStreams(fleet, {
+      entries: ENTRIES,
+      count: 12,
+      maxTokens: 150,
+    });
+    const demand = startDemand();
+    await publishOut(OUT);
+    const keys = LEDGERS.map((ledger) => createKeyOf(ledger, LEDGERS));
+    const whileOut = await Promise.all(
+      keys.map((key, index) => book(fleet, ENTRIES[index]!, key)),
+    );
+    const taken = await Promise.all(
+      ENTRIES.map(async (entry) => {
+        const key = await requestKey(fleet.urlOf(entry), ACCOUNTS[0]!);
+        return book(fleet, entry, key!);
+      }),
+    );
+    const atLimit = await countEach(leaving);
+    const ended = await Promise.all(streams);
+    const asked = demand.results.length;
+    await waitUntil("the last data centre serves", () =>
+      demand.results
+        .slice(asked)
+        .some((result) => result.outcome === "answered_whole"),
+    );
+    expect(await countEach(leaving)).toEqual(atLimit);
+
+    await publishOut([]);
+    await waitUntil("both serve again", async () => {
+      const counts = await countEach(outEngines);
+      return counts.every((count, index) => count > atLimit[index]!);
+    });
+    const back = await Promise.all(
+      keys.map((key, index) => book(fleet, ENTRIES[index]!, key)),
+    );
+    const results = await demand.stop();
+
+    expect(ended.map(describeResult)).toEqual(
+      streams.map(() => "answered_whole"),
+    );
+    expect(results.filter((r) => !isAnsweredOrNotRun(r))).toEqual([]);
+    expect(whileOut.map(describeResult)).toEqual([
+      "not_run data_centre_out",
+      "not_run data_centre_out",
+      "answered_whole",
+    ]);
+    expect([...taken, ...back].map(describeResult)).toEqual(
+      [...taken, ...back].map(() => "answered_whole"),
+    );
+    const runs = await Promise.all(
+      keys.map((key) => countRuns(ledgerUrls(), key)),
+    );
+    expect(runs).toEqual([1, 1, 1]);
+  }, 30_000);
+});
