--- a/src/settings/settings_test.ts
+++ b/src/settings/settings_test.ts
@@ -47,6 +47,11 @@
       "service: assistant\nseed_peers: [127.0.0.1:0]",
       "seed_peers[0]",
     ],
+    [
+      "service: assistant",
+      "service: assistant\nlisted_peer_address: 127.0.0.1:0",
+      "listed_peer_address",
+    ],
     [
       "service: assistant",
       "service: assistant\nweights_policy: tree",
