--- a/src/weights/transfer.ts
+++ b/src/weights/transfer.ts
@@ -40,7 +40,8 @@
   async function run() {
     const known = context.findManifest(state.manifestDigest);
     if (known !== undefined) state.setManifest(known);
-    await fetchManifest(state);
+    // Without a pause if it is known, so that no peer is added in between.
+    if (known === undefined) await fetchManifest(state);
     const progress = state.progress();
     if (state.isEnded() || progress === undefined) return;
     if (progress.isWhole()) return context.onComplete();
