Bench: let refused callers come back; bound the time they are told

Refusals of crowded-out requests named up to 30 s, because the estimate divided by a share of slots as small as 1%, which a count of some dozens of arrivals cannot tell. The smallest share is now 10%.

--- a/bench/call.ts
+++ b/bench/call.ts
@@ -18,6 +18,8 @@
   readonly firstTokenMs?: number;
   readonly gapsMs: readonly number[];
   readonly idempotencyKey?: string;
+  /** When a refused caller was told to come back. */
+  readonly retryAfterMs?: number;
 }
 
 export interface CompletionCall {
@@ -75,7 +77,9 @@
     });
     if (response.statusCode !== 200) {
       const error = await readError(response);
-      return finish(classifyError(error, response), error.code);
+      const result = finish(classifyError(error, response), error.code);
+      const retryAfterMs = error.retry_after_ms;
+      return retryAfterMs === null ? result : { ...result, retryAfterMs };
     }
     const named = response.headers["zinniaspur-model-digest"];
     const versionDigest = named ?? call.defaultDigest;
@@ -166,7 +170,11 @@
 }
 
 interface ErrorBody {
-  readonly error: { readonly code: string; readonly outcome: string };
+  readonly error: {
+    readonly code: string;
+    readonly outcome: string;
+    readonly retry_after_ms: number | null;
+  };
 }
 
 function post(call: CompletionCall, body: unknown) {
--- a/bench/measure_overload.ts
+++ b/bench/measure_overload.ts
@@ -25,6 +25,7 @@
   listFaults,
   listMisses,
 } from "./overload_report.ts";
+import { startLoad } from "./load.ts";
 import { ENGINE_PROFILE } from "./profiles.ts";
 import { createRandom } from "./random.ts";
 import { findRecovery } from "./recovery.ts";
@@ -37,9 +38,11 @@
 import { planTrial } from "./trial_fleet.ts";
 import {
   sendLanguageCall,
+  sendLanguageCallAgain,
   startBookingLoad,
   startLanguageLoad,
 } from "./trial_load.ts";
+import type { LanguageResult } from "./trial_load.ts";
 
 const WARM_CONCURRENCY = 8;
 const TOKENS = 50;
@@ -63,12 +66,14 @@
   .option("--seed <n>", "seed of the load", "1")
   .option("--seconds <n>", "length of each phase", "10")
   .option("--high-share <n>", "share of the high-priority account", "0.25")
+  .option("--come-backs <n>", "times that a refused caller returns", "0")
   .option("--json", "print one JSON line")
   .parse()
   .opts<{
     seed: string;
     seconds: string;
     highShare: string;
+    comeBacks: string;
     json?: boolean;
   }>();
 
@@ -155,7 +160,15 @@
 
   const offeredPerS = OVERLOAD * capacityPerS;
   const beforeStopped = before.stop();
-  const burst = startLanguageLoad({ ...call, ratePerS: offeredPerS });
+  const burst: LanguageResult[] = [];
+  const burstLoad = startLoad({
+    ratePerS: offeredPerS,
+    random,
+    send: () =>
+      sendLanguageCallAgain(call, Number(options.comeBacks), (result) =>
+        burst.push(result),
+      ),
+  });
   await delay(KILL_AFTER_MS);
   lost.forEach(({ name }, index) => {
     fleet.processes().get(`endpoint-${name}`)!.signal("SIGKILL");
@@ -164,13 +177,13 @@
   const killedAtMs = Date.now();
   await delay(SETTLE_MS + phaseMs);
   const endMs = Date.now();
-  const burstStopped = burst.stop();
+  const burstStopped = burstLoad.stop();
   const after = startLanguageLoad(normal);
   const counters = subtractCounters(
     await readEntryCounters(plan),
     countersBefore,
   );
-  const requests = before.sent() + burst.sent() + bookings.sent();
+  const requests = before.sent() + burst.length + bookings.sent();
   await Promise.all([beforeStopped, burstStopped, delay(phaseMs)]);
   await after.stop();
   const booked = await bookings.stop();
@@ -180,18 +193,18 @@
     ),
   );
 
-  const answeredPerS = countAnsweredPerS(burst.results(), {
+  const answeredPerS = countAnsweredPerS(burst, {
     fromMs: killedAtMs + SETTLE_MS,
     toMs: endMs,
   });
-  const all = [...before.results(), ...burst.results(), ...after.results()];
+  const all = [...before.results(), ...burst, ...after.results()];
   const outcomes = countOutcomes([...all, ...booked]);
   const figures = {
     goodputShare: answeredPerS / remainingPerS,
     measuredShare: measuredPerS / computedPerS,
     possibleHighShare: Math.min(1, remainingPerS / (offeredPerS * highShare)),
-    high: describePriority(burst.results(), high.priority),
-    low: describePriority(burst.results(), low.priority),
+    high: describePriority(burst, high.priority),
+    low: describePriority(burst, low.priority),
     retries: describeRetries({
       counters,
       requests,
--- a/bench/trial_load.ts
+++ b/bench/trial_load.ts
@@ -46,6 +46,26 @@
   return { ...result, priority: account.priority };
 }
 
+/**
+ * A caller that, when it is refused, comes back at the time it was told, up to
+ * this many times. Each try is reported; the last one is the result.
+ */
+export async function sendLanguageCallAgain(
+  options: LanguageCallOptions,
+  comeBacks: number,
+  onTry: (result: LanguageResult) => void,
+): Promise<LanguageResult> {
+  const account = options.pickAccount?.() ?? pickOne(options.random, ACCOUNTS);
+  const own = { ...options, pickAccount: () => account };
+  for (let left = comeBacks; ; left -= 1) {
+    const result = await sendLanguageCall(own);
+    onTry(result);
+    const { retryAfterMs } = result;
+    if (retryAfterMs === undefined || left === 0) return result;
+    await new Promise((resolve) => setTimeout(resolve, retryAfterMs));
+  }
+}
+
 export function startLanguageLoad(
   options: LanguageCallOptions & { readonly ratePerS: number },
 ): RunningLoad<LanguageResult> {
--- a/src/admission/wait_estimate.ts
+++ b/src/admission/wait_estimate.ts
@@ -10,8 +10,11 @@
 const SERVICE_TIME_WEIGHT = 0.1;
 /** Arrivals count towards the rate for about this long. */
 const RATE_SPAN_MS = 5_000;
-/** Keeps the estimate finite when higher priorities take every slot. */
-const MIN_SLOT_SHARE = 0.01;
+/**
+ * Keeps the estimate finite when higher priorities take every slot. The rate
+ * counts some dozens of arrivals only, too few to tell smaller shares apart.
+ */
+const MIN_SLOT_SHARE = 0.1;
 
 export interface WaitEstimate {
   onAdmitted(priority: number): void;
