Leave a peer alone for 4 s after a stalled request

A stalled link keeps its connection until 6 s of silence have passed. A request to it is given up after 2 s, and 250 ms later the next one went there and held its chunk for another 2 s, so each agent lost two or three chunks to one stalled peer, and the last of them held up the end of the transfer.

After a stall the peer is asked again after 4 s, when its connection has been closed or it has been heard of. Lost connections and refusals keep their short waits.

--- a/src/weights/source_outcomes.ts
+++ b/src/weights/source_outcomes.ts
@@ -7,6 +7,13 @@
 import { createRetryTimes } from "./retry_times.ts";
 import type { TransferContext } from "./transfer_context.ts";
 
+/**
+ * A connection that is silent for 6 s is closed, and a request that stalls is
+ * given up after 2 s. After this time the peer is gone or has been heard of; a
+ * request before would most likely hold its chunk for another 2 s.
+ */
+const STALLED_DELAY_MS = 4_000;
+
 /** Name of the weight store among the sources; the others are host names. */
 export const STORE_NAME = "";
 
@@ -54,6 +61,7 @@
     counters.failedRequests.increment({ source, reason: result.reason });
     if (result.type === "corrupt") onCorrupt(name);
     else retries.backOff(name);
+    if (result.reason === "stalled") retries.defer(name, STALLED_DELAY_MS);
     onChange();
     return undefined;
   }
--- /dev/null
+++ b/src/weights/source_outcomes_test.ts
@@ -0,0 +1,64 @@
+import { expect, test } from "@jest/globals";
+import { createRegistry } from "../metrics/mod.ts";
+import type { FetchResult } from "./fetch_result.ts";
+import { createSourceOutcomes } from "./source_outcomes.ts";
+import type { TransferContext } from "./transfer_context.ts";
+import { createWeightCounters } from "./weight_counters.ts";
+
+const HOST = "assistant-1";
+
+function createOutcomes() {
+  const context = {
+    counters: createWeightCounters(createRegistry()),
+    changes: { notify: () => undefined },
+    nowMs: () => 0,
+    random: () => 1,
+  } as unknown as TransferContext;
+  return createSourceOutcomes({
+    context,
+    manifestDigest: "sha256:m",
+    isEnded: () => false,
+    onChange: () => undefined,
+  });
+}
+
+interface Case {
+  readonly name: string;
+  readonly result: FetchResult;
+  readonly leastMs: number;
+  readonly mostMs: number;
+}
+
+const cases: readonly Case[] = [
+  {
+    // Guards against a stalled link that holds one chunk after the other for
+    // 2 s until its connection is closed as silent.
+    name: "a stall",
+    result: { type: "failed", reason: "stalled" },
+    leastMs: 4_000,
+    mostMs: 6_000,
+  },
+  {
+    // Guards against a peer out of use for seconds after a reconnection.
+    name: "a lost connection",
+    result: { type: "failed", reason: "connection_lost" },
+    leastMs: 1,
+    mostMs: 250,
+  },
+  {
+    // Guards against a busy peer that is asked too early or taken for faulty.
+    name: "a refusal",
+    result: { type: "refused", code: "busy", retryAfterMs: 20 },
+    leastMs: 20,
+    mostMs: 30,
+  },
+];
+test.each(cases)("asks a peer again after $name", (tested) => {
+  const { result, leastMs, mostMs } = tested;
+  const outcomes = createOutcomes();
+  expect(outcomes.settle(HOST, result)).toBeUndefined();
+  expect(outcomes.readyAtMs(HOST)).toBeGreaterThanOrEqual(leastMs);
+  expect(outcomes.readyAtMs(HOST)).toBeLessThanOrEqual(mostMs);
+  expect(outcomes.isDistrusted(HOST)).toBe(result.type === "failed");
+  expect(outcomes.isAvoided(HOST)).toBe(false);
+});
