--- /dev/null
+++ b/bench/bench_http.ts
@@ -0,0 +1,20 @@
+/** Short requests to the admin routes of stand-ins and to processes. */
+
+import { Agent, request } from "undici";
+
+/** Without keep-alive: a server may close an idle connection at any time. */
+const dispatcher = new Agent({ pipelining: 0 });
+
+export async function sendText(
+  method: "PUT" | "POST",
+  url: string,
+  text: string,
+): Promise<void> {
+  const { body } = await request(url, { method, body: text, dispatcher });
+  await body.dump();
+}
+
+export async function readText(url: string): Promise<string> {
+  const { body } = await request(url, { dispatcher });
+  return body.text();
+}
