--- a/src/node/start_node.ts
+++ b/src/node/start_node.ts
@@ -27,13 +27,16 @@
   listenForPeers,
   PROTOCOL_VERSION,
 } from "../wire/mod.ts";
-import type { Hello, Notice, Peer, Stream } from "../wire/mod.ts";
+import type { Hello, ReplacedNotice, VersionNotice } from "../wire/mod.ts";
 import { createClockSkew } from "./clock_skew.ts";
+import { createConfigFetch } from "./config_fetch.ts";
 import { createConnections } from "./connections.ts";
 import { createDialler } from "./dialler.ts";
 import type { DialTarget } from "./dialler.ts";
+import { createHandlers } from "./handlers.ts";
 import type { Node, NodeIdentity } from "./node.ts";
 import { createPlatformReader } from "./platform_reader.ts";
+import { registerGauges } from "./register_gauges.ts";
 import { createStartRule } from "./start_rule.ts";
 import { createWakeCheck } from "./wake_check.ts";
 
@@ -103,19 +106,7 @@
 
   const changeHandlers: (() => void)[] = [];
   const choosers: ((view: FleetView) => readonly Host[])[] = [];
-  const streamHandlers = new Map<
-    string,
-    (peer: Peer, stream: Stream) => void
-  >();
-  const noticeHandlers = new Map<
-    string,
-    (peer: Peer, notice: Notice) => void
-  >();
-  const handlerFailures = registry.counter(
-    "handler_failures_total",
-    "Handlers of peers, streams, notices and view changes that threw",
-  );
-  const fetches = new Map<Peer, Promise<unknown>>();
+  const handlers = createHandlers(registry, logger);
   const connections = createConnections({ identity, logger });
   const clockSkew = createClockSkew({
     peers: connections.peers,
@@ -155,6 +146,18 @@
     registry,
     logger,
   });
+  const fetchConfig = createConfigFetch({
+    knownVersion: config.knownVersion,
+    pull: (peer) => gossip.compare(peer, "config"),
+  });
+  handlers.onStream("snapshot", (_, stream) => gossip.onSnapshotStream(stream));
+  handlers.onNotice("version", (peer, notice) =>
+    gossip.onNotice(peer, notice as VersionNotice),
+  );
+  handlers.onNotice("replaced", (_, notice) => {
+    const { host, incarnation } = notice as ReplacedNotice;
+    connections.noteIncarnation(host, incarnation);
+  });
   const configReader = createReader(config, platform.readConfig);
   const hostsReader = createReader(hosts, platform.readHosts);
   const readers = [configReader, hostsReader];
@@ -221,7 +224,7 @@
   function updateWanted() {
     const chosen: Host[] = [];
     choosers.forEach((choose) =>
-      runHandler("peer_chooser", () => void chosen.push(...choose(view))),
+      handlers.run("peer_chooser", () => void chosen.push(...choose(view))),
     );
     wanted = [...neighbours, ...chosen]
       .filter(({ name }) => name !== identity.host)
@@ -234,7 +237,7 @@
   }
 
   function notifyChange() {
-    changeHandlers.forEach((handle) => runHandler("view_change", handle));
+    changeHandlers.forEach((handle) => handlers.run("view_change", handle));
   }
 
   function onHostsChange() {
@@ -262,54 +265,19 @@
     };
   }
 
-  /** One document or message must not stop every process that receives it. */
-  function runHandler(name: string, run: () => void): boolean {
-    try {
-      run();
-      return true;
-    } catch (error) {
-      handlerFailures.increment({ handler: name });
-      logger.error({ err: error, handler: name }, "Handler failed");
-      return false;
-    }
-  }
-
-  /** Requests that arrive together share one pull. */
-  function startFetch(peer: Peer): Promise<unknown> {
-    const fetch = gossip.compare(peer, "config");
-    fetches.set(peer, fetch);
-    void fetch.finally(() => fetches.delete(peer));
-    return fetch;
-  }
-
   const transport = {
     hello: createHello,
     counters: createWireCounters(registry),
     wallMs: clock.wallMs,
-    handlers: { onStream: dispatchStream, onNotice: dispatchNotice },
+    handlers: {
+      onStream: handlers.dispatchStream,
+      onNotice: handlers.dispatchNotice,
+    },
     ...(options.openSocket === undefined
       ? {}
       : { openSocket: options.openSocket }),
   };
 
-  function dispatchStream(peer: Peer, stream: Stream) {
-    const { kind } = stream.head;
-    if (kind === "snapshot") return gossip.onSnapshotStream(stream);
-    const handle = streamHandlers.get(kind);
-    if (handle === undefined) return stream.reset("no_handler");
-    const isRun = runHandler(kind, () => handle(peer, stream));
-    if (!isRun) stream.reset("internal_error");
-  }
-
-  function dispatchNotice(peer: Peer, notice: Notice) {
-    if (notice.topic === "version") return gossip.onNotice(peer, notice);
-    if (notice.topic === "replaced") {
-      return connections.noteIncarnation(notice.host, notice.incarnation);
-    }
-    const handle = noticeHandlers.get(notice.topic);
-    runHandler(notice.topic, () => handle?.(peer, notice));
-  }
-
   const dialler = createDialler({
     connections,
     dial: (address) => connectPeer(address, transport),
@@ -327,7 +295,13 @@
     updateWanted();
     notifyChange();
   });
-  registerGauges();
+  registerGauges(registry, {
+    config,
+    clock,
+    startedAtMs,
+    countPeers: () => connections.peers().length,
+    isWatching: () => isWatching,
+  });
 
   const listener = await listenForPeers(options.peerAddress, {
     ...transport,
@@ -349,30 +323,6 @@
     await platform.close();
   }
 
-  function registerGauges() {
-    registry.gauge(
-      "config_version",
-      "Version of the configuration in force",
-      () => config.current()?.version ?? 0,
-    );
-    registry.gauge(
-      "config_confirmation_age_seconds",
-      "Time since the configuration was known to be current, or since start",
-      () =>
-        (clock.wallMs() - Math.max(config.confirmedAtMs(), startedAtMs)) / 1000,
-    );
-    registry.gauge(
-      "peers_connected",
-      "Remote hosts with an open connection",
-      () => connections.peers().length,
-    );
-    registry.gauge(
-      "platform_watching",
-      "1 if this process watches the platform for others",
-      () => (isWatching ? 1 : 0),
-    );
-  }
-
   return {
     identity,
     view,
@@ -383,20 +333,15 @@
     findPeer: connections.find,
     onPeer: (handler) =>
       connections.onPeer(
-        (peer) => void runHandler("peer", () => handler(peer)),
+        (peer) => void handlers.run("peer", () => handler(peer)),
       ),
     addPeerChooser(choose) {
       choosers.push(choose);
       updateWanted();
     },
-    onStream: (kind, handler) => void streamHandlers.set(kind, handler),
-    onNotice: (topic, handler) => void noticeHandlers.set(topic, handler),
-    async fetchConfig(peer, version) {
-      // A fetch in progress may have started before the peer had the version.
-      await fetches.get(peer);
-      if (config.knownVersion() >= version) return;
-      await (fetches.get(peer) ?? startFetch(peer));
-    },
+    onStream: handlers.onStream,
+    onNotice: handlers.onNotice,
+    fetchConfig,
     isClockSkewed: clockSkew.isTooLarge,
     raiseConfigFloor(version) {
       const before = config.current()?.version;
--- a/test/fleet_calls.ts
+++ b/test/fleet_calls.ts
@@ -7,7 +7,7 @@
 import type { Availability } from "../stand_ins/platform.ts";
 import { createUuidV7 } from "../src/uuid/mod.ts";
 import { chooseRunner } from "../src/idempotency/mod.ts";
-import { readJson, sendStream } from "./fleet_fixture.ts";
+import { createPrompt, readJson, sendStream } from "./fleet_fixture.ts";
 import type { TestFleet } from "./fleet_fixture.ts";
 import { waitUntil } from "./wait_until.ts";
 
@@ -67,7 +67,7 @@
   let begun = 0;
   const streams = Array.from({ length: count }, (_, index) =>
     sendStream(fleet, entries[index % entries.length]!, {
-      prompt: `Long ${index} ${Math.random()}`,
+      prompt: createPrompt("Long"),
       maxTokens,
       onFirstToken: () => (begun += 1),
     }),
--- a/test/fleet_fixture.ts
+++ b/test/fleet_fixture.ts
@@ -172,7 +172,7 @@
           await Promise.all(
             Array.from({ length: 4 * engines.length }, (_, index) =>
               sendStream(testFleet, entries[index % entries.length]!.name, {
-                prompt: `Warm-up ${Math.random()}`,
+                prompt: createPrompt("Warm-up"),
                 maxTokens: 3,
               }),
             ),
@@ -220,6 +220,14 @@
   }
 }
 
+let promptCount = 0;
+
+/** A prompt that no other request of this run has, so that none is cached. */
+export function createPrompt(text: string): string {
+  promptCount += 1;
+  return `${text} ${promptCount}`;
+}
+
 export interface StreamChoices {
   readonly prompt: string;
   readonly maxTokens: number;
--- a/test/process_faults_test.ts
+++ b/test/process_faults_test.ts
@@ -9,15 +9,22 @@
   test,
 } from "@jest/globals";
 import { request } from "undici";
-import { sendBooking } from "../bench/call.ts";
 import type { CallResult } from "../bench/call.ts";
-import { ACCOUNTS } from "../bench/fleet_plan.ts";
 import { CRASH_PROMPT } from "../stand_ins/engine.ts";
-import { createUuidV7 } from "../src/uuid/mod.ts";
-import { chooseRunner } from "../src/idempotency/mod.ts";
 import { HTTP_PORT } from "../bench/fleet_hosts.ts";
-import { FLEET_START_MS, readJson } from "./fleet_fixture.ts";
-import { sendStream, startTestFleet } from "./fleet_fixture.ts";
+import {
+  book,
+  countRuns,
+  createKeyOf,
+  isWholeOrUnknown,
+} from "./fleet_calls.ts";
+import {
+  createPrompt,
+  FLEET_START_MS,
+  readJson,
+  sendStream,
+  startTestFleet,
+} from "./fleet_fixture.ts";
 import type { TestFleet } from "./fleet_fixture.ts";
 import { waitUntil } from "./wait_until.ts";
 
@@ -51,38 +58,12 @@
   await fleet?.close();
 }, 30_000);
 
-function book(entryName: string, idempotencyKey: string) {
-  return sendBooking({
-    baseUrl: fleet.urlOf(entryName),
-    account: ACCOUNTS[0]!,
-    idempotencyKey,
-  });
-}
-
-async function countRuns(urls: readonly string[], key: string) {
-  const all = await Promise.all(
-    urls.map((url) => readJson<Record<string, number>>(`${url}/admin/runs`)),
-  );
-  return all.reduce((sum, runs) => sum + (runs[key] ?? 0), 0);
-}
-
-/** A new key whose configured runner is this ledger. */
-function createKeyOf(ledger: string): string {
-  const keys = Array.from({ length: 200 }, () => createUuidV7(Date.now()));
-  const sets = [{ fromMs: 0, runners: LEDGERS }];
-  return keys.find((key) => chooseRunner(key, sets) === ledger)!;
-}
-
 async function readyStatus(hostName: string): Promise<number> {
   const { statusCode, body } = await request(`${fleet.urlOf(hostName)}/readyz`);
   await body.dump();
   return statusCode;
 }
 
-function isWholeOrUnknown({ outcome }: CallResult): boolean {
-  return outcome === "answered_whole" || outcome === "unknown";
-}
-
 async function countAllStarted(names: readonly string[]): Promise<number> {
   const counts = await Promise.all(names.map((n) => fleet.countStarted(n)));
   return counts.reduce((sum, count) => sum + count, 0);
@@ -101,15 +82,15 @@
   beforeAll(async () => {
     oldIp = fleet.findHost(ledger).ip;
     const oldUrl = fleet.endpointUrlOf(ledger);
-    const heldKey = createKeyOf(ledger);
-    const held = book(ENTRIES[0], heldKey);
+    const heldKey = createKeyOf(ledger, LEDGERS);
+    const held = book(fleet, ENTRIES[0], heldKey);
     await waitUntil(
       "the ledger runs the held key",
       async () => (await countRuns([oldUrl], heldKey)) === 1,
     );
     fleet.signal(ledger, "SIGSTOP");
-    const unreadKey = createKeyOf(ledger);
-    const unread = book(ENTRIES[0], unreadKey);
+    const unreadKey = createKeyOf(ledger, LEDGERS);
+    const unread = book(fleet, ENTRIES[0], unreadKey);
 
     // The host list lags: it still names the frozen agent.
     await fleet.replaceHost(ledger, oldIp.replace(/\d+$/, "110"));
@@ -120,19 +101,19 @@
       "new keys are above the floor of the replacement",
       () => Date.now() > startedMs + KEY_FLOOR_MS,
     );
-    const newKey = createKeyOf(ledger);
-    const early = book(ENTRIES[0], newKey);
+    const newKey = createKeyOf(ledger, LEDGERS);
+    const early = book(fleet, ENTRIES[0], newKey);
     await fleet.publishHosts();
 
     const repeated = await waitUntil(
       "the other entry reaches the replacement",
       async () => {
-        const result = await book(ENTRIES[1], newKey);
+        const result = await book(fleet, ENTRIES[1], newKey);
         return result.outcome === "answered_whole" ? result : undefined;
       },
     );
-    const heldAgain = await book(ENTRIES[1], heldKey);
-    const unreadAgain = await book(ENTRIES[1], unreadKey);
+    const heldAgain = await book(fleet, ENTRIES[1], heldKey);
+    const unreadAgain = await book(fleet, ENTRIES[1], unreadKey);
     fleet.signal(frozen(), "SIGCONT");
 
     told = await Promise.all([held, unread, early]);
@@ -264,7 +245,7 @@
     const before = await countAllStarted(ENGINES);
     const streams = Array.from({ length: count }, (_, index) =>
       sendStream(fleet, ENTRIES[index % 2]!, {
-        prompt: `Long ${index} ${Math.random()}`,
+        prompt: createPrompt("Long"),
         maxTokens: 250,
       }),
     );
@@ -343,7 +324,7 @@
     const results: CallResult[] = [];
     const streams = Array.from({ length: 16 }, (_, index) =>
       sendStream(fleet, ENTRIES[index % 2]!, {
-        prompt: `Killed ${index} ${Math.random()}`,
+        prompt: createPrompt("Killed"),
         maxTokens: 120,
       }).then((result) => results.push(result)),
     );
