--- a/bench/trial_fleet.ts
+++ b/bench/trial_fleet.ts
@@ -15,6 +15,8 @@
 const LANGUAGE_ENDPOINTS = 3;
 const HOSTS_LAG_MS = 1_000;
 const LEDGER_WORK_MS = 20;
+/** No load balancer has to notice that an entry of a trial leaves. */
+const ENTRY_SETTINGS = { drain_notice_ms: 500 };
 
 export interface TrialLinks {
   readonly hostMbitPerS: number;
@@ -85,6 +87,7 @@
         weightsMemoryBytes: 4 * modelBytes,
         hostsLagMs: HOSTS_LAG_MS,
         ledgerWorkMs: LEDGER_WORK_MS,
+        entrySettings: ENTRY_SETTINGS,
       }),
   };
 }
