--- a/bench/mechanisms.ts
+++ b/bench/mechanisms.ts
@@ -207,6 +207,15 @@
     testFile: "src/routing/routing_test.ts",
     test: "",
   },
+  {
+    guarantee: 8,
+    name: "entry waits for requests in progress",
+    file: "src/entry/entry.ts",
+    find: "await waitUntilIdle();",
+    replace: "",
+    testFile: "src/entry/shutdown_faults_test.ts",
+    test: "finishes streams in progress while it shuts down",
+  },
   {
     guarantee: 8,
     name: "agent waits for requests in progress",
