--- a/bin/agent.ts
+++ b/bin/agent.ts
@@ -13,7 +13,7 @@
 import type { RunningProgram } from "../src/program/mod.ts";
 import { loadSettings, parseAgentSettings } from "../src/settings/mod.ts";
 import type { AgentSettings } from "../src/settings/mod.ts";
-import { createWeights } from "../src/weights/mod.ts";
+import { createStoreClient, createWeights } from "../src/weights/mod.ts";
 
 const NAME = "zinniaspur-agent";
 
@@ -30,7 +30,7 @@
   const weights = createWeights({
     node,
     service: settings.service,
-    storeUrl: settings.weightStoreUrl,
+    store: createStoreClient(settings.weightStoreUrl),
     memoryBytes: settings.weightsMemoryBytes,
     policy: settings.weightsPolicy,
     hostUpMbitPerS: settings.hostUpMbitPerS,
--- /dev/null
+++ b/bin/gateway.ts
@@ -0,0 +1,47 @@
+/** The program of an entry host on the users' platform. */
+
+import { createStoreClient, HEADER_CODEC } from "../platform/mod.ts";
+import { startGateway } from "../src/gateway/mod.ts";
+import { createOutputLogger } from "../src/logging/mod.ts";
+import { createRegistry, startMetricsServer } from "../src/metrics/mod.ts";
+import { runProgram } from "../src/program/mod.ts";
+import type { RunningProgram } from "../src/program/mod.ts";
+import { loadSettings, parseGatewaySettings } from "../src/settings/mod.ts";
+import type { GatewayProgramSettings } from "../src/settings/mod.ts";
+
+const NAME = "zinniaspur-gateway";
+
+async function start(
+  settings: GatewayProgramSettings,
+): Promise<RunningProgram> {
+  const registry = createRegistry();
+  const logger = createOutputLogger(NAME, settings.host);
+  const metrics = await startMetricsServer(settings.metricsAddress, registry);
+  const gateway = await startGateway({
+    settings,
+    store: createStoreClient({
+      address: settings.storeAddress,
+      registry,
+      logger,
+    }),
+    codec: HEADER_CODEC,
+    registry,
+    logger,
+  });
+  return {
+    stopped: new Promise(() => undefined),
+    async shutDown() {
+      await gateway.shutDown();
+      metrics.close();
+    },
+  };
+}
+
+process.exit(
+  await runProgram(process.argv.slice(2), {
+    name: NAME,
+    description: "Takes callers' requests and has the platform's workers answer",
+    loadSettings: (file) => loadSettings(file, parseGatewaySettings),
+    start,
+  }),
+);
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-  { ignores: ["dist/", "node_modules/", "coverage/"] },
+  { ignores: ["dist/", "target/", "node_modules/", "coverage/"] },
   ...tseslint.configs.recommended,
   {
     files: ["**/*.ts"],
--- a/jest.config.js
+++ b/jest.config.js
@@ -1,7 +1,7 @@
 export default {
   testEnvironment: "node",
   testMatch: ["**/*_test.ts"],
-  modulePathIgnorePatterns: ["<rootDir>/dist/"],
+  modulePathIgnorePatterns: ["<rootDir>/dist/", "<rootDir>/target/"],
   extensionsToTreatAsEsm: [".ts"],
   transform: {
     "^.+\\.ts$": [
--- a/src/agent/testing/fake_weights.ts
+++ b/src/agent/testing/fake_weights.ts
@@ -31,6 +31,7 @@
     onComplete: (handler) => void handlers.push(handler),
     setServing: () => undefined,
     peers: () => peers,
+    adopt: () => 0,
     readManifest: (manifestDigest) =>
       held.has(manifestDigest) ? Buffer.from("{}") : undefined,
     readChunks: (manifestDigest) =>
--- /dev/null
+++ b/src/companion/endpoint_control.ts
@@ -0,0 +1,58 @@
+/** What the companion needs of the endpoint beside it and of the origin. */
+
+import type { Result } from "neverthrow";
+import type { ServedModel } from "../directory/mod.ts";
+
+export interface EndpointReport {
+  readonly running: number;
+  readonly waiting: number;
+  /** Orders that the endpoint has begun since it started. */
+  readonly acceptedOrders: number;
+  /** True while an order is in progress. */
+  readonly isBusy: boolean;
+  readonly models: readonly ServedModel[];
+  readonly memoryUsedTokens: number;
+  readonly memoryTotalTokens: number;
+  readonly slowdown: number;
+  readonly startedAtMs?: number | undefined;
+}
+
+export type EndpointFailure = "timeout" | "connection" | "refused";
+
+export interface EndpointControl {
+  readReport(): Promise<Result<EndpointReport, EndpointFailure>>;
+  /** Loads the staged weights as they are when the order is accepted. */
+  startVersion(
+    served: ServedModel,
+  ): Promise<Result<"begun" | "in_effect" | "conflict", EndpointFailure>>;
+  listStaged(
+    model: string,
+  ): Promise<Result<readonly number[], EndpointFailure>>;
+  /** Undefined if nothing is staged at this index. */
+  readStaged(
+    model: string,
+    index: number,
+  ): Promise<Result<Uint8Array | undefined, EndpointFailure>>;
+  writeStaged(
+    model: string,
+    index: number,
+    bytes: Uint8Array,
+  ): Promise<Result<void, EndpointFailure>>;
+  close(): Promise<void>;
+}
+
+export type OriginFailure =
+  "timeout" | "connection" | "refused" | "malformed" | "aborted";
+
+export interface WeightOrigin {
+  /** SHA-256 of each chunk, hexadecimal. */
+  readDigests(
+    version: ServedModel,
+  ): Promise<Result<readonly string[], OriginFailure>>;
+  readChunk(
+    version: ServedModel,
+    index: number,
+    signal: AbortSignal,
+  ): Promise<Result<Uint8Array, OriginFailure>>;
+  close(): Promise<void>;
+}
--- /dev/null
+++ b/src/companion/mod.ts
@@ -0,0 +1,15 @@
+/** The agent beside an endpoint that entries call directly. */
+
+export type {
+  EndpointControl,
+  EndpointFailure,
+  EndpointReport,
+  OriginFailure,
+  WeightOrigin,
+} from "./endpoint_control.ts";
+export { chooseTarget, computeTurnMs } from "./choose_target.ts";
+export { createFleetFacts } from "./fleet_facts.ts";
+export { createManifestSource } from "./agreed_manifest.ts";
+export { readSoundChunks, stageChunks } from "./staging.ts";
+export { startCompanion } from "./start_companion.ts";
+export type { Companion, CompanionSettings } from "./start_companion.ts";
--- /dev/null
+++ b/src/companion/origin_store.ts
@@ -0,0 +1,42 @@
+/** The origin of weights in the form that the transfer of weights asks for. */
+
+import type { FetchResult, StoreClient } from "../weights/mod.ts";
+import type { ManifestSource } from "./agreed_manifest.ts";
+import type { WeightOrigin } from "./endpoint_control.ts";
+
+const RETRY_AFTER_MS = 200;
+
+export function createOriginStore(
+  origin: WeightOrigin,
+  manifests: ManifestSource,
+  findCurrent: () => string | undefined,
+): StoreClient {
+  return {
+    async fetch(kind, digest, limits): Promise<FetchResult> {
+      const known = manifests.findByDigest(
+        kind === "manifests" ? digest : (findCurrent() ?? ""),
+      );
+      if (known === undefined) {
+        return { type: "failed", reason: "manifest_unknown" };
+      }
+      if (kind === "manifests") return { type: "ok", bytes: known.bytes };
+      const index = known.chunkDigests.indexOf(digest);
+      const result = await origin.readChunk(
+        known.version,
+        index,
+        limits.signal,
+      );
+      if (result.isErr()) {
+        return result.error === "refused"
+          ? { type: "refused", code: "origin", retryAfterMs: RETRY_AFTER_MS }
+          : { type: "failed", reason: result.error };
+      }
+      limits.onBytes(result.value.length);
+      if (result.value.length !== limits.sizeBytes) {
+        return { type: "corrupt", reason: "wrong_size" };
+      }
+      return { type: "ok", bytes: result.value };
+    },
+    close: () => origin.close(),
+  };
+}
--- /dev/null
+++ b/src/companion/start_companion.ts
@@ -0,0 +1,109 @@
+/**
+ * The agent beside an endpoint on a platform whose entries call endpoints
+ * directly: it reports load, gets weights and switches versions.
+ */
+
+import type { Logger } from "../logging/mod.ts";
+import { startMesh } from "../mesh/mod.ts";
+import type { Registry } from "../metrics/mod.ts";
+import { createWeights } from "../weights/mod.ts";
+import type { FleetNotice } from "../wire/mod.ts";
+import { createManifestSource } from "./agreed_manifest.ts";
+import type { EndpointControl, WeightOrigin } from "./endpoint_control.ts";
+import { describeFleetDocument } from "./fleet_document.ts";
+import { createFleetFacts } from "./fleet_facts.ts";
+import { startLoadReporter } from "./load_reporter.ts";
+import { createOriginStore } from "./origin_store.ts";
+import { startRollOut } from "./roll_out.ts";
+
+/** Two versions of a small model, with room for one more. */
+const WEIGHTS_MEMORY_VERSIONS = 3;
+const WEIGHTS_MEMORY_BYTES = WEIGHTS_MEMORY_VERSIONS * 4 * 1024 * 1024;
+
+export interface CompanionSettings {
+  readonly host: string;
+  readonly dataCentre: string;
+  readonly service: string | undefined;
+  readonly peerAddress: string;
+  readonly endpointAddress: string;
+  readonly seeds: readonly string[];
+  readonly regions: Readonly<Record<string, string>>;
+  readonly hostMbitPerS: number;
+  readonly regionMbitPerS: number;
+  readonly switchWithinMs: number;
+}
+
+export interface CompanionOptions {
+  readonly settings: CompanionSettings;
+  readonly endpoint: EndpointControl;
+  readonly createOrigin: (
+    readAddress: () => string | undefined,
+  ) => WeightOrigin;
+  readonly registry: Registry;
+  readonly logger: Logger;
+}
+
+export interface Companion {
+  close(): Promise<void>;
+}
+
+export async function startCompanion(
+  options: CompanionOptions,
+): Promise<Companion> {
+  const { settings, endpoint, registry, logger } = options;
+  const nowMs = () => performance.now();
+  const facts = createFleetFacts(settings.service, nowMs);
+  const mesh = await startMesh({
+    ...settings,
+    role: "agent",
+    readDocument: () => describeFleetDocument({ facts, ...settings }),
+    registry,
+    logger,
+  });
+  const origin = options.createOrigin(() => facts.origin()?.originAddress);
+  const manifests = createManifestSource(origin, logger);
+  const weights = createWeights({
+    node: mesh,
+    service: settings.service ?? "",
+    store: createOriginStore(origin, manifests, () => rollOut.currentDigest()),
+    memoryBytes: WEIGHTS_MEMORY_BYTES,
+    policy: "swarm",
+    registry,
+    logger,
+  });
+  const reporter = startLoadReporter({
+    endpoint,
+    address: settings.endpointAddress,
+    mesh,
+    logger,
+  });
+  const rollOut = startRollOut({
+    facts,
+    manifests,
+    weights,
+    endpoint,
+    reporter,
+    logger,
+    self: settings.host,
+    listMembers: () =>
+      mesh.view
+        .hosts()
+        .hosts.filter(({ service }) => service === settings.service)
+        .map(({ name }) => name),
+    switchWithinMs: settings.switchWithinMs,
+    nowMs,
+  });
+  facts.onChange(() => mesh.notifyViewChange());
+  mesh.onMeshNotice("fleet", (_, notice) => {
+    facts.update(notice as FleetNotice);
+  });
+  return {
+    async close() {
+      rollOut.close();
+      reporter.close();
+      await weights.close();
+      await endpoint.close();
+      await mesh.close();
+    },
+  };
+}
--- /dev/null
+++ b/src/directory/directory.ts
@@ -0,0 +1,239 @@
+/**
+ * What this process knows of the published state: configuration, endpoints,
+ * evacuated data centres, wanted weight versions, and how old that knowledge
+ * is. It never goes back to an earlier version of anything.
+ */
+
+import type { Logger } from "../logging/mod.ts";
+import type { AgeClock } from "./age_clock.ts";
+import type {
+  DirectoryChange,
+  EndpointRecord,
+  RoutingConfig,
+} from "./records.ts";
+
+/** A wanted version of a model's weights. */
+export interface WantedWeights {
+  readonly model: string;
+  readonly version: number;
+  /** On the age clock: a time at which it was certainly not yet published. */
+  readonly notBeforeMs: number;
+}
+
+export interface ListedEndpoint extends EndpointRecord {
+  /** On the age clock. */
+  readonly firstSeenAtMs: number;
+  readonly listedAtMs: number;
+}
+
+/** The state in a form that another process can take over. */
+export interface DirectorySnapshot {
+  readonly revision: number;
+  readonly changes: readonly DirectoryChange[];
+}
+
+export interface Directory {
+  config(): RoutingConfig | undefined;
+  revision(): number;
+  endpoints(): readonly ListedEndpoint[];
+  endpointsOf(service: string): readonly ListedEndpoint[];
+  isEvacuated(dataCentre: string): boolean;
+  /** Newest first. */
+  wantedWeights(model: string): readonly WantedWeights[];
+  wantedModels(): readonly string[];
+  /** Time since which a change may have been published unseen. */
+  ageMs(): number;
+  apply(changes: readonly DirectoryChange[], revision: number): void;
+  /** Applies a complete listing: what it lacks has been removed. */
+  replace(changes: readonly DirectoryChange[], revision: number): void;
+  /** The state was complete up to its revision at this time or later. */
+  confirm(atMs: number): void;
+  snapshot(): DirectorySnapshot;
+  /** Runs after each change. */
+  onChange(handler: () => void): void;
+}
+
+export interface DirectoryOptions {
+  readonly clock: AgeClock;
+  readonly logger: Logger;
+  /** True while entries may have lapsed because the store was away. */
+  readonly mayHaveLapsed?: () => boolean;
+}
+
+/** Entries that lapsed with the store are back within two seconds or gone. */
+const LAPSE_GRACE_MS = 2_000;
+
+export function createDirectory(options: DirectoryOptions): Directory {
+  const { clock, logger, mayHaveLapsed = () => false } = options;
+  const changeOf = new Map<string, DirectoryChange>();
+  const endpoints = new Map<string, ListedEndpoint>();
+  const byService = new Map<string, readonly ListedEndpoint[]>();
+  const evacuated = new Set<string>();
+  const wanted = new Map<string, readonly WantedWeights[]>();
+  const handlers: (() => void)[] = [];
+  let config: RoutingConfig | undefined;
+  let revision = 0;
+  let confirmedAtMs = -Infinity;
+
+  function applyOne(change: DirectoryChange): boolean {
+    const key = keyOf(change);
+    const former = changeOf.get(key);
+    if (former !== undefined && former.revision >= change.revision) {
+      return false;
+    }
+    if (change.type === "config") return applyConfig(key, change);
+    changeOf.set(key, change);
+    switch (change.type) {
+      case "endpoint":
+        applyEndpoint(change.id, change.endpoint);
+        break;
+      case "evacuation":
+        if (change.isOut) evacuated.add(change.dataCentre);
+        else evacuated.delete(change.dataCentre);
+        logger.info({ ...change }, "evacuation of a data centre changed");
+        break;
+      case "weights":
+        applyWeights(change.model, change.version);
+        break;
+    }
+    return true;
+  }
+
+  function applyConfig(
+    key: string,
+    change: Extract<DirectoryChange, { type: "config" }>,
+  ): boolean {
+    const next = change.config;
+    if (config !== undefined && next.version <= config.version) return false;
+    changeOf.set(key, change);
+    logger.info(
+      { version: next.version, former: config?.version, ageMs: ageMs() },
+      "configuration in force",
+    );
+    config = next;
+    return true;
+  }
+
+  function applyEndpoint(id: string, record: EndpointRecord | undefined) {
+    const former = endpoints.get(id);
+    const now = clock.nowMs();
+    if (record === undefined) {
+      if (former === undefined) return;
+      if (mayHaveLapsed()) return removeLater(id, former);
+      return remove(id);
+    }
+    const isSame =
+      former?.startedAtMs === record.startedAtMs &&
+      former?.address === record.address;
+    if (!isSame || former.isDraining !== record.isDraining) {
+      const { service, address, dataCentre, isDraining } = record;
+      logger.info(
+        { endpoint: id, service, address, dataCentre, isDraining },
+        "endpoint listed",
+      );
+    }
+    endpoints.set(id, {
+      ...record,
+      firstSeenAtMs: isSame ? former.firstSeenAtMs : now,
+      listedAtMs: now,
+    });
+  }
+
+  function remove(id: string) {
+    endpoints.delete(id);
+    logger.info({ endpoint: id }, "endpoint no longer listed");
+  }
+
+  function removeLater(id: string, former: ListedEndpoint) {
+    setTimeout(() => {
+      if (endpoints.get(id) !== former) return;
+      remove(id);
+      notify();
+    }, LAPSE_GRACE_MS).unref();
+  }
+
+  function applyWeights(model: string, version: number | undefined) {
+    if (version === undefined) return;
+    const former = wanted.get(model) ?? [];
+    if (former.some((item) => item.version >= version)) return;
+    const notBeforeMs = confirmedAtMs;
+    wanted.set(model, [{ model, version, notBeforeMs }, ...former]);
+    logger.info({ model, version, ageMs: ageMs() }, "new weights named");
+  }
+
+  function notify() {
+    byService.clear();
+    handlers.forEach((handle) => handle());
+  }
+
+  function ageMs(): number {
+    return clock.nowMs() - confirmedAtMs;
+  }
+
+  function apply(changes: readonly DirectoryChange[], upTo: number) {
+    const applied = changes.filter(applyOne);
+    revision = Math.max(revision, upTo);
+    if (applied.length > 0) notify();
+  }
+
+  return {
+    config: () => config,
+    revision: () => revision,
+    endpoints: () => [...endpoints.values()],
+    endpointsOf(service) {
+      const known = byService.get(service);
+      if (known !== undefined) return known;
+      const found = [...endpoints.values()].filter(
+        (endpoint) => endpoint.service === service,
+      );
+      byService.set(service, found);
+      return found;
+    },
+    isEvacuated: (dataCentre) => evacuated.has(dataCentre),
+    wantedWeights: (model) => wanted.get(model) ?? [],
+    wantedModels: () => [...wanted.keys()],
+    ageMs,
+    apply,
+    replace(changes, upTo) {
+      const present = new Set(changes.map(keyOf));
+      const removed = [...changeOf.values()]
+        .filter((change) => !present.has(keyOf(change)))
+        .filter((change) => change.revision <= upTo)
+        .map((change) => withoutValue(change, upTo));
+      apply([...removed, ...changes], upTo);
+    },
+    confirm(atMs) {
+      confirmedAtMs = Math.max(confirmedAtMs, atMs);
+    },
+    snapshot: () => ({ revision, changes: [...changeOf.values()] }),
+    onChange: (handler) => void handlers.push(handler),
+  };
+}
+
+function keyOf(change: DirectoryChange): string {
+  switch (change.type) {
+    case "config":
+      return "config";
+    case "endpoint":
+      return `endpoint ${change.id}`;
+    case "evacuation":
+      return `evacuation ${change.dataCentre}`;
+    case "weights":
+      return `weights ${change.model}`;
+  }
+}
+
+/** The change that removes what `change` published, where that is possible. */
+function withoutValue(
+  change: DirectoryChange,
+  revision: number,
+): DirectoryChange {
+  switch (change.type) {
+    case "endpoint":
+      return { ...change, revision, endpoint: undefined };
+    case "evacuation":
+      return { ...change, revision, isOut: false };
+    default:
+      return change;
+  }
+}
--- /dev/null
+++ b/src/gateway/attempt.ts
@@ -0,0 +1,185 @@
+/**
+ * One request to one endpoint. Whole answers are collected before they are
+ * passed on, so that a broken one can be repeated; events are passed on one by
+ * one as they arrive.
+ */
+
+import type { Dispatcher } from "undici";
+import type { HeaderCodec } from "./call.ts";
+import type { AnswerHeaders } from "./call.ts";
+import type { EndpointConnections } from "./endpoint_connections.ts";
+import { createEventSplitter } from "./event_splitter.ts";
+import type { WholeEvents } from "./event_splitter.ts";
+
+/** Larger answers than this are not collected; none is expected. */
+const MAX_COLLECTED_BYTES = 16 * 1024 * 1024;
+
+type Headers = Readonly<Record<string, string | readonly string[] | undefined>>;
+
+export type AttemptOutcome =
+  /** The request did not reach the endpoint. */
+  | { readonly type: "not_sent"; readonly reason: string }
+  /** The endpoint states that it did not run the request. */
+  | { readonly type: "not_run"; readonly status: number }
+  /** A whole answer of any status, or a stream whose last event was sent. */
+  | {
+      readonly type: "answered";
+      readonly status: number;
+      readonly headers: Headers;
+      /** Undefined if the body was passed on as events. */
+      readonly body: Buffer | undefined;
+    }
+  /** The request may have run; the answer is missing or incomplete. */
+  | { readonly type: "lost"; readonly reason: string }
+  /** Ended from here. */
+  | { readonly type: "aborted" };
+
+export interface AttemptOptions {
+  readonly connections: EndpointConnections;
+  readonly codec: HeaderCodec;
+  readonly address: string;
+  readonly attemptId: string | undefined;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: string[];
+  readonly body: Buffer;
+  readonly isFresh: boolean;
+  /** An answer without a byte for this long counts as lost. */
+  readonly firstByteTimeoutMs: number;
+  readonly silenceTimeoutMs: number;
+  readonly isStream: boolean;
+  /** Runs with each whole event of a stream; the head comes first. */
+  readonly onEvents: (events: WholeEvents, head: StreamHead) => void;
+  readonly onHead: (head: AnswerHeaders) => void;
+}
+
+export interface StreamHead {
+  readonly status: number;
+  readonly headers: Headers;
+}
+
+export interface Attempt {
+  readonly outcome: Promise<AttemptOutcome>;
+  abort(): void;
+  /** The endpoint is known to be gone. */
+  cutOff(reason: string): void;
+}
+
+const STATUS_MISDIRECTED = 421;
+
+export function startAttempt(options: AttemptOptions): Attempt {
+  const { connections, codec, address } = options;
+  const connection = connections.acquire(address, options);
+  const { client } = connection;
+  let settle: (outcome: AttemptOutcome) => void;
+  const outcome = new Promise<AttemptOutcome>((resolve) => (settle = resolve));
+  let isSettled = false;
+  let isSent = false;
+  let head: StreamHead | undefined;
+  let isEventStream = false;
+  let isDelimitedByClose = false;
+  let collectedBytes = 0;
+  const collected: Buffer[] = [];
+  const splitter = createEventSplitter();
+  const timer = setTimeout(onSilence, options.firstByteTimeoutMs);
+  let silenceTimer: NodeJS.Timeout | undefined;
+
+  function finish(result: AttemptOutcome, isReusable: boolean) {
+    if (isSettled) return;
+    isSettled = true;
+    clearTimeout(timer);
+    clearTimeout(silenceTimer);
+    if (isReusable) connections.release(address, connection);
+    else void client.destroy();
+    settle(result);
+  }
+
+  function onSilence() {
+    if (!isSent) return finish({ type: "not_sent", reason: "silent" }, false);
+    const reason = head === undefined ? "no_answer" : "silent";
+    finish({ type: "lost", reason }, false);
+  }
+
+  function onActivity() {
+    clearTimeout(timer);
+    if (silenceTimer !== undefined) silenceTimer.refresh();
+    else silenceTimer = setTimeout(onSilence, options.silenceTimeoutMs);
+  }
+
+  function onHeaders(status: number, headers: Headers) {
+    const answer = codec.readAnswer(headers);
+    if (answer.attemptId !== options.attemptId) {
+      // The answer to another request that came late on this connection.
+      return finish({ type: "lost", reason: "foreign_answer" }, false);
+    }
+    onActivity();
+    options.onHead(answer);
+    if (status === STATUS_MISDIRECTED || answer.isMarkedNotRun) {
+      return finish({ type: "not_run", status }, false);
+    }
+    head = { status, headers };
+    isEventStream = options.isStream && status === 200;
+    isDelimitedByClose =
+      headers["content-length"] === undefined &&
+      headers["transfer-encoding"] === undefined;
+  }
+
+  function onData(bytes: Buffer) {
+    onActivity();
+    if (!isEventStream) {
+      collectedBytes += bytes.length;
+      if (collectedBytes > MAX_COLLECTED_BYTES) {
+        return finish({ type: "lost", reason: "too_large" }, false);
+      }
+      collected.push(bytes);
+      return;
+    }
+    const events = splitter.push(bytes);
+    if (events !== undefined) options.onEvents(events, head!);
+  }
+
+  function onEnd() {
+    if (head === undefined) return;
+    // A reset also ends an answer without length, but does not complete it.
+    const isReset = isDelimitedByClose && connection.socketError();
+    if (isReset || splitter.rest().length > 0) {
+      return finish({ type: "lost", reason: "cut_off" }, false);
+    }
+    const { status, headers } = head;
+    const body = isEventStream ? undefined : Buffer.concat(collected);
+    finish({ type: "answered", status, headers, body }, !isDelimitedByClose);
+  }
+
+  function onError(error: Error) {
+    const reason = (error as NodeJS.ErrnoException).code ?? error.message;
+    const type = isSent ? "lost" : "not_sent";
+    finish({ type, reason }, false);
+  }
+
+  client.dispatch(
+    {
+      method: options.method as Dispatcher.HttpMethod,
+      path: options.path,
+      headers: options.headers,
+      body: options.body.length > 0 ? options.body : null,
+    },
+    {
+      onRequestStart() {
+        isSent = true;
+      },
+      onResponseStart(_controller, status, headers) {
+        if (status >= 200) onHeaders(status, headers);
+      },
+      onResponseData: (_controller, bytes) => onData(bytes),
+      onResponseEnd: onEnd,
+      onResponseError: (_controller, error) => onError(error),
+    },
+  );
+
+  return {
+    outcome,
+    abort: () => finish({ type: "aborted" }, false),
+    cutOff: (reason) =>
+      finish({ type: isSent ? "lost" : "not_sent", reason }, false),
+  };
+}
--- /dev/null
+++ b/src/gateway/choose_endpoint.ts
@@ -0,0 +1,101 @@
+/** Chooses the endpoint for a request, or says why there is none. */
+
+import type { CallService, ListedEndpoint } from "../directory/mod.ts";
+import type { EndpointLoad } from "./endpoint_loads.ts";
+import { forecastFirstEventMs } from "./forecast.ts";
+
+/** Everything that is known about one endpoint for one request. */
+export interface EndpointView {
+  readonly endpoint: ListedEndpoint;
+  readonly load: EndpointLoad;
+  readonly isAllowed: boolean;
+  readonly isPaused: boolean;
+  readonly hasColdRoom: boolean;
+  readonly failureShare: number;
+  /** Where the endpoint is, seen from this entry. */
+  readonly distance: "data_centre" | "region" | "other_region";
+  /** Undefined for a plain service. */
+  readonly weightVersion?: number | undefined;
+}
+
+export interface ChoiceOptions {
+  readonly service: CallService;
+  readonly promptTokens: number;
+  /** Time left until the latency objective. */
+  readonly objectiveLeftMs: number;
+  /** In [0, 1). */
+  readonly random: () => number;
+}
+
+export type Choice =
+  | {
+      readonly type: "send";
+      readonly view: EndpointView;
+      readonly forecastMs: number;
+    }
+  | {
+      readonly type: "none";
+      readonly reason: "no_endpoint" | "cold" | "too_busy";
+      /** When an endpoint is likely to have room. */
+      readonly retryAfterMs: number;
+    };
+
+/** One way, with room for a queue on the link between regions. */
+const DISTANCE_MS = { data_centre: 0, region: 2, other_region: 5 } as const;
+/** The forecast is a mean; this much is kept for what it does not see. */
+const FORECAST_MARGIN_MS = 40;
+/** An endpoint that fails every request counts as this much slower. */
+const FAILURE_COST_MS = 2_000;
+/** Cost of one more request at a plain endpoint with all slots taken. */
+const FULL_COST_MS = 200;
+const NO_ENDPOINT_RETRY_MS = 400;
+const COLD_RETRY_MS = 300;
+const MIN_BUSY_RETRY_MS = 150;
+
+export function chooseEndpoint(
+  views: readonly EndpointView[],
+  options: ChoiceOptions,
+): Choice {
+  const allowed = views.filter(({ isAllowed }) => isAllowed);
+  const steady = allowed.filter(({ isPaused }) => !isPaused);
+  const usable = steady.length > 0 ? steady : allowed;
+  if (usable.length === 0) {
+    return {
+      type: "none",
+      reason: "no_endpoint",
+      retryAfterMs: NO_ENDPOINT_RETRY_MS,
+    };
+  }
+  const open = usable.filter(({ hasColdRoom }) => hasColdRoom);
+  if (open.length === 0) {
+    return { type: "none", reason: "cold", retryAfterMs: COLD_RETRY_MS };
+  }
+  const rated = open.map((view) => ({ view, ...rate(view, options) }));
+  const best = rated.reduce((a, b) => (b.costMs < a.costMs ? b : a));
+  const { engine } = options.service;
+  const limitMs = options.objectiveLeftMs - FORECAST_MARGIN_MS;
+  if (engine !== undefined && best.forecastMs > limitMs) {
+    return {
+      type: "none",
+      reason: "too_busy",
+      retryAfterMs: Math.max(MIN_BUSY_RETRY_MS, best.forecastMs - limitMs),
+    };
+  }
+  return { type: "send", view: best.view, forecastMs: best.forecastMs };
+}
+
+function rate(view: EndpointView, options: ChoiceOptions) {
+  const { service, promptTokens, random } = options;
+  const { engine } = service;
+  const { load, endpoint } = view;
+  const forecastMs =
+    engine === undefined
+      ? (load.requests / Math.max(1, endpoint.slots)) * FULL_COST_MS
+      : forecastFirstEventMs(engine, load, promptTokens);
+  const costMs =
+    forecastMs +
+    DISTANCE_MS[view.distance] +
+    view.failureShare * FAILURE_COST_MS +
+    random();
+  return { forecastMs, costMs };
+}
--- /dev/null
+++ b/src/gateway/cold_share.ts
@@ -0,0 +1,47 @@
+/**
+ * This entry's part of the requests per second that a cold endpoint bears.
+ * Entries do not see each other's requests, and an endpoint can turn cold at
+ * any moment, so each keeps to an equal part of the limit at all times.
+ */
+
+const WINDOW_MS = 1_000;
+
+export interface ColdShareOptions {
+  /** Requests per second that a cold endpoint bears. */
+  readonly requestsPerS: number;
+  /** The bound is `requestsPerS` times this factor plus the slack. */
+  readonly overageFactor: number;
+  readonly slack: number;
+  readonly entries: number;
+}
+
+export function computeColdShare(options: ColdShareOptions): number {
+  const { requestsPerS, overageFactor, slack, entries } = options;
+  if (requestsPerS <= 0) return Infinity;
+  const bound = requestsPerS * overageFactor + slack;
+  return Math.max(1, Math.floor(bound / Math.max(1, entries)));
+}
+
+export interface RateWindow {
+  /** True if fewer than `limit` requests were counted in the last second. */
+  hasRoom(key: string, limit: number): boolean;
+  count(key: string): void;
+}
+
+export function createRateWindow(nowMs: () => number): RateWindow {
+  const sentAt = new Map<string, number[]>();
+
+  function recent(key: string): number[] {
+    const times = sentAt.get(key) ?? [];
+    const now = nowMs();
+    const kept = times.filter((time) => now - time < WINDOW_MS);
+    sentAt.set(key, kept);
+    return kept;
+  }
+
+  return {
+    hasRoom: (key, limit) =>
+      limit === Infinity || recent(key).length < limit,
+    count: (key) => void recent(key).push(nowMs()),
+  };
+}
--- /dev/null
+++ b/src/gateway/describe_fleet.ts
@@ -0,0 +1,67 @@
+/** What agents need of the published state, in the form of a notice. */
+
+import type { Directory } from "../directory/mod.ts";
+import type { AgeClock } from "../directory/mod.ts";
+import type { FleetNotice, FleetWeights } from "../wire/mod.ts";
+
+/** For a version that was there before this process knew anything. */
+const LONG_AGO_MS = 3_600_000;
+
+export function describeFleet(
+  directory: Directory,
+  clock: AgeClock,
+): FleetNotice | undefined {
+  const config = directory.config();
+  if (config === undefined) return undefined;
+  const models = new Set(
+    config.services.flatMap(
+      ({ engine }) => engine?.models.map(({ name }) => name) ?? [],
+    ),
+  );
+  return {
+    topic: "fleet",
+    revision: directory.revision(),
+    services: config.services
+      .filter((service) => service.engine ?? service.originAddress)
+      .map(({ name, engine, originAddress, originMbitPerS }) => ({
+        name,
+        models: engine?.models.map((model) => model.name) ?? [],
+        chunkCount: engine?.chunkCount ?? 0,
+        chunkBytes: engine?.chunkBytes ?? 0,
+        ...(originAddress !== undefined && { originAddress }),
+        ...(originMbitPerS !== undefined && { originMbitPerS }),
+      })),
+    wantedWeights: [...models].flatMap((model) =>
+      listWanted(directory, { model, nowMs: clock.nowMs() }),
+    ),
+  };
+}
+
+function listWanted(
+  directory: Directory,
+  { model, nowMs }: { readonly model: string; readonly nowMs: number },
+): readonly FleetWeights[] {
+  const wanted = directory.wantedWeights(model).map((item) => ({
+    model,
+    version: item.version,
+    publishedForMs: Math.min(LONG_AGO_MS, nowMs - item.notBeforeMs),
+  }));
+  // Endpoints that come without weights get what the others serve.
+  const served = findServedVersion(directory, model);
+  const isKnown = wanted.some(({ version }) => version >= (served ?? 0));
+  return served === undefined || isKnown
+    ? wanted
+    : [{ model, version: served, publishedForMs: LONG_AGO_MS }, ...wanted];
+}
+
+function findServedVersion(
+  directory: Directory,
+  model: string,
+): number | undefined {
+  const versions = directory
+    .endpoints()
+    .flatMap(({ models }) => models)
+    .filter(({ name }) => name === model)
+    .map(({ version }) => version);
+  return versions.length === 0 ? undefined : Math.max(...versions);
+}
--- /dev/null
+++ b/src/gateway/directory_exchange.ts
@@ -0,0 +1,115 @@
+/**
+ * Entries that cannot reach the platform's store learn from others what is
+ * published. The age of that knowledge goes along and is counted from when the
+ * question was sent, so that it is never taken for younger than it is.
+ */
+
+import { deflateRawSync, inflateRawSync } from "node:zlib";
+import type {
+  AgeClock,
+  Directory,
+  DirectoryChange,
+} from "../directory/mod.ts";
+import type { Logger } from "../logging/mod.ts";
+import type { Mesh } from "../mesh/mod.ts";
+import type {
+  DirectoryAskNotice,
+  DirectoryReplyNotice,
+  Peer,
+} from "../wire/mod.ts";
+
+const CHECK_INTERVAL_MS = 400;
+/** Own reads of the store confirm the directory about once a second. */
+const ASK_WHEN_OLDER_MS = 1_400;
+const MAX_STATE_BYTES = 64 * 1024 * 1024;
+
+export interface DirectoryExchange {
+  close(): void;
+}
+
+export interface DirectoryExchangeOptions {
+  readonly directory: Directory;
+  readonly clock: AgeClock;
+  readonly mesh: Mesh;
+  readonly logger: Logger;
+}
+
+export function startDirectoryExchange(
+  options: DirectoryExchangeOptions,
+): DirectoryExchange {
+  const { directory, clock, mesh, logger } = options;
+  let askId = 0;
+  const askedAtMs = new Map<number, number>();
+
+  function ask() {
+    askId += 1;
+    askedAtMs.set(askId, clock.nowMs());
+    askedAtMs.delete(askId - 16);
+    const notice: DirectoryAskNotice = {
+      topic: "directory_ask",
+      askId,
+      revision: directory.revision(),
+    };
+    mesh
+      .peers()
+      .filter((peer) => peer.hello.role === "entry")
+      .forEach((peer) => peer.sendNotice(notice));
+  }
+
+  function reply(peer: Peer, notice: DirectoryAskNotice) {
+    const ageMs = directory.ageMs();
+    if (!Number.isFinite(ageMs)) return;
+    const revision = directory.revision();
+    peer.sendNotice({
+      topic: "directory_reply",
+      askId: notice.askId,
+      revision,
+      ageMs,
+      ...(revision > notice.revision && { state: encodeState(directory) }),
+    });
+  }
+
+  function onReply(peer: Peer, notice: DirectoryReplyNotice) {
+    const sentAtMs = askedAtMs.get(notice.askId);
+    if (sentAtMs === undefined) return;
+    const { revision, state, ageMs } = notice;
+    const former = directory.revision();
+    if (state !== undefined && revision > former) {
+      const changes = decodeState(state);
+      if (changes === undefined) return;
+      directory.replace(changes, revision);
+    }
+    if (revision < directory.revision()) return;
+    directory.confirm(sentAtMs - ageMs);
+    logger.info(
+      { peer: peer.hello.host, revision, former, ageMs: directory.ageMs() },
+      "took over published state from a peer",
+    );
+  }
+
+  mesh.onMeshNotice("directory_ask", (peer, notice) =>
+    reply(peer, notice as DirectoryAskNotice),
+  );
+  mesh.onMeshNotice("directory_reply", (peer, notice) =>
+    onReply(peer, notice as DirectoryReplyNotice),
+  );
+  const timer = setInterval(() => {
+    if (directory.ageMs() > ASK_WHEN_OLDER_MS) ask();
+  }, CHECK_INTERVAL_MS);
+  return { close: () => clearInterval(timer) };
+}
+
+function encodeState(directory: Directory): Uint8Array {
+  return deflateRawSync(JSON.stringify(directory.snapshot().changes));
+}
+
+function decodeState(
+  state: Uint8Array,
+): readonly DirectoryChange[] | undefined {
+  try {
+    const text = inflateRawSync(state, { maxOutputLength: MAX_STATE_BYTES });
+    return JSON.parse(text.toString()) as readonly DirectoryChange[];
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/gateway/endpoint_connections.ts
@@ -0,0 +1,118 @@
+/**
+ * Connections to endpoints. Each carries one request at a time and is owned by
+ * that request until it ends, because an endpoint can send bytes that belong
+ * to no request, and only the owner can tell.
+ */
+
+import { connect } from "node:net";
+import type { Socket } from "node:net";
+import { Client } from "undici";
+import type { Registry } from "../metrics/mod.ts";
+
+/** A connection that takes longer is refused or lost on the way. */
+const CONNECT_TIMEOUT_MS = 500;
+/** Endpoints may drop idle connections sooner than they announce. */
+const MAX_IDLE_MS = 4_000;
+const MAX_IDLE_PER_ENDPOINT = 24;
+
+export interface EndpointConnection {
+  readonly client: Client;
+  /** The error that ended the socket, if one did. */
+  socketError(): Error | undefined;
+}
+
+export interface EndpointConnections {
+  /** `isFresh` asks for a connection that no request has used. */
+  acquire(
+    address: string,
+    options: { readonly isFresh: boolean },
+  ): EndpointConnection;
+  /** Gives back a connection whose answer was complete. */
+  release(address: string, connection: EndpointConnection): void;
+  close(): Promise<void>;
+}
+
+interface Idle {
+  readonly connection: EndpointConnection;
+  readonly sinceMs: number;
+}
+
+export function createEndpointConnections(
+  registry: Registry,
+): EndpointConnections {
+  const idle = new Map<string, Idle[]>();
+  const opened = registry.counter(
+    "endpoint_connections_total",
+    "Connections opened to endpoints",
+  );
+
+  function open(address: string): EndpointConnection {
+    let failure: Error | undefined;
+    const client = new Client(`http://${address}`, {
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: MAX_IDLE_MS,
+      keepAliveMaxTimeout: MAX_IDLE_MS,
+      connect: ({ hostname, port }, callback) => {
+        opened.increment();
+        failure = undefined;
+        openSocket(hostname, Number(port), (error, socket) => {
+          if (socket === undefined) return callback(error!, null);
+          socket.on("error", (reason) => (failure = reason));
+          callback(null, socket);
+        });
+      },
+    });
+    return { client, socketError: () => failure };
+  }
+
+  return {
+    acquire(address, { isFresh }) {
+      const list = idle.get(address) ?? [];
+      const now = performance.now();
+      while (!isFresh) {
+        const found = list.pop();
+        if (found === undefined) break;
+        if (now - found.sinceMs < MAX_IDLE_MS) return found.connection;
+        void found.connection.client.destroy();
+      }
+      return open(address);
+    },
+    release(address, connection) {
+      if (connection.client.destroyed) return;
+      const list = idle.get(address) ?? [];
+      idle.set(address, list);
+      list.push({ connection, sinceMs: performance.now() });
+      if (list.length <= MAX_IDLE_PER_ENDPOINT) return;
+      void list.shift()!.connection.client.destroy();
+    },
+    async close() {
+      const all = [...idle.values()].flat();
+      idle.clear();
+      await Promise.all(all.map(({ connection }) => connection.client.destroy()));
+    },
+  };
+}
+
+function openSocket(
+  host: string,
+  port: number,
+  callback: (error: Error | undefined, socket?: Socket) => void,
+) {
+  const socket = connect({ host, port, noDelay: true });
+  const timer = setTimeout(
+    () => socket.destroy(new Error("connect timeout")),
+    CONNECT_TIMEOUT_MS,
+  );
+  function fail(error: Error) {
+    clearTimeout(timer);
+    callback(error);
+  }
+  socket.once("error", fail);
+  socket.once("connect", () => {
+    clearTimeout(timer);
+    socket.off("error", fail);
+    callback(undefined, socket);
+  });
+}
--- /dev/null
+++ b/src/gateway/endpoint_loads.ts
@@ -0,0 +1,116 @@
+/**
+ * What each endpoint is doing: its own report, which lags and covers every
+ * entry's requests, and the requests that this entry has there now.
+ */
+
+import type { EndpointLoadNotice } from "../wire/mod.ts";
+
+/** An older report says little: a request starts and ends in less time. */
+const REPORT_VALID_MS = 3_000;
+/** Requests sent this shortly before a report arrived are not in it. */
+const REPORT_TRAVEL_MS = 8;
+
+export interface OwnRequest {
+  readonly sentAtMs: number;
+  readonly promptTokens: number;
+  /** True once the first event has arrived. */
+  hasStarted: boolean;
+}
+
+export interface EndpointLoad {
+  /** Undefined without a recent report. */
+  readonly report: EndpointLoadNotice | undefined;
+  /** Requests of this entry and, as far as known, of the others. */
+  readonly requests: number;
+  /** Prompt tokens that the endpoint has still to read. */
+  readonly unreadTokens: number;
+}
+
+export interface EndpointLoads {
+  onReport(notice: EndpointLoadNotice): void;
+  read(address: string, usualPromptTokens: number): EndpointLoad;
+  /** Counts a request as running there until `end` is called. */
+  begin(address: string, promptTokens: number): OwnLoad;
+}
+
+export interface OwnLoad {
+  onStart(): void;
+  end(): void;
+}
+
+interface Entry {
+  readonly own: Set<OwnRequest>;
+  report: EndpointLoadNotice | undefined;
+  reportedAtMs: number;
+  /** Of the other entries, when the report arrived. */
+  othersRequests: number;
+  othersUnstarted: number;
+}
+
+export function createEndpointLoads(nowMs: () => number): EndpointLoads {
+  const entries = new Map<string, Entry>();
+
+  function find(address: string): Entry {
+    const found = entries.get(address);
+    if (found !== undefined) return found;
+    const created: Entry = {
+      own: new Set(),
+      report: undefined,
+      reportedAtMs: -Infinity,
+      othersRequests: 0,
+      othersUnstarted: 0,
+    };
+    entries.set(address, created);
+    return created;
+  }
+
+  return {
+    onReport(notice) {
+      const entry = find(notice.address);
+      const now = nowMs();
+      const included = [...entry.own].filter(
+        ({ sentAtMs }) => now - sentAtMs > REPORT_TRAVEL_MS,
+      );
+      const unstarted = included.filter(({ hasStarted }) => !hasStarted);
+      entry.report = notice;
+      entry.reportedAtMs = now;
+      entry.othersRequests = Math.max(
+        0,
+        notice.running + notice.waiting - included.length,
+      );
+      entry.othersUnstarted = Math.max(0, notice.waiting - unstarted.length);
+    },
+    read(address, usualPromptTokens) {
+      const entry = entries.get(address);
+      if (entry === undefined) {
+        return { report: undefined, requests: 0, unreadTokens: 0 };
+      }
+      const isRecent = nowMs() - entry.reportedAtMs < REPORT_VALID_MS;
+      const ownUnread = [...entry.own].reduce(
+        (sum, item) => sum + (item.hasStarted ? 0 : item.promptTokens),
+        0,
+      );
+      const othersUnread = entry.othersUnstarted * usualPromptTokens;
+      return {
+        report: isRecent ? entry.report : undefined,
+        requests: entry.own.size + (isRecent ? entry.othersRequests : 0),
+        unreadTokens: ownUnread + (isRecent ? othersUnread : 0),
+      };
+    },
+    begin(address, promptTokens) {
+      const entry = find(address);
+      const request: OwnRequest = {
+        sentAtMs: nowMs(),
+        promptTokens,
+        hasStarted: false,
+      };
+      entry.own.add(request);
+      return {
+        onStart() {
+          request.hasStarted = true;
+        },
+        end: () => void entry.own.delete(request),
+      };
+    },
+  };
+}
--- /dev/null
+++ b/src/gateway/forecast.ts
@@ -0,0 +1,49 @@
+/**
+ * When a model engine would send the first event of one more request. The
+ * engine works in passes: each runs a few token steps for all requests that
+ * are writing, and reads waiting prompts between the steps.
+ */
+
+import type { EngineProfile } from "../directory/mod.ts";
+import type { EndpointLoad } from "./endpoint_loads.ts";
+
+/** A request arrives in the middle of a pass, on average. */
+const PASS_RESIDUAL_SHARE = 0.5;
+/** Reading prompts takes this part of a pass under full load. */
+const READING_SHARE = 0.5;
+
+export function forecastFirstEventMs(
+  engine: EngineProfile,
+  load: EndpointLoad,
+  promptTokens: number,
+): number {
+  const slowdown = load.report?.slowdown ?? 1;
+  const writing = Math.min(load.requests, engine.slots);
+  const passMs = computePassMs(engine, writing) * slowdown;
+  const readMs =
+    ((load.unreadTokens + promptTokens) / engine.readTokensPerS) *
+    1000 *
+    slowdown;
+  const waiting = Math.max(0, load.requests + 1 - engine.slots);
+  return (
+    passMs * (1 + PASS_RESIDUAL_SHARE) +
+    readMs +
+    waiting * computeSlotFreeMs(engine, passMs)
+  );
+}
+
+function computePassMs(engine: EngineProfile, writing: number): number {
+  const contextTokens =
+    writing * (engine.usualPromptTokens + engine.usualAnswerTokens / 2);
+  const stepMs =
+    engine.stepMs +
+    writing * engine.stepMsPerSequence +
+    (contextTokens / 1000) * engine.stepMsPerThousandContextTokens;
+  return stepMs * engine.stepsPerPass;
+}
+
+/** Mean time until one of the running requests ends, with all slots taken. */
+function computeSlotFreeMs(engine: EngineProfile, passMs: number): number {
+  const passes = engine.usualAnswerTokens / engine.stepsPerPass;
+  return (passes * passMs) / (1 - READING_SHARE) / engine.slots;
+}
--- /dev/null
+++ b/src/gateway/front_server.ts
@@ -0,0 +1,238 @@
+/**
+ * The HTTP server for callers: checks each request against the configuration
+ * in force, reads its body and hands it to the dispatcher. It is written on
+ * node:http, because each event of a stream passes through it.
+ */
+
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { RoutingConfig } from "../directory/mod.ts";
+import type { Call } from "./call.ts";
+import { createCallerAnswer } from "./caller_answer.ts";
+import { dispatchCall } from "./dispatch_call.ts";
+import type { GatewayContext } from "./gateway_context.ts";
+import { readLimitedBody } from "./read_limited_body.ts";
+import { sendRefusal, STATUS_NOT_RUN } from "./refusal.ts";
+import type { Refusal } from "./refusal.ts";
+import {
+  chooseService,
+  createRouteTable,
+  normaliseHost,
+  readPath,
+} from "./route_table.ts";
+import type { RouteTable } from "./route_table.ts";
+
+/** The configured bound is checked per request; this bounds the parser. */
+const MAX_PARSED_HEADER_BYTES = 128 * 1024;
+const NO_CONFIG_RETRY_MS = 500;
+/** Knowledge of keys is refreshed about once a second. */
+const STALE_KEYS_RETRY_MS = 700;
+/**
+ * Part of the bound on revoked keys that is kept back: the age of the
+ * knowledge of keys is taken when the request is read.
+ */
+const REVOKE_MARGIN_MS = 300;
+/** Until a first configuration sets it. */
+const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
+
+export interface FrontServer {
+  listen(address: string): Promise<void>;
+  /** Answers from now on ask clients to close their connection. */
+  startClosing(): void;
+  /** Stops accepting; resolves when no call is under way. */
+  drain(): Promise<void>;
+  countCalls(): number;
+  close(): void;
+}
+
+export function createFrontServer(context: GatewayContext): FrontServer {
+  const { directory, registry, nowMs } = context;
+  const refusals = registry.counter(
+    "refused_requests_total",
+    "Requests refused before dispatch, by reason",
+  );
+  let table: RouteTable | undefined;
+  let isClosing = false;
+  let calls = 0;
+  const drainHandlers: (() => void)[] = [];
+
+  const server = createServer(
+    {
+      keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
+      maxHeaderSize: MAX_PARSED_HEADER_BYTES,
+      noDelay: true,
+    },
+    (request, response) => void accept(request, response),
+  );
+  // Slow bodies are bounded by the deadline of their call.
+  server.requestTimeout = 0;
+
+  function currentTable(): RouteTable | undefined {
+    const config = directory.config();
+    if (config === undefined) return undefined;
+    if (table?.config !== config) {
+      table = createRouteTable(config);
+      applyLimits(server, config);
+    }
+    return table;
+  }
+
+  function findCall(request: IncomingMessage): Omit<Call, "body"> | Refusal {
+    const current = currentTable();
+    if (current === undefined) {
+      return {
+        status: STATUS_NOT_RUN,
+        reason: "no_configuration",
+        retryAfterMs: NO_CONFIG_RETRY_MS,
+      };
+    }
+    const path = request.url ?? "/";
+    const route = current.findRoute(
+      normaliseHost(request.headers.host),
+      readPath(path),
+    );
+    if (route === undefined) return { status: 404, reason: "no_route" };
+    if (countBytes(request.rawHeaders) > current.config.limits.maxHeaderBytes) {
+      return { status: 431, reason: "headers_too_large" };
+    }
+    const headers = context.codec.readCall(request.headers);
+    const needsKey =
+      current.config.accounts !== undefined && !route.isAnonymous;
+    const account =
+      headers.apiKey === undefined
+        ? undefined
+        : current.findAccount(headers.apiKey);
+    if (needsKey && isKeyKnowledgeStale(context)) {
+      return {
+        status: STATUS_NOT_RUN,
+        reason: "stale_keys",
+        retryAfterMs: STALE_KEYS_RETRY_MS,
+      };
+    }
+    if (needsKey && account === undefined) {
+      return { status: 401, reason: "unknown_key" };
+    }
+    const receivedAtMs = nowMs();
+    const waitMs = Math.min(
+      headers.remainingMs ?? route.timeoutMs,
+      route.timeoutMs,
+    );
+    return {
+      id: headers.attemptId ?? "",
+      method: request.method ?? "GET",
+      path,
+      rawHeaders: request.rawHeaders,
+      headers,
+      route,
+      service: chooseService(route, context.random()) ?? "",
+      account,
+      configVersion: current.config.version,
+      receivedAtMs,
+      deadlineMs: receivedAtMs + waitMs,
+    };
+  }
+
+  async function accept(request: IncomingMessage, response: ServerResponse) {
+    calls += 1;
+    response.sendDate = false;
+    if (isClosing) response.setHeader("connection", "close");
+    try {
+      await handle(request, response);
+    } catch (error) {
+      context.logger.error({ err: error }, "handling of a request failed");
+      response.socket?.destroy();
+    } finally {
+      calls -= 1;
+      if (calls === 0) drainHandlers.splice(0).forEach((done) => done());
+    }
+  }
+
+  async function handle(request: IncomingMessage, response: ServerResponse) {
+    const found = findCall(request);
+    if ("status" in found) return refuse(request, response, found);
+    const maxBytes = table!.config.limits.maxBodyBytes;
+    const body = await readLimitedBody(request, maxBytes);
+    if (body === "too_large") {
+      return refuse(request, response, {
+        status: 413,
+        reason: "body_too_large",
+      });
+    }
+    if (body === "incomplete") return;
+    const answer = createCallerAnswer(response, context.codec);
+    const dispatch = dispatchCall(context, { ...found, body }, answer);
+    response.once("close", () => {
+      if (response.writableFinished) return;
+      context.logger.info({ id: found.id }, "the caller has left");
+      dispatch.cancel();
+    });
+    await dispatch.done;
+  }
+
+  function refuse(
+    request: IncomingMessage,
+    response: ServerResponse,
+    refusal: Refusal,
+  ) {
+    refusals.increment({ reason: refusal.reason });
+    context.logger.info(
+      {
+        id: context.codec.readCall(request.headers).attemptId,
+        host: request.headers.host,
+        path: request.url,
+        configVersion: directory.config()?.version,
+        directoryAgeMs: Math.round(directory.ageMs()),
+        ...refusal,
+      },
+      "request refused",
+    );
+    request.resume();
+    sendRefusal(response, refusal);
+  }
+
+  return {
+    listen: (address) => listen(server, address),
+    startClosing() {
+      isClosing = true;
+    },
+    drain() {
+      server.close();
+      server.closeIdleConnections();
+      return new Promise((resolve) => {
+        if (calls === 0) resolve();
+        else drainHandlers.push(resolve);
+      });
+    },
+    countCalls: () => calls,
+    close() {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
+
+function applyLimits(server: Server, { limits }: RoutingConfig) {
+  server.keepAliveTimeout = limits.idleTimeoutMs;
+  server.headersTimeout = limits.headerTimeoutMs;
+}
+
+/** The key may have been revoked longer ago than it may still be accepted. */
+export function isKeyKnowledgeStale(
+  context: Pick<GatewayContext, "directory" | "bounds">,
+): boolean {
+  const { isRevocationStrict, revokeMs } = context.bounds;
+  if (!isRevocationStrict) return false;
+  return context.directory.ageMs() > revokeMs - REVOKE_MARGIN_MS;
+}
+
+function countBytes(rawHeaders: readonly string[]): number {
+  return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+}
+
+function listen(server: Server, address: string): Promise<void> {
+  const at = address.lastIndexOf(":");
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(Number(address.slice(at + 1)), address.slice(0, at), resolve);
+  });
+}
--- /dev/null
+++ b/src/gateway/gateway_context.ts
@@ -0,0 +1,48 @@
+/** What the handling of each call shares within one entry. */
+
+import type { AgeClock, Directory } from "../directory/mod.ts";
+import type { Logger } from "../logging/mod.ts";
+import type { RetryBudget } from "../limits/mod.ts";
+import type { Registry } from "../metrics/mod.ts";
+import type { Attempt } from "./attempt.ts";
+import type { HeaderCodec } from "./call.ts";
+import type { RateWindow } from "./cold_share.ts";
+import type { EndpointConnections } from "./endpoint_connections.ts";
+import type { EndpointLoads } from "./endpoint_loads.ts";
+import type { EndpointSuspicion } from "./endpoint_suspicion.ts";
+
+/** Bounds that the platform's settings state. */
+export interface GatewayBounds {
+  /** A revoked key must not be accepted after this time. */
+  readonly revokeMs: number;
+  readonly isRevocationStrict: boolean;
+  readonly budgetRatio: number;
+  readonly budgetWindowS: number;
+  readonly budgetExtra: number;
+  readonly coldOverage: number;
+  readonly coldSlack: number;
+  readonly versionMs: number;
+  readonly graceS: number;
+}
+
+export interface GatewayContext {
+  readonly directory: Directory;
+  readonly clock: AgeClock;
+  readonly loads: EndpointLoads;
+  readonly suspicion: EndpointSuspicion;
+  readonly rates: RateWindow;
+  readonly connections: EndpointConnections;
+  readonly codec: HeaderCodec;
+  readonly bounds: GatewayBounds;
+  readonly dataCentre: string;
+  /** Region of each data centre. */
+  readonly regions: Readonly<Record<string, string>>;
+  readonly budgetOf: (service: string) => RetryBudget;
+  readonly countEntries: () => number;
+  /** Attempts under way by address of the endpoint. */
+  readonly attempts: Map<string, Set<Attempt>>;
+  readonly registry: Registry;
+  readonly logger: Logger;
+  readonly nowMs: () => number;
+  readonly random: () => number;
+}
--- /dev/null
+++ b/src/gateway/mod.ts
@@ -0,0 +1,15 @@
+/** The entry on a platform whose endpoints are called directly. */
+
+export type {
+  AnswerHeaders,
+  Call,
+  CallHeaders,
+  ForwardOptions,
+  HeaderCodec,
+} from "./call.ts";
+export { chooseEndpoint } from "./choose_endpoint.ts";
+export type { Choice, ChoiceOptions, EndpointView } from "./choose_endpoint.ts";
+export { forecastFirstEventMs } from "./forecast.ts";
+export type { GatewayBounds } from "./gateway_context.ts";
+export { startGateway } from "./start_gateway.ts";
+export type { Gateway, GatewaySettings } from "./start_gateway.ts";
--- /dev/null
+++ b/src/gateway/refusal.ts
@@ -0,0 +1,29 @@
+/** Answers of the gateway itself. */
+
+import type { ServerResponse } from "node:http";
+
+export interface Refusal {
+  readonly status: number;
+  readonly reason: string;
+  /** Only with a status that promises that the request has not run. */
+  readonly retryAfterMs?: number | undefined;
+}
+
+/** The statuses that promise: not run, and never will be. */
+export const STATUS_NOT_RUN = 503;
+/** Promises nothing: the request may have run. */
+export const STATUS_UNKNOWN = 502;
+export const STATUS_TIMEOUT = 504;
+
+export function sendRefusal(response: ServerResponse, refusal: Refusal) {
+  if (response.headersSent || response.destroyed) return;
+  const body = JSON.stringify({ error: refusal.reason });
+  response.writeHead(refusal.status, {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(body),
+    ...(refusal.retryAfterMs !== undefined && {
+      "retry-after": (refusal.retryAfterMs / 1000).toFixed(2),
+    }),
+  });
+  response.end(body);
+}
--- /dev/null
+++ b/src/gateway/route_table.ts
@@ -0,0 +1,63 @@
+/** Finds the route and the client account of a request. */
+
+import type {
+  AccountRecord,
+  CallRoute,
+  RoutingConfig,
+} from "../directory/mod.ts";
+
+export interface RouteTable {
+  readonly config: RoutingConfig;
+  /** The route of this host with the longest prefix that begins the path. */
+  findRoute(host: string, path: string): CallRoute | undefined;
+  findAccount(apiKey: string): AccountRecord | undefined;
+}
+
+export function createRouteTable(config: RoutingConfig): RouteTable {
+  const byHost = new Map<string, CallRoute[]>();
+  config.routes.forEach((route) => {
+    const routes = byHost.get(route.host);
+    if (routes === undefined) byHost.set(route.host, [route]);
+    else routes.push(route);
+  });
+  byHost.forEach((routes) =>
+    routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length),
+  );
+  const accounts = new Map(
+    (config.accounts ?? []).flatMap((account) =>
+      account.apiKeys.map((key) => [key, account] as const),
+    ),
+  );
+  return {
+    config,
+    findRoute: (host, path) =>
+      byHost.get(host)?.find((route) => path.startsWith(route.pathPrefix)),
+    findAccount: (apiKey) => accounts.get(apiKey),
+  };
+}
+
+/** Host header without its port, in lower case. */
+export function normaliseHost(header: string | undefined): string {
+  return (header ?? "").toLowerCase().replace(/:\d+$/, "");
+}
+
+/** Path without its query. */
+export function readPath(target: string): string {
+  const at = target.indexOf("?");
+  return at < 0 ? target : target.slice(0, at);
+}
+
+/** One of the route's services by weight; `point` is in [0, 1). */
+export function chooseService(
+  route: CallRoute,
+  point: number,
+): string | undefined {
+  const total = route.services.reduce((sum, share) => sum + share.weight, 0);
+  let rest = point * total;
+  return (
+    route.services.find((share) => {
+      rest -= share.weight;
+      return rest < 0;
+    }) ?? route.services.at(-1)
+  )?.service;
+}
--- /dev/null
+++ b/src/gateway/start_gateway.ts
@@ -0,0 +1,223 @@
+/**
+ * The entry on a platform that publishes routes, endpoints and keys in a
+ * store: callers' requests go straight to the endpoints.
+ */
+
+import { createServer } from "node:http";
+import type { Server } from "node:http";
+import {
+  createAgeClock,
+  createDirectory,
+  startDirectoryReader,
+} from "../directory/mod.ts";
+import type { MetadataStore } from "../directory/mod.ts";
+import { createRetryBudget } from "../limits/mod.ts";
+import type { RetryBudget } from "../limits/mod.ts";
+import type { Logger } from "../logging/mod.ts";
+import { startMesh } from "../mesh/mod.ts";
+import type { Registry } from "../metrics/mod.ts";
+import type { EndpointLoadNotice } from "../wire/mod.ts";
+import type { HeaderCodec } from "./call.ts";
+import { createRateWindow } from "./cold_share.ts";
+import { describeFleet } from "./describe_fleet.ts";
+import { startDirectoryExchange } from "./directory_exchange.ts";
+import { createEndpointConnections } from "./endpoint_connections.ts";
+import { createEndpointLoads } from "./endpoint_loads.ts";
+import { createEndpointSuspicion } from "./endpoint_suspicion.ts";
+import { createFrontServer } from "./front_server.ts";
+import type { GatewayBounds, GatewayContext } from "./gateway_context.ts";
+
+export interface GatewaySettings {
+  readonly host: string;
+  readonly dataCentre: string;
+  /** "IP:port" for callers. */
+  readonly callerAddress: string;
+  /** "IP:port" for the load balancer's question whether this entry is ready. */
+  readonly readyAddress: string;
+  readonly peerAddress: string;
+  readonly seeds: readonly string[];
+  readonly regions: Readonly<Record<string, string>>;
+  readonly bounds: GatewayBounds;
+}
+
+export interface GatewayOptions {
+  readonly settings: GatewaySettings;
+  readonly store: MetadataStore;
+  readonly codec: HeaderCodec;
+  readonly registry: Registry;
+  readonly logger: Logger;
+}
+
+export interface Gateway {
+  /** Ends gracefully: no call in progress is cut off. */
+  shutDown(): Promise<void>;
+}
+
+/** The load balancer notices after two questions, one second apart. */
+const LEAVE_ROTATION_MS = 2_500;
+/** Time for the last answers before the platform kills the process. */
+const KILL_MARGIN_MS = 600;
+/** Part of the shared retry budget that is used; the rest covers errors. */
+const BUDGET_SHARE = 0.75;
+/** Looks for a jump of the clock or a pause. */
+const PAUSE_CHECK_MS = 100;
+const PAUSE_MS = 300;
+
+export async function startGateway(options: GatewayOptions): Promise<Gateway> {
+  const { settings, store, codec, registry, logger } = options;
+  const { bounds } = settings;
+  const nowMs = () => performance.now();
+  const clock = createAgeClock();
+  const directory = createDirectory({
+    clock,
+    logger,
+    mayHaveLapsed: () => reader.mayHaveLapsed(),
+  });
+  const reader = startDirectoryReader({
+    store,
+    directory,
+    clock,
+    registry,
+    logger,
+  });
+  const mesh = await startMesh({
+    ...settings,
+    role: "entry",
+    readDocument: () => undefined,
+    registry,
+    logger,
+  });
+  const countEntries = () =>
+    Math.max(mesh.countEntries(), settings.seeds.length);
+  const budgets = new Map<string, RetryBudget>();
+
+  function budgetOf(service: string): RetryBudget {
+    const found = budgets.get(service);
+    if (found !== undefined) return found;
+    const created = createRetryBudget(nowMs, {
+      share: bounds.budgetRatio * BUDGET_SHARE,
+      readMinimum: () => (bounds.budgetExtra * BUDGET_SHARE) / countEntries(),
+    });
+    budgets.set(service, created);
+    return created;
+  }
+
+  const context: GatewayContext = {
+    directory,
+    clock,
+    loads: createEndpointLoads(nowMs),
+    suspicion: createEndpointSuspicion(nowMs),
+    rates: createRateWindow(nowMs),
+    connections: createEndpointConnections(registry),
+    codec,
+    bounds,
+    dataCentre: settings.dataCentre,
+    regions: settings.regions,
+    budgetOf,
+    countEntries,
+    attempts: new Map(),
+    registry,
+    logger,
+    nowMs,
+    random: Math.random,
+  };
+  const exchange = startDirectoryExchange({ directory, clock, mesh, logger });
+  const front = createFrontServer(context);
+  let sentFleet = "";
+  let isLeaving = false;
+
+  function informAgents() {
+    const notice = describeFleet(directory, clock);
+    if (notice === undefined) return;
+    const { revision: _, ...content } = notice;
+    const text = JSON.stringify({
+      ...content,
+      wantedWeights: content.wantedWeights.map(({ version }) => version),
+    });
+    if (text === sentFleet) return;
+    sentFleet = text;
+    mesh
+      .peers()
+      .filter((peer) => peer.hello.role === "agent")
+      .forEach((peer) => peer.sendNotice(notice));
+  }
+
+  directory.onChange(informAgents);
+  mesh.onPeer((peer) => {
+    const notice = describeFleet(directory, clock);
+    if (peer.hello.role === "agent" && notice) peer.sendNotice(notice);
+  });
+  mesh.onMeshNotice("endpoint_load", (_, notice) => {
+    const load = notice as EndpointLoadNotice;
+    context.loads.onReport(load);
+    if (load.phase !== "down") return;
+    const lost = context.attempts.get(load.address) ?? [];
+    [...lost].forEach((attempt) => attempt.cutOff("endpoint_down"));
+  });
+
+  function isReady(): boolean {
+    return !isLeaving && directory.config() !== undefined;
+  }
+
+  const readyServer = await startReadyServer(settings.readyAddress, isReady);
+  await front.listen(settings.callerAddress);
+  logger.info({ ...settings }, "entry is listening");
+
+  let lastAgeMs = clock.nowMs();
+  let lastMs = nowMs();
+  const pauseTimer = setInterval(() => {
+    const ageMs = clock.nowMs();
+    const gapMs = Math.max(ageMs - lastAgeMs, nowMs() - lastMs);
+    lastAgeMs = ageMs;
+    lastMs = nowMs();
+    if (gapMs < PAUSE_CHECK_MS + PAUSE_MS) return;
+    logger.warn({ gapMs }, "this process was paused or its clock jumped");
+    reader.probeNow();
+  }, PAUSE_CHECK_MS);
+
+  return {
+    async shutDown() {
+      isLeaving = true;
+      logger.info({ calls: front.countCalls() }, "entry is leaving");
+      front.startClosing();
+      const startedAtMs = nowMs();
+      await wait(LEAVE_ROTATION_MS);
+      const leftMs =
+        bounds.graceS * 1_000 - KILL_MARGIN_MS - (nowMs() - startedAtMs);
+      await Promise.race([front.drain(), wait(leftMs)]);
+      logger.info({ calls: front.countCalls() }, "entry has stopped");
+      clearInterval(pauseTimer);
+      front.close();
+      readyServer.close();
+      exchange.close();
+      reader.close();
+      await Promise.all([
+        store.close(),
+        mesh.close(),
+        context.connections.close(),
+      ]);
+    },
+  };
+}
+
+function startReadyServer(
+  address: string,
+  isReady: () => boolean,
+): Promise<Server> {
+  const at = address.lastIndexOf(":");
+  const server = createServer((request, response) => {
+    request.resume();
+    response.writeHead(isReady() ? 200 : 503, { "content-length": 0 });
+    response.end();
+  });
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(Number(address.slice(at + 1)), address.slice(0, at), () =>
+      resolve(server),
+    );
+  });
+}
+
+function wait(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, Math.max(0, ms)));
+}
--- /dev/null
+++ b/src/gateway/view_endpoints.ts
@@ -0,0 +1,120 @@
+/** Puts together what is known of each endpoint of a service for one call. */
+
+import type { CallService, ListedEndpoint } from "../directory/mod.ts";
+import type { Call } from "./call.ts";
+import { computeColdShare } from "./cold_share.ts";
+import type { EndpointView } from "./choose_endpoint.ts";
+import type { EndpointLoad } from "./endpoint_loads.ts";
+import type { GatewayContext } from "./gateway_context.ts";
+import { isVersionAllowed } from "./weight_versions.ts";
+
+export interface ViewOptions {
+  readonly call: Call;
+  readonly service: CallService;
+  /** Endpoints that this call has been sent to. */
+  readonly tried: ReadonlySet<string>;
+  /** A stream goes on with the weights that it began with. */
+  readonly weightVersion: number | undefined;
+}
+
+export function viewEndpoints(
+  context: GatewayContext,
+  options: ViewOptions,
+): readonly EndpointView[] {
+  const { call, service } = options;
+  const regions = listAllowedRegions(call);
+  const coldShare = computeColdShare({
+    requestsPerS: service.coldRequestsPerS,
+    overageFactor: context.bounds.coldOverage,
+    slack: context.bounds.coldSlack,
+    entries: context.countEntries(),
+  });
+  const usualPromptTokens = service.engine?.usualPromptTokens ?? 0;
+  return context.directory.endpointsOf(service.name).map((endpoint) => {
+    const load = context.loads.read(endpoint.address, usualPromptTokens);
+    const weightVersion =
+      service.engine && findVersion(endpoint, load, call.headers.model);
+    const region = context.regions[endpoint.dataCentre] ?? "";
+    const isAllowed =
+      !endpoint.isDraining &&
+      !options.tried.has(endpoint.id) &&
+      !context.directory.isEvacuated(endpoint.dataCentre) &&
+      (regions === undefined || regions.has(region)) &&
+      (service.engine === undefined ||
+        isEngineReady(context, options, { load, weightVersion }));
+    return {
+      endpoint,
+      load,
+      isAllowed,
+      isPaused: context.suspicion.isPaused(endpoint.id),
+      hasColdRoom: context.rates.hasRoom(endpoint.id, coldShare),
+      failureShare: context.suspicion.failureShare(endpoint.id),
+      distance: measureDistance(context, endpoint.dataCentre),
+      weightVersion,
+    };
+  });
+}
+
+/** Undefined when every region is allowed. */
+function listAllowedRegions(call: Call): ReadonlySet<string> | undefined {
+  const ofRoute = call.route.allowedRegions;
+  const ofAccount = call.account?.allowedRegions ?? [];
+  if (ofRoute.length === 0 && ofAccount.length === 0) return undefined;
+  if (ofRoute.length === 0) return new Set(ofAccount);
+  if (ofAccount.length === 0) return new Set(ofRoute);
+  return new Set(ofRoute.filter((region) => ofAccount.includes(region)));
+}
+
+/** The agent's report is newer than the published list, where there is one. */
+function findVersion(
+  endpoint: ListedEndpoint,
+  load: EndpointLoad,
+  model: string | undefined,
+): number | undefined {
+  const models = load.report?.models ?? endpoint.models;
+  const served =
+    model === undefined
+      ? models[0]
+      : models.find(({ name }) => name === model);
+  return served?.version;
+}
+
+function isEngineReady(
+  context: GatewayContext,
+  options: ViewOptions,
+  found: {
+    readonly load: EndpointLoad;
+    readonly weightVersion: number | undefined;
+  },
+): boolean {
+  const { weightVersion } = found;
+  if (weightVersion === undefined) return false;
+  const phase = found.load.report?.phase;
+  if (phase === "down" || phase === "loading" || phase === "empty") {
+    return false;
+  }
+  if (options.weightVersion !== undefined) {
+    if (weightVersion !== options.weightVersion) return false;
+  }
+  const model = options.call.headers.model;
+  if (model === undefined) return true;
+  return isVersionAllowed(
+    weightVersion,
+    context.directory.wantedWeights(model),
+    {
+      replaceWithinMs: context.bounds.versionMs,
+      nowMs: context.clock.nowMs(),
+    },
+  );
+}
+
+function measureDistance(
+  context: GatewayContext,
+  dataCentre: string,
+): EndpointView["distance"] {
+  if (dataCentre === context.dataCentre) return "data_centre";
+  const { regions } = context;
+  return regions[dataCentre] === regions[context.dataCentre]
+    ? "region"
+    : "other_region";
+}
--- /dev/null
+++ b/src/gateway/weight_versions.ts
@@ -0,0 +1,34 @@
+/**
+ * Until when requests may still begin on a version of weights. After a newer
+ * one is named, the older one may go on for a bounded time.
+ */
+
+import type { WantedWeights } from "../directory/mod.ts";
+
+/**
+ * A request can wait at the endpoint before it begins, and the time at which a
+ * version was named is known only to about a second.
+ */
+const BEGIN_MARGIN_MS = 500;
+
+export interface VersionLimits {
+  /** How long an older version may begin requests; 0 when unlimited. */
+  readonly replaceWithinMs: number;
+  /** On the clock of `notBeforeMs`. */
+  readonly nowMs: number;
+}
+
+export function isVersionAllowed(
+  served: number,
+  wanted: readonly WantedWeights[],
+  limits: VersionLimits,
+): boolean {
+  if (limits.replaceWithinMs <= 0) return true;
+  return wanted
+    .filter(({ version }) => version > served)
+    .every(
+      ({ notBeforeMs }) =>
+        limits.nowMs <
+        notBeforeMs + limits.replaceWithinMs - BEGIN_MARGIN_MS,
+    );
+}
--- a/src/limits/retry_budget.ts
+++ b/src/limits/retry_budget.ts
@@ -1,6 +1,7 @@
 /**
  * The retry budget of one entry: retries in the last ten seconds are at most
- * 10% of the requests in it, and at least one a second is granted.
+ * a share of the requests in it, by default 10%, and a minimum is granted, by
+ * default one a second.
  */
 
 const SLOT_MS = 1_000;
@@ -30,8 +31,19 @@
   retries: number;
 }
 
+export interface RetryBudgetOptions {
+  /** Retries for each request. */
+  readonly share?: number;
+  /** Retries in ten seconds that are granted at any rate of requests. */
+  readonly readMinimum?: () => number;
+}
+
 /** `nowMs` is a monotonic clock. */
-export function createRetryBudget(nowMs: () => number): RetryBudget {
+export function createRetryBudget(
+  nowMs: () => number,
+  options: RetryBudgetOptions = {},
+): RetryBudget {
+  const { share = SHARE, readMinimum = () => MIN_PER_SLOT * SLOTS } = options;
   const slots: Slot[] = Array.from({ length: SLOTS }, () => ({
     index: -1,
     requests: 0,
@@ -53,7 +65,7 @@
     const recent = slots.filter((slot) => slot.index > current.index - SLOTS);
     const requests = recent.reduce((sum, slot) => sum + slot.requests, 0);
     const retries = recent.reduce((sum, slot) => sum + slot.retries, 0);
-    const budget = Math.max(MIN_PER_SLOT * SLOTS, requests * SHARE);
+    const budget = Math.max(readMinimum(), requests * share);
     return retries < budget * (cause === "overloaded" ? OVERLOAD_SHARE : 1);
   }
 
--- a/src/logging/mod.ts
+++ b/src/logging/mod.ts
@@ -1,12 +1,17 @@
-/** JSON logs of a process, one line for each record, on standard error. */
+/** JSON logs of a process, one line for each record. */
 
 import bunyan from "bunyan";
+import { createBoundedOutput } from "./bounded_output.ts";
+
+export { createBoundedOutput } from "./bounded_output.ts";
+export type { LogOutput, LogSink } from "./bounded_output.ts";
 
 export type Logger = Pick<
   bunyan,
   "debug" | "info" | "warn" | "error" | "fatal"
 >;
 
+/** Logs to standard error. */
 export function createLogger(program: string, host: string): Logger {
   return bunyan.createLogger({
     name: program,
@@ -15,3 +20,13 @@
     level: "info",
   });
 }
+
+/** Logs to standard output, never waiting for its reader. */
+export function createOutputLogger(program: string, host: string): Logger {
+  const output = createBoundedOutput(process.stdout);
+  return bunyan.createLogger({
+    name: program,
+    host,
+    streams: [{ stream: output as NodeJS.WritableStream, level: "info" }],
+  });
+}
--- /dev/null
+++ b/src/mesh/mod.ts
@@ -0,0 +1,6 @@
+/** Connections among the system's processes, found through seeds and gossip. */
+
+export { createMembers } from "./members.ts";
+export type { MemberIdentity, Members } from "./members.ts";
+export { startMesh } from "./start_mesh.ts";
+export type { Mesh, MeshOptions } from "./start_mesh.ts";
--- /dev/null
+++ b/src/mesh/start_mesh.ts
@@ -0,0 +1,253 @@
+/**
+ * Connects this process to the others of the system where no list of them is
+ * published: entries to each other, agents to entries and to the agents that
+ * weights are exchanged with.
+ */
+
+import { rankByHash } from "../hashing/mod.ts";
+import type { Logger } from "../logging/mod.ts";
+import type { FleetView, Host } from "../membership/mod.ts";
+import type { AcceptedConfig } from "../membership/mod.ts";
+import type { Registry } from "../metrics/mod.ts";
+import { createConnections } from "../node/connections.ts";
+import { createDialler } from "../node/dialler.ts";
+import type { DialTarget } from "../node/dialler.ts";
+import { createHandlers } from "../node/handlers.ts";
+import type { Handlers } from "../node/handlers.ts";
+import type { Node } from "../node/mod.ts";
+import { createUuidV7 } from "../uuid/mod.ts";
+import {
+  connectPeer,
+  createWireCounters,
+  listenForPeers,
+  PROTOCOL_VERSION,
+} from "../wire/mod.ts";
+import type { MembersNotice } from "../wire/mod.ts";
+import { createMembers } from "./members.ts";
+import type { MemberIdentity } from "./members.ts";
+
+/** Joins announcements that come close together into one. */
+const ANNOUNCE_DELAY_MS = 100;
+/** Entries repeat the list, so that a member heard of by one reaches all. */
+const REPEAT_MS = 10_000;
+/**
+ * An agent keeps this many entries informed; in a larger fleet the others
+ * learn its load from answers alone.
+ */
+const ENTRIES_PER_AGENT = 32;
+
+export interface Mesh extends Pick<
+  Node,
+  | "identity"
+  | "view"
+  | "peers"
+  | "findPeer"
+  | "onPeer"
+  | "onNotice"
+  | "onStream"
+  | "addPeerChooser"
+> {
+  /** Same as `onNotice`, for the topics that only this mesh carries. */
+  readonly onMeshNotice: Handlers["onNotice"];
+  /** Entries known at present, this process included if it is one. */
+  countEntries(): number;
+  /** Call after the published state has changed. */
+  notifyViewChange(): void;
+  close(): Promise<void>;
+}
+
+export interface MeshOptions {
+  readonly host: string;
+  readonly role: "entry" | "agent";
+  readonly dataCentre: string;
+  readonly service?: string | undefined;
+  /** "IP:port" to listen on; the same at which peers reach it. */
+  readonly peerAddress: string;
+  readonly seeds: readonly string[];
+  /** What the weights module reads of the published state. */
+  readonly readDocument: () => AcceptedConfig | undefined;
+  readonly registry: Registry;
+  readonly logger: Logger;
+}
+
+export async function startMesh(options: MeshOptions): Promise<Mesh> {
+  const { registry, logger, seeds } = options;
+  const self: MemberIdentity = {
+    host: options.host,
+    role: options.role,
+    dataCentre: options.dataCentre,
+    ...(options.service !== undefined && { service: options.service }),
+    peerAddress: options.peerAddress,
+  };
+  const startedAtMs = Date.now();
+  const identity = {
+    host: self.host,
+    role: self.role,
+    dataCentre: self.dataCentre,
+    ...(options.service !== undefined && { service: options.service }),
+    incarnation: createUuidV7(startedAtMs),
+    startedAtMs,
+  };
+  const members = createMembers(self, () => performance.now());
+  const handlers = createHandlers(registry, logger);
+  const connections = createConnections({ identity, logger });
+  const choosers: ((view: FleetView) => readonly Host[])[] = [];
+  const changeHandlers: (() => void)[] = [];
+  let announceTimer: NodeJS.Timeout | undefined;
+
+  const view: FleetView = {
+    config: options.readDocument,
+    configConfirmedAtMs: () => 0,
+    hosts: () => ({ sequence: 1, hosts: listAgents() }),
+    onChange: (handler) => void changeHandlers.push(handler),
+    isWaking: () => false,
+  };
+
+  function listAgents(): readonly Host[] {
+    return [self, ...members.list()]
+      .filter(({ role }) => role === "agent")
+      .map((member) => ({
+        name: member.host,
+        role: "endpoint",
+        ...(member.service !== undefined && { service: member.service }),
+        dataCentre: member.dataCentre,
+        peerAddress: member.peerAddress,
+        state: "live",
+      }));
+  }
+
+  function listEntries(): readonly MemberIdentity[] {
+    return members.list().filter(({ role }) => role === "entry");
+  }
+
+  function chooseEntries(): readonly MemberIdentity[] {
+    const entries = listEntries();
+    if (options.role === "entry" || entries.length <= ENTRIES_PER_AGENT) {
+      return entries;
+    }
+    const chosen = new Set(
+      rankByHash(
+        self.host,
+        entries.map(({ host }) => host),
+      ).slice(0, ENTRIES_PER_AGENT),
+    );
+    return entries.filter(({ host }) => chosen.has(host));
+  }
+
+  function updateTargets() {
+    const chosen = choosers.flatMap((choose) => choose(view));
+    const wanted: DialTarget[] = [
+      ...chooseEntries().map(({ host, peerAddress }) => ({
+        host,
+        address: peerAddress,
+      })),
+      ...chosen.map(({ name, peerAddress }) => ({
+        host: name,
+        address: peerAddress,
+      })),
+    ];
+    const known = new Set([
+      self.peerAddress,
+      ...wanted.map(({ address }) => address),
+    ]);
+    const unknown = seeds
+      .filter((address) => !known.has(address))
+      .map((address) => ({ address }));
+    dialler.setTargets([...wanted, ...unknown]);
+  }
+
+  function notifyViewChange() {
+    updateTargets();
+    changeHandlers.forEach((handle) => handlers.run("view_change", handle));
+  }
+
+  function onMembersChange() {
+    announceSoon();
+    notifyViewChange();
+  }
+
+  function announceSoon() {
+    announceTimer ??= setTimeout(() => {
+      announceTimer = undefined;
+      const notice = createNotice();
+      connections.peers().forEach((peer) => peer.sendNotice(notice));
+    }, ANNOUNCE_DELAY_MS);
+  }
+
+  function createNotice(): MembersNotice {
+    connections.peers().forEach((peer) => members.noteAlive(peer.hello.host));
+    return { topic: "members", members: members.describe() };
+  }
+
+  const transport = {
+    hello: () => ({
+      protocolVersion: PROTOCOL_VERSION,
+      role: identity.role,
+      host: identity.host,
+      dataCentre: identity.dataCentre,
+      incarnation: identity.incarnation,
+      ...(options.service !== undefined && { service: options.service }),
+      configVersion: 0,
+    }),
+    counters: createWireCounters(registry),
+    handlers: {
+      onStream: handlers.dispatchStream,
+      onNotice: handlers.dispatchNotice,
+    },
+  };
+  const dialler = createDialler({
+    connections,
+    dial: (address) => connectPeer(address, transport),
+    registry,
+  });
+
+  connections.onPeer((peer) => {
+    const { host, incarnation } = peer.hello;
+    logger.info({ peer: host, incarnation }, "connected to a peer");
+    peer.sendNotice(createNotice());
+    void peer.closed.then((reason) =>
+      logger.info({ peer: host, reason }, "lost the connection to a peer"),
+    );
+  });
+  handlers.onNotice("members", (_, notice) => {
+    if (members.merge((notice as MembersNotice).members)) onMembersChange();
+  });
+
+  const listener = await listenForPeers(self.peerAddress, {
+    ...transport,
+    onPeer: (peer) => connections.add(peer, { isDialled: false }),
+  });
+  updateTargets();
+  const repeatTimer = setInterval(() => {
+    if (members.expire()) onMembersChange();
+    else if (options.role === "entry") announceSoon();
+  }, REPEAT_MS);
+
+  return {
+    identity,
+    view,
+    peers: connections.peers,
+    findPeer: connections.find,
+    onPeer: (handler) =>
+      connections.onPeer(
+        (peer) => void handlers.run("peer", () => handler(peer)),
+      ),
+    addPeerChooser(choose) {
+      choosers.push(choose);
+      updateTargets();
+    },
+    onStream: handlers.onStream,
+    onNotice: handlers.onNotice,
+    onMeshNotice: handlers.onNotice,
+    countEntries: () =>
+      listEntries().length + (options.role === "entry" ? 1 : 0),
+    notifyViewChange,
+    async close() {
+      clearInterval(repeatTimer);
+      clearTimeout(announceTimer);
+      dialler.close();
+      connections.close();
+      await listener.close();
+    },
+  };
+}
--- /dev/null
+++ b/src/metrics/metrics_server.ts
@@ -0,0 +1,26 @@
+/** Serves the metrics of a process as Prometheus text. */
+
+import { createServer } from "node:http";
+import type { Registry } from "./registry.ts";
+
+export interface MetricsServer {
+  close(): void;
+}
+
+export function startMetricsServer(
+  address: string,
+  registry: Registry,
+): Promise<MetricsServer> {
+  const at = address.lastIndexOf(":");
+  const server = createServer((request, response) => {
+    request.resume();
+    response.setHeader("content-type", "text/plain; version=0.0.4");
+    response.end(registry.render());
+  });
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(Number(address.slice(at + 1)), address.slice(0, at), () =>
+      resolve({ close: () => void server.close() }),
+    );
+  });
+}
--- a/src/metrics/mod.ts
+++ b/src/metrics/mod.ts
@@ -6,3 +6,5 @@
 export type { Latency } from "./latency.ts";
 export { createRegistry } from "./registry.ts";
 export type { GaugeValue, Registry } from "./registry.ts";
+export { startMetricsServer } from "./metrics_server.ts";
+export type { MetricsServer } from "./metrics_server.ts";
--- /dev/null
+++ b/src/settings/companion_settings.ts
@@ -0,0 +1,47 @@
+/** Settings of an agent whose endpoint entries call directly. */
+
+import type { Result } from "neverthrow";
+import { z } from "zod";
+import type { CompanionSettings } from "../companion/mod.ts";
+import { parseYaml, toCamelCaseKeys } from "../document/mod.ts";
+import type { Finding } from "../document/mod.ts";
+import {
+  listenAddressField,
+  nameField,
+  peerAddressField,
+  rateField,
+} from "./fields.ts";
+
+export interface CompanionProgramSettings extends CompanionSettings {
+  readonly metricsAddress: string;
+}
+
+/**
+ * The platform states no rate of the links between regions; users give about
+ * 15 Mbit/s each way for all traffic.
+ */
+const DEFAULT_REGION_MBIT_PER_S = 15;
+
+const schema = z.strictObject({
+  host: nameField,
+  data_centre: nameField,
+  service: nameField,
+  peer_address: listenAddressField,
+  metrics_address: listenAddressField,
+  endpoint_address: peerAddressField,
+  seeds: z.array(peerAddressField),
+  regions: z.record(z.string(), z.string()),
+  host_mbit_per_s: rateField,
+  region_mbit_per_s: rateField.default(DEFAULT_REGION_MBIT_PER_S),
+  switch_within_ms: z.number().nonnegative(),
+});
+
+export function parseCompanionSettings(
+  text: string,
+  { file }: { readonly file: string },
+): Result<CompanionProgramSettings, readonly Finding[]> {
+  return parseYaml(text, { file, schema }).map((parsed) => ({
+    ...toCamelCaseKeys(parsed),
+    regions: parsed.regions,
+  }));
+}
--- a/src/weights/create_weights.ts
+++ b/src/weights/create_weights.ts
@@ -18,12 +18,14 @@
   readLinks,
 } from "./link_rates.ts";
 import type { LinkOptions } from "./link_rates.ts";
+import { computeDigest } from "./digest.ts";
+import { parseManifest } from "./manifest.ts";
 import type { Manifest } from "./manifest.ts";
 import { findMembers } from "./members.ts";
 import { createPeerHoldings } from "./peer_holdings.ts";
 import type { Holding } from "./peer_holdings.ts";
 import type { Policy } from "./policy.ts";
-import { createStoreClient } from "./store_client.ts";
+import type { StoreClient } from "./store_client.ts";
 import { decideFromStore } from "./store_policy.ts";
 import { decideInSwarm } from "./swarm_policy.ts";
 import { startTransfer } from "./transfer.ts";
@@ -35,7 +37,8 @@
 
 export interface WeightsOptions extends LinkOptions {
   readonly service: string;
-  readonly storeUrl: string;
+  /** Closed together with the transfer. */
+  readonly store: StoreClient;
   readonly memoryBytes: number;
   readonly policy: WeightsPolicy;
   readonly logger: Logger;
@@ -61,11 +64,10 @@
 const LIGHTER_BY_COPIES = 0.3;
 
 export function createWeights(options: WeightsOptions): Weights {
-  const { node, service, registry, logger, memoryBytes } = options;
+  const { node, service, registry, logger, memoryBytes, store } = options;
   const { decide, usesPeers, storeTasks } = POLICIES[options.policy];
   const counters = createWeightCounters(registry);
   const cache = createChunkCache(memoryBytes);
-  const store = createStoreClient(options.storeUrl);
   const changes = createChangeSignal();
   const manifests = new Map<string, Manifest>();
   const completeHandlers: ((manifestDigest: string) => void)[] = [];
@@ -266,6 +268,23 @@
         ? bytes
         : undefined;
     },
+    adopt(version, manifestBytes, chunks) {
+      const parsed = parseManifest(manifestBytes, version);
+      if (parsed.isErr()) return undefined;
+      const digests = new Set(parsed.value.chunks.map(({ digest }) => digest));
+      const kept = chunks.filter((bytes) => {
+        const digest = computeDigest(bytes);
+        if (!digests.has(digest)) return false;
+        if (cache.get(digest) !== undefined) return true;
+        if (!cache.reserve(bytes.length, (held) => digests.has(held))) {
+          return false;
+        }
+        cache.put(digest, bytes);
+        return true;
+      });
+      onManifest(parsed.value);
+      return kept.length;
+    },
     async close() {
       isClosed = true;
       transfer?.end();
--- a/src/weights/link_rates.ts
+++ b/src/weights/link_rates.ts
@@ -4,12 +4,12 @@
  */
 
 import type { Registry } from "../metrics/mod.ts";
-import type { Node } from "../node/mod.ts";
 import { createWireCounters } from "../wire/mod.ts";
 import { createLinkBucket } from "./link_bucket.ts";
+import type { WeightsNode } from "./weights.ts";
 
 export interface LinkOptions {
-  readonly node: Node;
+  readonly node: WeightsNode;
   readonly registry: Registry;
   /** Lower than the document's, for a host with a slower link. */
   readonly hostUpMbitPerS?: number | undefined;
@@ -51,7 +51,7 @@
   );
 }
 
-export function readLinks(node: Node) {
+export function readLinks(node: WeightsNode) {
   const links = node.view.config()?.document.links;
   return {
     storeBytesPerS:
--- a/src/weights/manifest.ts
+++ b/src/weights/manifest.ts
@@ -71,6 +71,29 @@
   return ok({ digest: wanted.manifestDigest, sizeBytes, chunks, bytes });
 }
 
+/**
+ * The manifest's text for a platform that publishes the digests alone. Every
+ * agent derives the same bytes, so their digest names the version.
+ */
+export function encodeManifest(content: {
+  readonly model: string;
+  readonly version: string;
+  readonly chunks: readonly ManifestChunk[];
+}): Uint8Array {
+  const { model, version, chunks } = content;
+  return Buffer.from(
+    JSON.stringify({
+      model,
+      version,
+      size_bytes: chunks.reduce((sum, chunk) => sum + chunk.sizeBytes, 0),
+      chunks: chunks.map((chunk) => ({
+        digest: chunk.digest,
+        size_bytes: chunk.sizeBytes,
+      })),
+    }),
+  );
+}
+
 function parseJson(bytes: Uint8Array): unknown {
   try {
     return JSON.parse(Buffer.from(bytes).toString("utf8"));
--- a/src/weights/mod.ts
+++ b/src/weights/mod.ts
@@ -4,9 +4,15 @@
 export type { WeightSelf } from "./choose_weight_peers.ts";
 export { createWeights } from "./create_weights.ts";
 export type { WeightsOptions, WeightsPolicy } from "./create_weights.ts";
+export { computeDigest } from "./digest.ts";
+export type { FetchLimits, FetchResult } from "./fetch_result.ts";
+export { encodeManifest } from "./manifest.ts";
+export { createStoreClient } from "./store_client.ts";
+export type { StoreClient } from "./store_client.ts";
 export type {
   TransferProgress,
   WantedVersion,
   WeightPeer,
   Weights,
+  WeightsNode,
 } from "./weights.ts";
--- a/src/weights/peer_holdings.ts
+++ b/src/weights/peer_holdings.ts
@@ -1,10 +1,10 @@
 /** What each connected agent last said that it holds. */
 
-import type { Node } from "../node/mod.ts";
 import type { HaveNotice, Notice, Peer, Phase } from "../wire/mod.ts";
 import { countBits } from "./bitmap.ts";
 import { MAX_CHUNKS } from "./manifest.ts";
 import type { WeightCounters } from "./weight_counters.ts";
+import type { WeightsNode } from "./weights.ts";
 
 export interface Holding {
   readonly peer: Peer;
@@ -33,7 +33,7 @@
 }
 
 export interface PeerHoldingsOptions {
-  readonly node: Node;
+  readonly node: WeightsNode;
   readonly counters: WeightCounters;
   readonly nowMs: () => number;
   readonly onPeer: (holding: Holding) => void;
--- a/src/weights/testing/weight_fleet.ts
+++ b/src/weights/testing/weight_fleet.ts
@@ -6,7 +6,7 @@
 import type { Registry } from "../../metrics/mod.ts";
 import type { Node } from "../../node/mod.ts";
 import type { Peer, Stream } from "../../wire/mod.ts";
-import { createWeights } from "../mod.ts";
+import { createStoreClient, createWeights } from "../mod.ts";
 import type { Weights, WeightsPolicy } from "../mod.ts";
 import { SERVICE, SILENT, startTestNode } from "./test_node.ts";
 
@@ -62,7 +62,7 @@
               onStream: (kind) => node.onStream(kind, onChunkStream),
             },
       service: SERVICE,
-      storeUrl: options.storeUrl,
+      store: createStoreClient(options.storeUrl),
       memoryBytes: agentOptions.memoryBytes ?? options.memoryBytes,
       policy: options.policy ?? "swarm",
       registry,
--- a/src/weights/weights.ts
+++ b/src/weights/weights.ts
@@ -3,8 +3,22 @@
  * and what its peers hold.
  */
 
+import type { Node } from "../node/mod.ts";
 import type { Phase } from "../wire/mod.ts";
 
+/** What the transfer of weights uses of the process around it. */
+export type WeightsNode = Pick<
+  Node,
+  | "identity"
+  | "view"
+  | "peers"
+  | "findPeer"
+  | "onPeer"
+  | "onNotice"
+  | "onStream"
+  | "addPeerChooser"
+>;
+
 export interface WantedVersion {
   readonly manifestDigest: string;
   readonly sizeBytes: number;
@@ -45,5 +59,15 @@
   readManifest(manifestDigest: string): Uint8Array | undefined;
   /** The verified chunks in order; undefined unless all are held. */
   readChunks(manifestDigest: string): readonly Uint8Array[] | undefined;
+  /**
+   * Takes over a manifest and chunks that this host holds already, before the
+   * version is wanted. Chunks that do not match the manifest are left out;
+   * returns the number kept, or undefined if the manifest is not valid.
+   */
+  adopt(
+    version: WantedVersion,
+    manifestBytes: Uint8Array,
+    chunks: readonly Uint8Array[],
+  ): number | undefined;
   close(): Promise<void>;
 }
