--- /dev/null
+++ b/src/directory/directory_reader_test.ts
@@ -0,0 +1,127 @@
+import { afterEach, expect, test } from "@jest/globals";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import { createRegistry } from "../metrics/mod.ts";
+import { startDirectoryReader } from "./mod.ts";
+import type { MetadataStore, StoreChanges, StoreFailure } from "./mod.ts";
+import {
+  createConfig,
+  createTestDirectory,
+  SILENT_LOGGER,
+} from "./testing/mod.ts";
+
+const closers: (() => void)[] = [];
+
+afterEach(() => closers.splice(0).forEach((close) => close()));
+
+/** A store whose watches are answered by the test. */
+function createFakeStore() {
+  let revision = 1;
+  let configVersion = 1;
+  let isDown = false;
+  let watchResolve: ((r: Result<StoreChanges, StoreFailure>) => void)[] = [];
+  const counts = { lists: 0, watches: 0 };
+
+  function read(): StoreChanges {
+    const config = createConfig({ version: configVersion });
+    return { revision, changes: [{ type: "config", revision, config }] };
+  }
+
+  const store: MetadataStore = {
+    readAll() {
+      counts.lists += 1;
+      return Promise.resolve(isDown ? err("refused") : ok(read()));
+    },
+    watch({ signal }) {
+      counts.watches += 1;
+      if (isDown) return Promise.resolve(err("refused"));
+      return new Promise((resolve) => {
+        watchResolve.push(resolve);
+        signal.addEventListener("abort", () => resolve(err("aborted")));
+      });
+    },
+    readRevision: () =>
+      Promise.resolve(isDown ? err("refused") : ok(revision)),
+    close: () => Promise.resolve(),
+  };
+  return {
+    store,
+    counts,
+    /** Changes the configuration; the watches stay silent. */
+    publishSilently() {
+      revision += 1;
+      configVersion += 1;
+    },
+    answerWatch(result?: Result<StoreChanges, StoreFailure>) {
+      const waiting = watchResolve;
+      watchResolve = [];
+      waiting.forEach((resolve) => resolve(result ?? ok(read())));
+    },
+    setDown(value: boolean) {
+      isDown = value;
+    },
+  };
+}
+
+function start(fake: ReturnType<typeof createFakeStore>) {
+  const { directory, clock, time } = createTestDirectory();
+  const timer = setInterval(() => (time.monotonic += 10), 10);
+  const reader = startDirectoryReader({
+    store: fake.store,
+    directory,
+    clock,
+    registry: createRegistry(),
+    logger: SILENT_LOGGER,
+  });
+  closers.push(() => {
+    clearInterval(timer);
+    reader.close();
+  });
+  return { directory, reader };
+}
+
+function wait(ms: number) {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+test("a watch that went silent is noticed within a second and a half", async () => {
+  const fake = createFakeStore();
+  const { directory } = start(fake);
+  await wait(50);
+  expect(directory.config()!.version).toBe(1);
+  fake.publishSilently();
+  await wait(1_450);
+  expect(directory.config()!.version).toBe(2);
+  expect(fake.counts.lists).toBe(2);
+});
+
+test("an unchanged revision confirms the state without another listing", async () => {
+  const fake = createFakeStore();
+  const { directory } = start(fake);
+  await wait(1_300);
+  expect(directory.ageMs()).toBeLessThan(600);
+  expect(fake.counts.lists).toBe(1);
+});
+
+test("a forgotten history leads to a complete listing", async () => {
+  const fake = createFakeStore();
+  const { directory } = start(fake);
+  await wait(50);
+  fake.publishSilently();
+  fake.answerWatch(err("compacted"));
+  await wait(100);
+  expect(directory.config()!.version).toBe(2);
+  expect(fake.counts.lists).toBe(2);
+});
+
+test("while the store is away nothing is confirmed, and removals are doubted", async () => {
+  const fake = createFakeStore();
+  const { directory, reader } = start(fake);
+  await wait(50);
+  expect(reader.mayHaveLapsed()).toBe(false);
+  fake.setDown(true);
+  fake.answerWatch(err("connection"));
+  await wait(1_500);
+  expect(directory.ageMs()).toBeGreaterThan(1_300);
+  expect(reader.mayHaveLapsed()).toBe(true);
+});
--- /dev/null
+++ b/src/directory/directory_test.ts
@@ -0,0 +1,105 @@
+import { expect, test } from "@jest/globals";
+import fc from "fast-check";
+import type { DirectoryChange } from "./mod.ts";
+import {
+  createConfig,
+  createEndpoint,
+  createTestDirectory,
+  listEndpoint,
+} from "./testing/mod.ts";
+
+function publish(version: number, revision: number): DirectoryChange {
+  return { type: "config", revision, config: createConfig({ version }) };
+}
+
+test("no order of deliveries takes the configuration back", () => {
+  const deliveries = fc.array(
+    fc.record({
+      version: fc.integer({ min: 1, max: 9 }),
+      revision: fc.integer({ min: 1, max: 9 }),
+    }),
+    { minLength: 1, maxLength: 30 },
+  );
+  fc.assert(
+    fc.property(deliveries, (items) => {
+      const { directory } = createTestDirectory();
+      let highest = 0;
+      items.forEach(({ version, revision }) => {
+        directory.apply([publish(version, revision)], revision);
+        const held = directory.config()!.version;
+        expect(held).toBeGreaterThanOrEqual(highest);
+        highest = held;
+      });
+    }),
+  );
+});
+
+test("a late event does not bring back an endpoint that was removed", () => {
+  const { directory } = createTestDirectory();
+  directory.apply([listEndpoint(createEndpoint(), 5)], 5);
+  directory.apply(
+    [{ type: "endpoint", revision: 7, id: "e1", endpoint: undefined }],
+    7,
+  );
+  directory.apply([listEndpoint(createEndpoint(), 5)], 7);
+  expect(directory.endpointsOf("pool")).toHaveLength(0);
+});
+
+test("a complete listing removes what it lacks, but nothing newer", () => {
+  const { directory } = createTestDirectory();
+  directory.apply(
+    [
+      listEndpoint(createEndpoint({ id: "old" }), 3),
+      listEndpoint(createEndpoint({ id: "new" }), 9),
+      { type: "evacuation", revision: 4, dataCentre: "kol-a", isOut: true },
+    ],
+    9,
+  );
+  directory.replace([], 6);
+  expect(directory.endpointsOf("pool").map(({ id }) => id)).toEqual(["new"]);
+  expect(directory.isEvacuated("kol-a")).toBe(false);
+});
+
+test("an endpoint that lapsed with the store stays for two seconds", async () => {
+  const { directory } = createTestDirectory({ mayHaveLapsed: () => true });
+  directory.apply([listEndpoint(createEndpoint(), 1)], 1);
+  directory.apply(
+    [{ type: "endpoint", revision: 2, id: "e1", endpoint: undefined }],
+    2,
+  );
+  expect(directory.endpointsOf("pool")).toHaveLength(1);
+  await new Promise((resolve) => setTimeout(resolve, 2_100));
+  expect(directory.endpointsOf("pool")).toHaveLength(0);
+});
+
+test("the age counts from the confirmed time and never shrinks by itself", () => {
+  const { directory, clock, time } = createTestDirectory();
+  expect(directory.ageMs()).toBe(Infinity);
+  directory.confirm(clock.nowMs());
+  time.monotonic += 700;
+  expect(directory.ageMs()).toBe(700);
+  directory.confirm(clock.nowMs() - 900);
+  expect(directory.ageMs()).toBe(700);
+});
+
+test("a named version counts as published since the last confirmation", () => {
+  const { directory, clock, time } = createTestDirectory();
+  directory.confirm(clock.nowMs());
+  const confirmedAtMs = clock.nowMs();
+  time.monotonic += 800;
+  directory.apply(
+    [{ type: "weights", revision: 2, model: "m", version: 2 }],
+    2,
+  );
+  expect(directory.wantedWeights("m")).toEqual([
+    { model: "m", version: 2, notBeforeMs: confirmedAtMs },
+  ]);
+});
+
+test("a restarted endpoint under the same id counts as newly seen", () => {
+  const { directory, time } = createTestDirectory();
+  directory.apply([listEndpoint(createEndpoint({ startedAtMs: 1 }), 1)], 1);
+  time.monotonic += 500;
+  directory.apply([listEndpoint(createEndpoint({ startedAtMs: 2 }), 2)], 2);
+  expect(directory.endpoints()[0]!.firstSeenAtMs).toBe(500);
+});
--- /dev/null
+++ b/src/gateway/testing/mod.ts
@@ -0,0 +1,178 @@
+/** An endpoint that does what a test says, and a gateway's parts around it. */
+
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import {
+  createConfig,
+  createEndpoint,
+  createRoute,
+  createService,
+  createTestDirectory,
+  listEndpoint,
+  SILENT_LOGGER,
+} from "../../directory/testing/mod.ts";
+import type { CallRoute, EndpointRecord } from "../../directory/mod.ts";
+import { createRetryBudget } from "../../limits/mod.ts";
+import { createRegistry } from "../../metrics/mod.ts";
+import type { HeaderCodec } from "../call.ts";
+import { createRateWindow } from "../cold_share.ts";
+import { createEndpointConnections } from "../endpoint_connections.ts";
+import { createEndpointLoads } from "../endpoint_loads.ts";
+import { createEndpointSuspicion } from "../endpoint_suspicion.ts";
+import { createFrontServer } from "../front_server.ts";
+import type { GatewayContext } from "../gateway_context.ts";
+
+type Respond = (
+  request: IncomingMessage,
+  response: ServerResponse,
+  body: string,
+) => void;
+
+export interface TestEndpoint {
+  readonly address: string;
+  readonly requests: readonly IncomingMessage["headers"][];
+  close(): void;
+}
+
+export async function startTestEndpoint(
+  respond: Respond,
+): Promise<TestEndpoint> {
+  const requests: IncomingMessage["headers"][] = [];
+  const server: Server = createServer((request, response) => {
+    requests.push(request.headers);
+    let body = "";
+    request.on("data", (bytes: Buffer) => (body += bytes.toString()));
+    request.on("end", () => {
+      response.setHeader("x-attempt", request.headers["x-attempt"] ?? "");
+      respond(request, response, body);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  return {
+    address: `127.0.0.1:${port}`,
+    requests,
+    close() {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
+
+/** Header names of these tests; a platform's adapter has others. */
+export const TEST_CODEC: HeaderCodec = {
+  readCall: (headers) => ({
+    attemptId: text(headers["x-attempt"]),
+    apiKey: text(headers["x-key"]),
+    lastEventId: text(headers["x-last"]),
+    remainingMs: headers["x-left"] ? Number(headers["x-left"]) : undefined,
+    promptTokens: 100,
+  }),
+  writeForward: (_, options) => [
+    ...["x-left", String(options.remainingMs)],
+    ...["x-expect", options.endpointId],
+    ...["x-account", options.account ?? ""],
+    ...(options.lastEventId === undefined
+      ? []
+      : ["x-last", options.lastEventId]),
+    ...["x-attempt", "a1"],
+  ],
+  readAnswer: (headers) => ({
+    attemptId: text(headers["x-attempt"]),
+    isMarkedNotRun: headers["x-not-run"] !== undefined,
+  }),
+  writeAnswer: (headers) =>
+    Object.entries(headers).flatMap(([name, value]) =>
+      typeof value === "string" && !HOP_BY_HOP.has(name) ? [name, value] : [],
+    ),
+};
+
+const HOP_BY_HOP = new Set(["connection", "keep-alive", "transfer-encoding"]);
+
+function text(value: string | readonly string[] | undefined) {
+  return typeof value === "string" && value !== "" ? value : undefined;
+}
+
+export interface TestGatewayOptions {
+  readonly endpoints: readonly (Partial<EndpointRecord> & {
+    readonly address: string;
+  })[];
+  readonly route?: Partial<CallRoute>;
+  readonly retries?: number;
+}
+
+export async function startTestGateway(options: TestGatewayOptions) {
+  const { directory, clock, time } = createTestDirectory();
+  const nowMs = () => performance.now();
+  const registry = createRegistry();
+  directory.apply(
+    [
+      {
+        type: "config",
+        revision: 1,
+        config: createConfig({
+          routes: [createRoute(options.route)],
+          services: [createService()],
+        }),
+      },
+      ...options.endpoints.map((endpoint, index) =>
+        listEndpoint(createEndpoint({ id: `e${index}`, ...endpoint })),
+      ),
+    ],
+    1,
+  );
+  directory.confirm(clock.nowMs());
+  const context: GatewayContext = {
+    directory,
+    clock,
+    loads: createEndpointLoads(nowMs),
+    suspicion: createEndpointSuspicion(nowMs),
+    rates: createRateWindow(nowMs),
+    connections: createEndpointConnections(registry),
+    codec: TEST_CODEC,
+    bounds: {
+      revokeMs: 5_000,
+      isRevocationStrict: true,
+      budgetRatio: 0.2,
+      budgetWindowS: 10,
+      budgetExtra: 100,
+      coldOverage: 1.5,
+      coldSlack: 5,
+      versionMs: 8_000,
+      graceS: 8,
+    },
+    dataCentre: "kol-a",
+    regions: { "kol-a": "kolkata", "sil-a": "siliguri" },
+    budgetOf: () =>
+      createRetryBudget(nowMs, { readMinimum: () => options.retries ?? 10 }),
+    countEntries: () => 1,
+    attempts: new Map(),
+    registry,
+    logger: SILENT_LOGGER,
+    nowMs,
+    // Equal endpoints are tried in the order in which they are listed.
+    random: () => 0,
+  };
+  const front = createFrontServer(context);
+  const port = await findFreePort();
+  await front.listen(`127.0.0.1:${port}`);
+  return {
+    context,
+    front,
+    time,
+    url: `http://127.0.0.1:${port}`,
+    async close() {
+      front.close();
+      await context.connections.close();
+    },
+  };
+}
+
+async function findFreePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
