--- a/bin/gateway.ts
+++ b/bin/gateway.ts
@@ -40,7 +40,8 @@
 process.exit(
   await runProgram(process.argv.slice(2), {
     name: NAME,
-    description: "Takes callers' requests and has the platform's workers answer",
+    description:
+      "Takes callers' requests and has the platform's workers answer",
     loadSettings: (file) => loadSettings(file, parseGatewaySettings),
     start,
   }),
--- a/src/companion/choose_target.ts
+++ b/src/companion/choose_target.ts
@@ -20,7 +20,8 @@
   servedVersion: number | undefined,
 ): TargetWeights | undefined {
   const newer = candidates.filter(
-    ({ target }) => servedVersion === undefined || target.version > servedVersion,
+    ({ target }) =>
+      servedVersion === undefined || target.version > servedVersion,
   );
   const newest = newer.at(-1);
   if (newest === undefined || newest.heldShare >= 1) return newest?.target;
--- a/src/companion/roll_out.ts
+++ b/src/companion/roll_out.ts
@@ -58,7 +58,10 @@
     const { chunksHeld, chunkCount } = weights.progress(
       manifest.wanted.manifestDigest,
     );
-    return { target, heldShare: chunkCount === 0 ? 0 : chunksHeld / chunkCount };
+    return {
+      target,
+      heldShare: chunkCount === 0 ? 0 : chunksHeld / chunkCount,
+    };
   }
 
   async function step(): Promise<void> {
--- a/src/directory/directory_reader_test.ts
+++ b/src/directory/directory_reader_test.ts
@@ -40,8 +40,7 @@
         signal.addEventListener("abort", () => resolve(err("aborted")));
       });
     },
-    readRevision: () =>
-      Promise.resolve(isDown ? err("refused") : ok(revision)),
+    readRevision: () => Promise.resolve(isDown ? err("refused") : ok(revision)),
     close: () => Promise.resolve(),
   };
   return {
--- a/src/directory/testing/mod.ts
+++ b/src/directory/testing/mod.ts
@@ -76,9 +76,7 @@
       headerTimeoutMs: 3_000,
       idleTimeoutMs: 15_000,
     },
-    accounts: [
-      { name: "committee", apiKeys: ["key-1"], allowedRegions: [] },
-    ],
+    accounts: [{ name: "committee", apiKeys: ["key-1"], allowedRegions: [] }],
     ...fields,
   };
 }
--- a/src/gateway/cold_share.ts
+++ b/src/gateway/cold_share.ts
@@ -40,8 +40,7 @@
   }
 
   return {
-    hasRoom: (key, limit) =>
-      limit === Infinity || recent(key).length < limit,
+    hasRoom: (key, limit) => limit === Infinity || recent(key).length < limit,
     count: (key) => void recent(key).push(nowMs()),
   };
 }
--- a/src/gateway/directory_exchange.ts
+++ b/src/gateway/directory_exchange.ts
@@ -5,11 +5,7 @@
  */
 
 import { deflateRawSync, inflateRawSync } from "node:zlib";
-import type {
-  AgeClock,
-  Directory,
-  DirectoryChange,
-} from "../directory/mod.ts";
+import type { AgeClock, Directory, DirectoryChange } from "../directory/mod.ts";
 import type { Logger } from "../logging/mod.ts";
 import type { Mesh } from "../mesh/mod.ts";
 import type {
--- a/src/gateway/dispatch_call.ts
+++ b/src/gateway/dispatch_call.ts
@@ -12,11 +12,7 @@
 import { chooseEndpoint } from "./choose_endpoint.ts";
 import type { Choice, EndpointView } from "./choose_endpoint.ts";
 import type { GatewayContext } from "./gateway_context.ts";
-import {
-  STATUS_NOT_RUN,
-  STATUS_TIMEOUT,
-  STATUS_UNKNOWN,
-} from "./refusal.ts";
+import { STATUS_NOT_RUN, STATUS_TIMEOUT, STATUS_UNKNOWN } from "./refusal.ts";
 import { viewEndpoints } from "./view_endpoints.ts";
 
 /** Connections may fail at several endpoints in a row when a zone is lost. */
@@ -178,10 +174,7 @@
       ? { firstMs: FIRST_EVENT_TIMEOUT_MS, gapMs: EVENT_GAP_TIMEOUT_MS }
       : repeatPlainAfter(route.objectiveMs)
     : { firstMs: remainingMs + 1_000, gapMs: remainingMs + 1_000 };
-  const load = context.loads.begin(
-    endpoint.address,
-    headers.promptTokens ?? 0,
-  );
+  const load = context.loads.begin(endpoint.address, headers.promptTokens ?? 0);
   context.rates.count(endpoint.id);
   const attempt = startAttempt({
     connections: context.connections,
@@ -354,7 +347,6 @@
   refuse(context, { call, answer, reason, retryAfterMs });
 }
 
-
 function refuse(
   context: GatewayContext,
   options: Pick<Ending, "call" | "answer"> & {
--- a/src/gateway/dispatch_faults_test.ts
+++ b/src/gateway/dispatch_faults_test.ts
@@ -67,9 +67,11 @@
 const streamAll: Respond = (request, response) => {
   const from = Number(request.headers["x-last"] ?? 0);
   response.writeHead(200, { "content-type": "text/event-stream" });
-  [1, 2, 3, 4].filter((id) => id > from).forEach((id) => {
-    response.write(event(id));
-  });
+  [1, 2, 3, 4]
+    .filter((id) => id > from)
+    .forEach((id) => {
+      response.write(event(id));
+    });
   response.end();
 };
 const WHOLE_STREAM = [1, 2, 3, 4].map(event).join("");
--- a/src/gateway/endpoint_connections.ts
+++ b/src/gateway/endpoint_connections.ts
@@ -90,7 +90,9 @@
     async close() {
       const all = [...idle.values()].flat();
       idle.clear();
-      await Promise.all(all.map(({ connection }) => connection.client.destroy()));
+      await Promise.all(
+        all.map(({ connection }) => connection.client.destroy()),
+      );
     },
   };
 }
--- a/src/gateway/view_endpoints.ts
+++ b/src/gateway/view_endpoints.ts
@@ -73,9 +73,7 @@
 ): number | undefined {
   const models = load.report?.models ?? endpoint.models;
   const served =
-    model === undefined
-      ? models[0]
-      : models.find(({ name }) => name === model);
+    model === undefined ? models[0] : models.find(({ name }) => name === model);
   return served?.version;
 }
 
--- a/src/gateway/weight_versions.ts
+++ b/src/gateway/weight_versions.ts
@@ -28,7 +28,6 @@
     .filter(({ version }) => version > served)
     .every(
       ({ notBeforeMs }) =>
-        limits.nowMs <
-        notBeforeMs + limits.replaceWithinMs - BEGIN_MARGIN_MS,
+        limits.nowMs < notBeforeMs + limits.replaceWithinMs - BEGIN_MARGIN_MS,
     );
 }
--- a/src/program/run_program.ts
+++ b/src/program/run_program.ts
@@ -95,16 +95,18 @@
   });
 }
 
-/** Compiled files lie one folder deeper than their sources. */
+/** Sources, compiled files and bundles lie at different depths. */
 function readVersion(): string {
-  const texts = ["../../package.json", "../../../package.json"].flatMap(
-    (place) => {
-      try {
-        return [readFileSync(new URL(place, import.meta.url), "utf8")];
-      } catch {
-        return [];
-      }
-    },
-  );
+  const texts = [
+    "../package.json",
+    "../../package.json",
+    "../../../package.json",
+  ].flatMap((place) => {
+    try {
+      return [readFileSync(new URL(place, import.meta.url), "utf8")];
+    } catch {
+      return [];
+    }
+  });
   return (JSON.parse(texts[0] ?? "{}") as { version?: string }).version ?? "0";
 }
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -193,7 +193,10 @@
   /** "IP:port" of the endpoint. */
   readonly address: string;
   readonly phase: Phase;
-  readonly models: readonly { readonly name: string; readonly version: number }[];
+  readonly models: readonly {
+    readonly name: string;
+    readonly version: number;
+  }[];
   readonly running: number;
   readonly waiting: number;
   readonly memoryUsedTokens: number;
--- /dev/null
+++ b/stand_ins/users_platform/metadata_store.ts
@@ -0,0 +1,142 @@
+/**
+ * Stand-in of the platform's metadata store: items with revisions, ranges and
+ * watches. It can be told to be down, slow, silent on watches, or to forget.
+ */
+
+import { createServer } from "node:http";
+import type { ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+
+export interface StoreFaults {
+  /** Every call is refused with 503. */
+  isDown: boolean;
+  delayMs: number;
+  /** Watches that wait hear nothing, as on a connection that fell silent. */
+  areWatchesSilent: boolean;
+}
+
+export interface MetadataStoreStandIn {
+  readonly address: string;
+  readonly faults: StoreFaults;
+  /** Calls answered or refused so far, by name. */
+  readonly calls: ReadonlyMap<string, number>;
+  put(key: string, value: unknown): void;
+  remove(key: string): void;
+  /** Watches from before now get 410. */
+  forgetHistory(): void;
+  close(): void;
+}
+
+interface Item {
+  readonly key: string;
+  readonly value?: string;
+  readonly revision: number;
+  readonly created?: number;
+  readonly lease?: number;
+  readonly removed?: boolean;
+}
+
+const PAGE_ITEMS = 500;
+
+export async function startMetadataStore(): Promise<MetadataStoreStandIn> {
+  const items = new Map<string, Item>();
+  const calls = new Map<string, number>();
+  const faults: StoreFaults = {
+    isDown: false,
+    delayMs: 0,
+    areWatchesSilent: false,
+  };
+  let history: Item[] = [];
+  let revision = 1;
+  let forgottenTo = 0;
+  let watchers: (() => void)[] = [];
+
+  function record(item: Item) {
+    history.push(item);
+    if (faults.areWatchesSilent) return;
+    const waiting = watchers;
+    watchers = [];
+    waiting.forEach((wake) => wake());
+  }
+
+  function range(query: URLSearchParams) {
+    const prefix = query.get("prefix") ?? "";
+    const after = query.get("after-rev") ?? "";
+    const found = [...items.values()]
+      .filter(({ key }) => key.startsWith(prefix) && key > after)
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+    return {
+      items: found.slice(0, PAGE_ITEMS),
+      "has-more": found.length > PAGE_ITEMS,
+      at: revision,
+    };
+  }
+
+  function watch(query: URLSearchParams, response: ServerResponse) {
+    const after = Number(query.get("after-rev"));
+    if (after < forgottenTo) return send(response, 410, {});
+    const listEvents = () => history.filter((item) => item.revision > after);
+    const answer = () =>
+      send(response, 200, { events: listEvents(), at: revision });
+    if (listEvents().length > 0 && !faults.areWatchesSilent) return answer();
+    const timer = setTimeout(answer, Number(query.get("wait-ms")));
+    response.on("close", () => clearTimeout(timer));
+    watchers.push(() => {
+      clearTimeout(timer);
+      answer();
+    });
+  }
+
+  const server = createServer((request, response) => {
+    const url = new URL(request.url ?? "/", "http://store");
+    const name = url.pathname.replace("/-/", "");
+    calls.set(name, (calls.get(name) ?? 0) + 1);
+    if (faults.isDown) return send(response, 503, {});
+    setTimeout(() => {
+      if (name === "kv-range") send(response, 200, range(url.searchParams));
+      else if (name === "kv-watch") watch(url.searchParams, response);
+      else send(response, 404, {});
+    }, faults.delayMs);
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+
+  return {
+    address: `127.0.0.1:${port}`,
+    faults,
+    calls,
+    put(key, value) {
+      revision += 1;
+      const text = typeof value === "string" ? value : JSON.stringify(value);
+      const item: Item = {
+        key,
+        value: Buffer.from(text).toString("base64"),
+        revision,
+        created: items.get(key)?.created ?? revision,
+        lease: 0,
+      };
+      items.set(key, item);
+      record(item);
+    },
+    remove(key) {
+      revision += 1;
+      items.delete(key);
+      record({ key, revision, removed: true });
+    },
+    forgetHistory() {
+      history = [];
+      forgottenTo = revision;
+      watchers = [];
+    },
+    close() {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
+
+function send(response: ServerResponse, status: number, body: unknown) {
+  if (response.destroyed) return;
+  response.writeHead(status, { "content-type": "application/json" });
+  response.end(JSON.stringify(body));
+}
--- /dev/null
+++ b/stand_ins/users_platform/model_weights.ts
@@ -0,0 +1,31 @@
+/** Weights of the stand-ins: chunks whose bytes follow from the version. */
+
+import { createHash } from "node:crypto";
+
+export interface ModelShape {
+  readonly name: string;
+  readonly chunkCount: number;
+  readonly chunkBytes: number;
+}
+
+export function createChunk(
+  { name, chunkBytes }: ModelShape,
+  version: number,
+  index: number,
+): Buffer {
+  const seed = createHash("sha256")
+    .update(`${name} ${version} ${index}`)
+    .digest();
+  return Buffer.alloc(chunkBytes, seed);
+}
+
+export function listDigests(
+  model: ModelShape,
+  version: number,
+): readonly string[] {
+  return Array.from({ length: model.chunkCount }, (_, index) =>
+    createHash("sha256")
+      .update(createChunk(model, version, index))
+      .digest("hex"),
+  );
+}
--- /dev/null
+++ b/stand_ins/users_platform/worker.ts
@@ -0,0 +1,187 @@
+/**
+ * Stand-in of a model worker: reports, orders, staged pieces, and streams of
+ * numbered events. It refuses requests for another instance or version.
+ */
+
+import { createServer } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { createChunk } from "./model_weights.ts";
+import type { ModelShape } from "./model_weights.ts";
+
+export interface WorkerOptions {
+  readonly id: string;
+  readonly model: ModelShape;
+  /** Version that it serves and has staged at the start; none if undefined. */
+  readonly version: number | undefined;
+  readonly eventCount?: number;
+  readonly eventIntervalMs?: number;
+  readonly loadMs?: number;
+}
+
+export interface WorkerStandIn {
+  readonly id: string;
+  readonly address: string;
+  readonly faults: { isHung: boolean };
+  version(): number | undefined;
+  /** Attempt ids that it has begun to run, in order. */
+  readonly runs: readonly string[];
+  /** Turns a staged piece bad. */
+  spoilStaged(index: number): void;
+  /** Versions of weights whose load began with a wrong piece. */
+  readonly wrongLoads: readonly number[];
+  close(): void;
+}
+
+const DEFAULT_EVENTS = 5;
+const DEFAULT_INTERVAL_MS = 20;
+const DEFAULT_LOAD_MS = 50;
+
+export async function startWorker(
+  options: WorkerOptions,
+): Promise<WorkerStandIn> {
+  const { id, model } = options;
+  const faults = { isHung: false };
+  const staged = new Map<number, Buffer>();
+  const runs: string[] = [];
+  const wrongLoads: number[] = [];
+  const events = options.eventCount ?? DEFAULT_EVENTS;
+  const intervalMs = options.eventIntervalMs ?? DEFAULT_INTERVAL_MS;
+  let version = options.version;
+  let loading: number | undefined;
+  let running = 0;
+  let acceptedOrders = 0;
+
+  if (version !== undefined) {
+    for (let index = 0; index < model.chunkCount; index += 1) {
+      staged.set(index, createChunk(model, version, index));
+    }
+  }
+
+  function report() {
+    return {
+      stage: "colocated",
+      models:
+        version === undefined
+          ? []
+          : [{ name: model.name, version, adapters: [] }],
+      busy: loading !== undefined,
+      seq: acceptedOrders,
+      waiting: 0,
+      running,
+      "kv-used": 0,
+      "kv-total": 1_000,
+      pace: 1,
+    };
+  }
+
+  function order(body: string, response: ServerResponse) {
+    const { version: wanted } = JSON.parse(body) as { version: number };
+    if (version === wanted) return response.writeHead(200).end();
+    if (loading !== undefined) return response.writeHead(409).end();
+    const isRight = Array.from({ length: model.chunkCount }).every(
+      (_, index) =>
+        staged.get(index)?.equals(createChunk(model, wanted, index)) ?? false,
+    );
+    if (!isRight) wrongLoads.push(wanted);
+    acceptedOrders += 1;
+    loading = wanted;
+    loadWhenIdle();
+    return response.writeHead(202).end();
+  }
+
+  function loadWhenIdle() {
+    if (running > 0) return void setTimeout(loadWhenIdle, 5);
+    version = undefined;
+    setTimeout(() => {
+      version = loading;
+      loading = undefined;
+    }, options.loadMs ?? DEFAULT_LOAD_MS);
+  }
+
+  function stage(request: IncomingMessage, body: Buffer, url: URL) {
+    const field = url.searchParams.get("chunk-count");
+    if (request.method === "PUT") {
+      staged.set(Number(field), body);
+      return { status: 200, bytes: Buffer.alloc(0) };
+    }
+    if (field === null) {
+      const held = { held: [...staged.keys()] };
+      return { status: 200, bytes: Buffer.from(JSON.stringify(held)) };
+    }
+    const bytes = staged.get(Number(field));
+    return { status: bytes ? 200 : 404, bytes: bytes ?? Buffer.alloc(0) };
+  }
+
+  function run(request: IncomingMessage, response: ServerResponse) {
+    const { headers } = request;
+    const attemptId = String(headers["attempt-id"]);
+    response.setHeader("Attempt-Id", attemptId);
+    const expected = headers["expect-version"];
+    const isOther =
+      headers["expect-instance"] !== id ||
+      version === undefined ||
+      (expected !== undefined && Number(expected) !== version);
+    if (isOther) {
+      return response.writeHead(421, { "Instance-Id": id }).end();
+    }
+    if (loading !== undefined) {
+      return response.writeHead(503, { "Not-Run": "1" }).end();
+    }
+    runs.push(attemptId);
+    running += 1;
+    response.writeHead(200, {
+      "Content-Type": "text/event-stream",
+      "Response-Seal": `${id}.${attemptId}`,
+      "Weight-Versions": String(version),
+    });
+    let next = Number(headers["last-event-id"] ?? 0) + 1;
+    const timer = setInterval(() => {
+      if (next > events) return response.end();
+      response.write(`id: ${next}\ndata: token ${next}\n\n`);
+      next += 1;
+    }, intervalMs);
+    response.on("close", () => {
+      clearInterval(timer);
+      running -= 1;
+    });
+  }
+
+  const server = createServer((request, response) => {
+    const chunks: Buffer[] = [];
+    request.on("data", (bytes: Buffer) => chunks.push(bytes));
+    request.on("end", () => {
+      if (faults.isHung) return;
+      const body = Buffer.concat(chunks);
+      const url = new URL(request.url ?? "/", "http://worker");
+      if (url.pathname === "/-/report") {
+        return response.end(JSON.stringify(report()));
+      }
+      if (url.pathname === "/-/order") return order(body.toString(), response);
+      if (url.pathname.startsWith("/-/stage-")) {
+        const { status, bytes } = stage(request, body, url);
+        return response.writeHead(status).end(bytes);
+      }
+      run(request, response);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  return {
+    id,
+    address: `127.0.0.1:${port}`,
+    faults,
+    version: () => version,
+    runs,
+    wrongLoads,
+    spoilStaged(index) {
+      const bytes = Buffer.from(staged.get(index)!);
+      bytes[0]! ^= 0xff;
+      staged.set(index, bytes);
+    },
+    close() {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
--- /dev/null
+++ b/test/users_platform/platform_fleet.ts
@@ -0,0 +1,266 @@
+/**
+ * The real programs of the users' platform as separate processes on loopback,
+ * in front of stand-ins of the platform.
+ */
+
+import { spawn } from "node:child_process";
+import type { ChildProcess } from "node:child_process";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { stringify } from "yaml";
+import {
+  startMetadataStore,
+  startOrigin,
+  startWorker,
+} from "../../stand_ins/users_platform/mod.ts";
+import type {
+  ModelShape,
+  WorkerStandIn,
+} from "../../stand_ins/users_platform/mod.ts";
+
+const MODEL: ModelShape = { name: "m1", chunkCount: 16, chunkBytes: 4_096 };
+const SERVICE = "pool";
+/** Nothing listens there. */
+const UNREACHABLE_ADDRESS = "127.0.0.1:1";
+const REGIONS = { "kol-a": "kolkata", "sil-a": "siliguri" };
+
+export interface GatewayProcess {
+  readonly callerUrl: string;
+  readonly readyUrl: string;
+  readonly process: ChildProcess;
+  logs(): string;
+}
+
+export async function startPlatformFleet(options: {
+  readonly gateways: number;
+  /** Version that each worker holds at the start; undefined for none. */
+  readonly workers: readonly (number | undefined)[];
+  readonly extraArgs?: readonly string[];
+  readonly versionMs?: number;
+  /** Entries that never reach the store, by index. */
+  readonly cutOffGateways?: readonly number[];
+}) {
+  const store = await startMetadataStore();
+  const origin = await startOrigin(MODEL);
+  const directory = await mkdtemp(join(tmpdir(), "zinniaspur-"));
+  const processes: ChildProcess[] = [];
+  const versionMs = options.versionMs ?? 2_000;
+  const gatewayPorts = await findPorts(options.gateways * 4);
+  const seeds = gatewayPorts
+    .filter((_, index) => index % 4 === 2)
+    .slice(0, 3)
+    .map((port) => `127.0.0.1:${port}`);
+
+  async function start(program: string, name: string, settings: object) {
+    const file = join(directory, `${name}.yaml`);
+    await writeFile(file, stringify(settings));
+    const child = spawn(
+      process.execPath,
+      [
+        ...(options.extraArgs ?? []),
+        `dist/bin/${program}.js`,
+        "--settings",
+        file,
+      ],
+      { stdio: ["ignore", "pipe", "inherit"] },
+    );
+    processes.push(child);
+    let logs = "";
+    child.stdout!.on("data", (bytes: Buffer) => (logs += bytes.toString()));
+    return { child, logs: () => logs };
+  }
+
+  async function startGateway(index: number): Promise<GatewayProcess> {
+    const [caller, ready, peer, metrics] = gatewayPorts.slice(index * 4);
+    const { child, logs } = await start("gateway", `entry-${index}`, {
+      host: `entry-${index}`,
+      data_centre: "kol-a",
+      caller_address: `127.0.0.1:${caller}`,
+      ready_address: `127.0.0.1:${ready}`,
+      peer_address: `127.0.0.1:${peer}`,
+      metrics_address: `127.0.0.1:${metrics}`,
+      store_address: options.cutOffGateways?.includes(index)
+        ? UNREACHABLE_ADDRESS
+        : store.address,
+      seeds,
+      regions: REGIONS,
+      bounds: {
+        revoke_ms: 5_000,
+        is_revocation_strict: true,
+        budget_ratio: 0.2,
+        budget_window_s: 10,
+        budget_extra: 100,
+        cold_overage: 1.5,
+        cold_slack: 5,
+        version_ms: versionMs,
+        grace_s: 8,
+      },
+    });
+    return {
+      callerUrl: `http://127.0.0.1:${caller}`,
+      readyUrl: `http://127.0.0.1:${ready}/-/readiness`,
+      process: child,
+      logs,
+    };
+  }
+
+  async function startWorkerWithCompanion(
+    index: number,
+    version: number | undefined,
+  ): Promise<WorkerStandIn> {
+    const worker = await startWorker({
+      id: `w${index}`,
+      model: MODEL,
+      version,
+    });
+    const [peer, metrics] = await findPorts(2);
+    await start("companion", `side-${index}`, {
+      host: `side-${index}`,
+      data_centre: index % 2 === 0 ? "kol-a" : "sil-a",
+      service: SERVICE,
+      peer_address: `127.0.0.1:${peer}`,
+      metrics_address: `127.0.0.1:${metrics}`,
+      endpoint_address: worker.address,
+      seeds,
+      regions: REGIONS,
+      host_mbit_per_s: 100,
+      switch_within_ms: versionMs,
+    });
+    listWorker(worker, version);
+    return worker;
+  }
+
+  function listWorker(worker: WorkerStandIn, version: number | undefined) {
+    store.put(`servers/${worker.id}`, {
+      service: SERVICE,
+      address: worker.address,
+      zone: "kol-a",
+      version: "v1",
+      slots: 16,
+      state: "ready",
+      "coldstart-ms": 0,
+      models: version === undefined ? [] : [{ name: MODEL.name, version }],
+      seq: 1,
+    });
+  }
+
+  function publishConfig(version: number, keys: readonly string[]) {
+    store.put("op/config", createConfig(version, keys, origin.address));
+  }
+
+  publishConfig(1, ["key-1"]);
+  const gateways = await Promise.all(
+    Array.from({ length: options.gateways }, (_, index) => startGateway(index)),
+  );
+  const workers = await Promise.all(
+    options.workers.map((version, index) =>
+      startWorkerWithCompanion(index, version),
+    ),
+  );
+
+  return {
+    store,
+    origin,
+    gateways,
+    workers,
+    processes,
+    publishConfig,
+    async addWorker(version: number | undefined) {
+      const worker = await startWorkerWithCompanion(workers.length, version);
+      workers.push(worker);
+      return worker;
+    },
+    nameVersion: (version: number) =>
+      store.put(`op/version/${MODEL.name}`, { model: MODEL.name, version }),
+    async close() {
+      await Promise.all(processes.map(endProcess));
+      workers.forEach((worker) => worker.close());
+      origin.close();
+      store.close();
+      await rm(directory, { recursive: true, force: true });
+    },
+  };
+}
+
+function createConfig(
+  version: number,
+  keys: readonly string[],
+  origin: string,
+) {
+  return {
+    version,
+    routes: [
+      {
+        name: "r1",
+        host: "desk.example",
+        prefix: "/a/",
+        kind: "stream",
+        "timeout-ms": 6_000,
+        "latency-goal-ms": 800,
+        priority: 1,
+        service: SERVICE,
+        "max-attempts": 2,
+        anonymous: false,
+        sticky: true,
+        "can-resume": true,
+        "gap-target-ms": 400,
+        "allowed-regions": [],
+      },
+    ],
+    services: [
+      {
+        name: SERVICE,
+        "health-path": "/health",
+        "max-conns": 200,
+        "coldstart-s": 0,
+        "coldstart-per-s": 0,
+        engine: {
+          slots: 16,
+          "kv-capacity": 317_000,
+          stride: 5,
+          models: [{ name: MODEL.name, "warm-s": 0.1 }],
+          step_ms: 9.27,
+          per_seq_ms: 0.0232,
+          context_per_k: 0.0322,
+          read_per_s: 20_700,
+          usual: { prompt: 100, answer: 25 },
+          chunks: MODEL.chunkCount,
+          "chunk-bytes": MODEL.chunkBytes,
+        },
+      },
+      { name: "origin", origin, "link-mbps": 100, "max-conns": 16 },
+    ],
+    limits: {
+      "max-header-bytes": 16_384,
+      "max-body-bytes": 65_536,
+      "header-timeout-ms": 3_000,
+      "idle-timeout-ms": 15_000,
+    },
+    tenants: [{ name: "t1", "api-keys": keys, "allowed-regions": [] }],
+  };
+}
+
+async function findPorts(count: number): Promise<readonly number[]> {
+  const servers = await Promise.all(
+    Array.from({ length: count }, async () => {
+      const server = createServer();
+      await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+      return server;
+    }),
+  );
+  const ports = servers.map((server) => (server.address() as AddressInfo).port);
+  await Promise.all(
+    servers.map((server) => new Promise((done) => server.close(done))),
+  );
+  return ports;
+}
+
+async function endProcess(child: ChildProcess) {
+  if (child.exitCode !== null || child.signalCode !== null) return;
+  const ended = new Promise((resolve) => child.once("exit", resolve));
+  child.kill("SIGKILL");
+  await ended;
+}
