Weights arrive sooner: origin window of 1 s, chunks in 8 KB pieces, receiving bounded by the link alone

Cause: receivers took 419 KB/s of a link of 665 KB/s, because the bucket lost what a pause left unused; a piece of 32 KB delayed live events on the thin link.

--- a/src/companion/agreed_manifest.ts
+++ b/src/companion/agreed_manifest.ts
@@ -23,7 +23,7 @@
 export interface ManifestSource {
   find(version: ServedModel): AgreedManifest | undefined;
   findByDigest(manifestDigest: string): AgreedManifest | undefined;
-  /** One more question to the origin; true once the manifest is agreed on. */
+  /** One more question to the origin; true if it answered. */
   ask(version: ServedModel, chunkBytes: number): Promise<boolean>;
 }
 
@@ -44,7 +44,11 @@
       const result = await origin.readDigests(version);
       if (result.isErr()) {
         logger.warn(
-          { ...version, failure: result.error },
+          {
+            model: version.name,
+            version: version.version,
+            failure: result.error,
+          },
           "the origin gave no manifest",
         );
         return false;
@@ -52,8 +56,9 @@
       const vote = `${keyOf(version)} ${result.value.join()}`;
       const count = (votes.get(vote) ?? 0) + 1;
       votes.set(vote, count);
-      if (count < NEEDED_AGREEMENT) return false;
-      agreed.set(keyOf(version), build(version, result.value, chunkBytes));
+      if (count >= NEEDED_AGREEMENT) {
+        agreed.set(keyOf(version), build(version, result.value, chunkBytes));
+      }
       return true;
     },
   };
--- a/src/companion/choose_target.ts
+++ b/src/companion/choose_target.ts
@@ -44,10 +44,13 @@
 
 /** Endpoints switch in this many groups, so that most go on serving. */
 const GROUPS = 3;
-/** Before the last group's turn ends the running requests have to finish. */
-const LAST_TURN_SHARE = 0.78;
+/**
+ * The last group stops taking requests just before entries would send it no
+ * more; what it runs by then may finish later.
+ */
+const LAST_TURN_SHARE = 0.9;
 /** No group starts before most endpoints can hold the new version. */
-const FIRST_TURN_SHARE = 0.5;
+const FIRST_TURN_SHARE = 0.55;
 
 /** Time after publication at which this endpoint may begin to switch. */
 export function computeTurnMs(turn: SwitchTurn): number {
--- a/src/companion/fleet_document.ts
+++ b/src/companion/fleet_document.ts
@@ -15,6 +15,11 @@
   readonly regionMbitPerS: number;
 }
 
+/**
+ * The host's link bounds what arrives by itself. A bound of the same size here
+ * would lose what a pause leaves unused: measured, a third of the link.
+ */
+const RECEIVE_HEADROOM = 4;
 const NO_ADMISSION = { coldConcurrency: 1, warmConcurrency: 1, maxQueued: 0 };
 
 export function describeFleetDocument(
@@ -23,8 +28,10 @@
   const own = options.facts.ownService();
   const model = own?.models[0];
   if (own === undefined || model === undefined) return undefined;
-  const { regions, hostMbitPerS, regionMbitPerS } = options;
-  const storeMbitPerS = options.facts.origin()?.originMbitPerS ?? hostMbitPerS;
+  const { regions, regionMbitPerS } = options;
+  const hostMbitPerS = options.hostMbitPerS * RECEIVE_HEADROOM;
+  const storeMbitPerS =
+    options.facts.origin()?.originMbitPerS ?? options.hostMbitPerS;
   const document: EnvironmentDocument = {
     environment: "platform",
     deployment: "platform",
--- a/src/companion/load_reporter.ts
+++ b/src/companion/load_reporter.ts
@@ -8,7 +8,7 @@
 import type { EndpointLoadNotice, Phase } from "../wire/mod.ts";
 import type { EndpointControl, EndpointReport } from "./endpoint_control.ts";
 
-const INTERVAL_MS = 120;
+const INTERVAL_MS = 150;
 /** An unchanged report is repeated, so that its age stays bounded. */
 const REPEAT_MS = 1_000;
 /** One lost answer does not make an endpoint count as down. */
--- a/src/companion/roll_out.ts
+++ b/src/companion/roll_out.ts
@@ -15,6 +15,10 @@
 import { readSoundChunks, stageChunks } from "./staging.ts";
 
 const STEP_MS = 50;
+/** Between looks at an endpoint that has what it should have. */
+const IDLE_STEP_MS = 250;
+/** The origin or the way to it is down; asked again after this. */
+const ORIGIN_PAUSE_MS = 300;
 /** Entries have been told to stop sending for this long before the order. */
 const SWITCH_NOTICE_MS = 40;
 /** A switch that takes longer is looked at anew. */
@@ -64,13 +68,14 @@
     };
   }
 
-  async function step(): Promise<void> {
+  /** Returns the time until the next step. */
+  async function step(): Promise<number> {
     const report = reporter.report();
     const chunkBytes = facts.ownService()?.chunkBytes ?? 0;
-    if (report === undefined || chunkBytes === 0) return;
+    if (report === undefined || chunkBytes === 0) return STEP_MS;
     const targets = facts.targets();
     const newest = targets.at(-1);
-    if (newest === undefined) return;
+    if (newest === undefined) return STEP_MS;
     const unknown = targets
       .filter((target) => manifests.find(target) === undefined)
       .at(-1);
@@ -81,16 +86,19 @@
     // Held also when it is served already: others fetch it from here.
     const wanted = target ?? newest;
     if (unknown?.version === wanted.version) {
-      await manifests.ask(unknown, chunkBytes);
-      return;
+      return (await manifests.ask(unknown, chunkBytes)) ? 0 : ORIGIN_PAUSE_MS;
     }
-    if (unknown !== undefined) void manifests.ask(unknown, chunkBytes);
+    if (unknown !== undefined) await manifests.ask(unknown, chunkBytes);
     const manifest = manifests.find(wanted);
-    if (manifest === undefined) return;
+    if (manifest === undefined) return STEP_MS;
     await adoptStaged(manifest);
     current = manifest;
     weights.want(manifest.wanted);
-    if (target !== undefined) await bringUp(target, manifest);
+    if (target === undefined) {
+      return unknown === undefined ? IDLE_STEP_MS : ORIGIN_PAUSE_MS;
+    }
+    await bringUp(target, manifest);
+    return STEP_MS;
   }
 
   /** Chunks that lie at the endpoint from before need not be fetched. */
@@ -105,7 +113,12 @@
       ...sound.values(),
     ]);
     logger.info(
-      { ...manifest.version, kept, chunkCount: chunkDigests.length },
+      {
+        model,
+        version: manifest.version.version,
+        kept,
+        chunkCount: chunkDigests.length,
+      },
       "took over staged chunks",
     );
   }
@@ -165,8 +178,7 @@
 
   async function run() {
     while (!isClosed) {
-      await step();
-      await wait(STEP_MS);
+      await wait(await step());
     }
   }
 
--- a/src/companion/start_companion.ts
+++ b/src/companion/start_companion.ts
@@ -20,6 +20,12 @@
 const WEIGHTS_MEMORY_VERSIONS = 3;
 const WEIGHTS_MEMORY_BYTES = WEIGHTS_MEMORY_VERSIONS * 4 * 1024 * 1024;
 
+/**
+ * Part of the host's link that weights may send with: the endpoint's answers
+ * leave through the same link and must not queue behind chunks.
+ */
+const SEND_SHARE = 0.9;
+
 export interface CompanionSettings {
   readonly host: string;
   readonly dataCentre: string;
@@ -68,6 +74,7 @@
     store: createOriginStore(origin, manifests, () => rollOut.currentDigest()),
     memoryBytes: WEIGHTS_MEMORY_BYTES,
     policy: "swarm",
+    hostUpMbitPerS: settings.hostMbitPerS * SEND_SHARE,
     registry,
     logger,
   });
--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -43,7 +43,12 @@
   wantedModels(): readonly string[];
   /** Time since which a change may have been published unseen. */
   ageMs(): number;
-  apply(changes: readonly DirectoryChange[], revision: number): void;
+  /** `seenAtMs`: when a watch brought the changes, if one did. */
+  apply(
+    changes: readonly DirectoryChange[],
+    revision: number,
+    seenAtMs?: number,
+  ): void;
   /** Applies a complete listing: what it lacks has been removed. */
   replace(changes: readonly DirectoryChange[], revision: number): void;
   /** The state was complete up to its revision at this time or later. */
@@ -60,6 +65,11 @@
   readonly mayHaveLapsed?: () => boolean;
 }
 
+/**
+ * A watch of a store that is in order brings a change within this time. The
+ * bound on an older version of weights holds only while the store is in order.
+ */
+const WATCH_DELAY_MS = 250;
 /** Entries that lapsed with the store are back within two seconds or gone. */
 const LAPSE_GRACE_MS = 2_000;
 
@@ -75,7 +85,7 @@
   let revision = 0;
   let confirmedAtMs = -Infinity;
 
-  function applyOne(change: DirectoryChange): boolean {
+  function applyOne(change: DirectoryChange, seenAtMs: number): boolean {
     const key = keyOf(change);
     const former = changeOf.get(key);
     if (former !== undefined && former.revision >= change.revision) {
@@ -93,7 +103,7 @@
         logger.info({ ...change }, "evacuation of a data centre changed");
         break;
       case "weights":
-        applyWeights(change.model, change.version);
+        applyWeights(change, seenAtMs);
         break;
     }
     return true;
@@ -152,11 +162,14 @@
     }, LAPSE_GRACE_MS).unref();
   }
 
-  function applyWeights(model: string, version: number | undefined) {
+  function applyWeights(
+    { model, version }: Extract<DirectoryChange, { type: "weights" }>,
+    seenAtMs: number,
+  ) {
     if (version === undefined) return;
     const former = wanted.get(model) ?? [];
     if (former.some((item) => item.version >= version)) return;
-    const notBeforeMs = confirmedAtMs;
+    const notBeforeMs = Math.max(confirmedAtMs, seenAtMs - WATCH_DELAY_MS);
     wanted.set(model, [{ model, version, notBeforeMs }, ...former]);
     logger.info({ model, version, ageMs: ageMs() }, "new weights named");
   }
@@ -170,8 +183,12 @@
     return clock.nowMs() - confirmedAtMs;
   }
 
-  function apply(changes: readonly DirectoryChange[], upTo: number) {
-    const applied = changes.filter(applyOne);
+  function apply(
+    changes: readonly DirectoryChange[],
+    upTo: number,
+    seenAtMs = -Infinity,
+  ) {
+    const applied = changes.filter((change) => applyOne(change, seenAtMs));
     revision = Math.max(revision, upTo);
     if (applied.length > 0) notify();
   }
--- a/src/directory/directory_reader.ts
+++ b/src/directory/directory_reader.ts
@@ -91,7 +91,6 @@
     const result = await store.readAll();
     if (result.isErr()) return result.error;
     needsListing = "";
-    // Confirmed first, so that what is new here is not taken for older.
     directory.replace(result.value.changes, result.value.revision);
     directory.confirm(sentAtMs);
     settle();
@@ -115,7 +114,7 @@
   }
 
   function applyChanges({ changes, revision }: StoreChanges) {
-    directory.apply(changes, revision);
+    directory.apply(changes, revision, clock.nowMs());
     settle();
   }
 
--- a/src/directory/directory_test.ts
+++ b/src/directory/directory_test.ts
@@ -96,6 +96,19 @@
   ]);
 });
 
+test("a version that a watch brings counts as published shortly before", () => {
+  const { directory, clock, time } = createTestDirectory();
+  directory.confirm(clock.nowMs());
+  time.monotonic += 800;
+  const seenAtMs = clock.nowMs();
+  directory.apply(
+    [{ type: "weights", revision: 2, model: "m", version: 2 }],
+    2,
+    seenAtMs,
+  );
+  expect(directory.wantedWeights("m")[0]!.notBeforeMs).toBe(seenAtMs - 250);
+});
+
 test("a restarted endpoint under the same id counts as newly seen", () => {
   const { directory, time } = createTestDirectory();
   directory.apply([listEndpoint(createEndpoint({ startedAtMs: 1 }), 1)], 1);
--- a/src/gateway/dispatch_call.ts
+++ b/src/gateway/dispatch_call.ts
@@ -45,6 +45,8 @@
   readonly tried: Set<string>;
   lastEventId: string | undefined;
   weightVersion: number | undefined;
+  /** From the sending of the last attempt to the head of its answer. */
+  headMs: number | undefined;
   /** An endpoint's own failure, passed on if nothing better comes. */
   failure: Extract<AttemptOutcome, { type: "answered" }> | undefined;
 }
@@ -92,7 +94,7 @@
       }
       attempt = send(context, { call, service, state, answer, choice });
       const outcome = await track(context, attempt, choice.view);
-      logAttempt(context, { call, choice, outcome });
+      logAttempt(context, { call, state, choice, outcome });
       if (ended === "cancelled") return;
       if (ended === "expired") {
         return endExpired(context, { call, answer, state, outcome });
@@ -114,6 +116,7 @@
     tried: new Set(),
     lastEventId: call.headers.lastEventId,
     weightVersion: undefined,
+    headMs: undefined,
     failure: undefined,
   };
 }
@@ -175,6 +178,8 @@
       : repeatPlainAfter(route.objectiveMs)
     : { firstMs: remainingMs + 1_000, gapMs: remainingMs + 1_000 };
   const load = context.loads.begin(endpoint.address, headers.promptTokens ?? 0);
+  const sentAtMs = context.nowMs();
+  state.headMs = undefined;
   context.rates.count(endpoint.id);
   const attempt = startAttempt({
     connections: context.connections,
@@ -195,7 +200,10 @@
     firstByteTimeoutMs: patience.firstMs,
     silenceTimeoutMs: patience.gapMs,
     isStream,
-    onHead: () => load.onStart(),
+    onHead() {
+      load.onStart();
+      state.headMs = Math.round(context.nowMs() - sentAtMs);
+    },
     onEvents(events, head) {
       state.lastEventId = events.lastId ?? state.lastEventId;
       state.weightVersion ??= weightVersion;
@@ -380,13 +388,9 @@
 
 function logAttempt(
   context: GatewayContext,
-  options: {
-    readonly call: Call;
-    readonly choice: Extract<Choice, { type: "send" }>;
-    readonly outcome: AttemptOutcome;
-  },
+  options: Omit<Settling, "answer">,
 ) {
-  const { call, choice, outcome } = options;
+  const { call, state, choice, outcome } = options;
   const { endpoint, load, weightVersion } = choice.view;
   const { type, ...details } = outcome;
   context.logger.info(
@@ -396,7 +400,9 @@
       address: endpoint.address,
       requests: load.requests,
       unreadTokens: load.unreadTokens,
+      promptTokens: call.headers.promptTokens,
       forecastMs: Math.round(choice.forecastMs),
+      headMs: state.headMs,
       weightVersion,
       configVersion: call.configVersion,
       directoryAgeMs: Math.round(context.directory.ageMs()),
--- a/src/gateway/weight_versions.ts
+++ b/src/gateway/weight_versions.ts
@@ -5,11 +5,8 @@
 
 import type { WantedWeights } from "../directory/mod.ts";
 
-/**
- * A request can wait at the endpoint before it begins, and the time at which a
- * version was named is known only to about a second.
- */
-const BEGIN_MARGIN_MS = 500;
+/** A request can wait this long at the endpoint before it begins. */
+const BEGIN_MARGIN_MS = 400;
 
 export interface VersionLimits {
   /** How long an older version may begin requests; 0 when unlimited. */
--- a/src/weights/announcer.ts
+++ b/src/weights/announcer.ts
@@ -2,9 +2,9 @@
 
 import type { HaveNotice, Peer } from "../wire/mod.ts";
 
-const MIN_INTERVAL_MS = 100;
+const MIN_INTERVAL_MS = 60;
 /** With many peers the interval grows, so that notices stay a small load. */
-const INTERVAL_PER_PEER_MS = 10;
+const INTERVAL_PER_PEER_MS = 6;
 /** Repairs a view that missed a notice while a connection was replaced. */
 const MIN_REFRESH_MS = 10_000;
 /**
--- a/src/weights/chunk_server.ts
+++ b/src/weights/chunk_server.ts
@@ -15,7 +15,8 @@
 const MAX_QUEUED = 2;
 /** Well below the time after which a downloader takes it for a stall. */
 const MAX_QUEUE_MS = 1_000;
-const PIECE_BYTES = 32 * 1024;
+/** Small, so that live traffic on a thin link gets in between. */
+const PIECE_BYTES = 8 * 1024;
 /** A downloader that takes nothing for this long loses its slot. */
 const WRITE_TIMEOUT_MS = 4_000;
 
--- a/src/weights/link_bucket.ts
+++ b/src/weights/link_bucket.ts
@@ -7,7 +7,7 @@
 /** Short, so that weights leave no long queue ahead of live traffic. */
 const BURST_MS = 50;
 /** One piece of a chunk can always be sent without waiting for more tokens. */
-const MIN_BURST_BYTES = 32 * 1024;
+const MIN_BURST_BYTES = 8 * 1024;
 const MAX_WAIT_MS = 20;
 
 export interface LinkBucket {
--- a/src/weights/transfer_view.ts
+++ b/src/weights/transfer_view.ts
@@ -5,8 +5,12 @@
 import type { Source, TransferView } from "./policy.ts";
 import type { TransferState } from "./transfer_state.ts";
 
-/** Part of the fleet's chunks that the store sends at one time. */
-const STORE_WINDOW_MS = 400;
+/**
+ * Part of the fleet's chunks that the store sends at one time. The window moves
+ * on with the notices of what is held, which take up to a quarter of a second
+ * in a fleet of 25; with less than a second of chunks the store's link idles.
+ */
+const STORE_WINDOW_MS = 1_000;
 const MIN_STORE_WINDOW = 4;
 
 /** Built once for each task: tasks decide many times a second. */
