--- a/src/companion/choose_target.ts
+++ b/src/companion/choose_target.ts
@@ -6,32 +6,43 @@
 
 import type { TargetWeights } from "./fleet_facts.ts";
 
-/** A transfer with this share of its chunks is finished before a newer one. */
-const NEARLY_COMPLETE_SHARE = 0.5;
-
 export interface TargetProgress {
   readonly target: TargetWeights;
   readonly heldShare: number;
+  /** True if no chunk has arrived lately. */
+  readonly isStalled: boolean;
+}
+
+export interface Targets {
+  /** The version to fetch, or to hold for others. */
+  readonly fetch: TargetWeights | undefined;
+  /** The version that the endpoint should switch to when its turn comes. */
+  readonly load: TargetWeights | undefined;
 }
 
-/** Undefined when the endpoint serves the newest version. */
-export function chooseTarget(
+/**
+ * `candidates` are the wanted versions, oldest first. One that has begun to
+ * arrive is finished before a newer one is started: the origin may fail before
+ * it has sent the newer one, and requests may not go on with the oldest.
+ */
+export function chooseTargets(
   candidates: readonly TargetProgress[],
   servedVersion: number | undefined,
-): TargetWeights | undefined {
+): Targets {
   const newer = candidates.filter(
     ({ target }) =>
       servedVersion === undefined || target.version > servedVersion,
   );
-  const newest = newer.at(-1);
-  if (newest === undefined || newest.heldShare >= 1) return newest?.target;
-  const nearly = newer.filter(
-    ({ heldShare }) => heldShare >= NEARLY_COMPLETE_SHARE,
+  const complete = newer.filter(({ heldShare }) => heldShare >= 1).at(-1);
+  const missing = newer.filter(
+    ({ heldShare, target }) =>
+      heldShare < 1 && target.version > (complete?.target.version ?? 0),
+  );
+  const begun = missing.find(
+    ({ heldShare, isStalled }) => heldShare > 0 && !isStalled,
   );
-  const best = nearly.at(-1);
-  return best !== undefined && best.heldShare > newest.heldShare
-    ? best.target
-    : newest.target;
+  const fetch = begun ?? missing.at(-1) ?? candidates.at(-1);
+  return { fetch: fetch?.target, load: complete?.target };
 }
 
 export interface SwitchTurn {
--- /dev/null
+++ b/src/companion/choose_target_test.ts
@@ -0,0 +1,69 @@
+import { expect, test } from "@jest/globals";
+import { chooseTargets, computeTurnMs } from "./mod.ts";
+
+function progress(version: number, heldShare: number, isStalled = false) {
+  const target = { name: "m", version, publishedAtMs: 0 };
+  return { target, heldShare, isStalled };
+}
+
+const cases = [
+  {
+    name: "an endpoint without weights fetches the only version",
+    candidates: [progress(1, 0)],
+    served: undefined,
+    fetch: 1,
+    load: undefined,
+  },
+  {
+    name: "a version that has begun to arrive is finished before a newer one",
+    candidates: [progress(2, 0.3), progress(3, 0)],
+    served: 1,
+    fetch: 2,
+    load: undefined,
+  },
+  {
+    name: "a stalled version does not hold up the newest",
+    candidates: [progress(2, 0.3, true), progress(3, 0)],
+    served: 1,
+    fetch: 3,
+    load: undefined,
+  },
+  {
+    name: "while the older one waits for its turn the newer one is fetched",
+    candidates: [progress(2, 1), progress(3, 0.4)],
+    served: 1,
+    fetch: 3,
+    load: 2,
+  },
+  {
+    name: "a newer complete version is loaded without the one between",
+    candidates: [progress(2, 1), progress(3, 1)],
+    served: 1,
+    fetch: 3,
+    load: 3,
+  },
+  {
+    name: "a served version is held for others and not loaded again",
+    candidates: [progress(2, 1)],
+    served: 2,
+    fetch: 2,
+    load: undefined,
+  },
+];
+
+test.each(cases)("$name", ({ candidates, served, fetch, load }) => {
+  const targets = chooseTargets(candidates, served);
+  expect(targets.fetch?.version).toBe(fetch);
+  expect(targets.load?.version).toBe(load);
+});
+
+test("endpoints switch in three groups, the last before the bound", () => {
+  const members = ["a", "b", "c", "d", "e", "f"];
+  const turns = members.map((self) =>
+    computeTurnMs({ members, self, switchWithinMs: 8_000 }),
+  );
+  expect(new Set(turns).size).toBe(3);
+  expect(Math.max(...turns)).toBeLessThan(8_000);
+  const ofFirst = turns.filter((turn) => turn === turns[0]);
+  expect(ofFirst).toHaveLength(2);
+});
--- a/src/companion/mod.ts
+++ b/src/companion/mod.ts
@@ -7,7 +7,7 @@
   OriginFailure,
   WeightOrigin,
 } from "./endpoint_control.ts";
-export { chooseTarget, computeTurnMs } from "./choose_target.ts";
+export { chooseTargets, computeTurnMs } from "./choose_target.ts";
 export { createFleetFacts } from "./fleet_facts.ts";
 export { createManifestSource } from "./agreed_manifest.ts";
 export { readSoundChunks, stageChunks } from "./staging.ts";
--- a/src/companion/roll_out.ts
+++ b/src/companion/roll_out.ts
@@ -8,7 +8,8 @@
 import type { Logger } from "../logging/mod.ts";
 import type { Weights } from "../weights/mod.ts";
 import type { AgreedManifest, ManifestSource } from "./agreed_manifest.ts";
-import { chooseTarget, computeTurnMs } from "./choose_target.ts";
+import { chooseTargets, computeTurnMs } from "./choose_target.ts";
+import type { TargetProgress } from "./choose_target.ts";
 import type { EndpointControl } from "./endpoint_control.ts";
 import type { FleetFacts, TargetWeights } from "./fleet_facts.ts";
 import type { LoadReporter } from "./load_reporter.ts";
@@ -21,6 +22,8 @@
 const ORIGIN_PAUSE_MS = 300;
 /** Entries have been told to stop sending for this long before the order. */
 const SWITCH_NOTICE_MS = 40;
+/** Longer than any chunk takes on a narrowed link. */
+const STALLED_MS = 1_000;
 /** A switch that takes longer is looked at anew. */
 const SWITCH_LIMIT_MS = 6_000;
 
@@ -44,10 +47,18 @@
   readonly nowMs: () => number;
 }
 
+interface Arrival {
+  readonly chunksHeld: number;
+  /** When the last of these chunks arrived. */
+  readonly sinceMs: number;
+}
+
 export function startRollOut(options: RollOutOptions): RollOut {
   const { facts, manifests, weights, endpoint, reporter, logger } = options;
   const adopted = new Set<string>();
   let current: AgreedManifest | undefined;
+  const arrivals = new Map<number, Arrival>();
+  let askAgainAtMs = 0;
   let stagedDigest: string | undefined;
   let isClosed = false;
 
@@ -56,15 +67,23 @@
       ?.version;
   }
 
-  function measure(target: TargetWeights) {
+  function measure(target: TargetWeights): TargetProgress {
     const manifest = manifests.find(target);
-    if (manifest === undefined) return { target, heldShare: 0 };
+    if (manifest === undefined) {
+      return { target, heldShare: 0, isStalled: false };
+    }
     const { chunksHeld, chunkCount } = weights.progress(
       manifest.wanted.manifestDigest,
     );
+    const now = options.nowMs();
+    const former = arrivals.get(target.version);
+    if (former === undefined || chunksHeld > former.chunksHeld) {
+      arrivals.set(target.version, { chunksHeld, sinceMs: now });
+    }
     return {
       target,
       heldShare: chunkCount === 0 ? 0 : chunksHeld / chunkCount,
+      isStalled: now - arrivals.get(target.version)!.sinceMs > STALLED_MS,
     };
   }
 
@@ -76,29 +95,37 @@
     const targets = facts.targets();
     const newest = targets.at(-1);
     if (newest === undefined) return STEP_MS;
-    const unknown = targets
-      .filter((target) => manifests.find(target) === undefined)
-      .at(-1);
-    const target = chooseTarget(
+    const { fetch, load } = chooseTargets(
       targets.map(measure),
       servedVersion(newest.name),
     );
-    // Held also when it is served already: others fetch it from here.
-    const wanted = target ?? newest;
-    if (unknown?.version === wanted.version) {
-      return (await manifests.ask(unknown, chunkBytes)) ? 0 : ORIGIN_PAUSE_MS;
+    const hasAsked = await askForManifests(targets, chunkBytes);
+    const wanted = fetch && manifests.find(fetch);
+    if (wanted !== undefined) {
+      await adoptStaged(wanted);
+      current = wanted;
+      weights.want(wanted.wanted);
     }
-    if (unknown !== undefined) await manifests.ask(unknown, chunkBytes);
-    const manifest = manifests.find(wanted);
-    if (manifest === undefined) return STEP_MS;
-    await adoptStaged(manifest);
-    current = manifest;
-    weights.want(manifest.wanted);
-    if (target === undefined) {
-      return unknown === undefined ? IDLE_STEP_MS : ORIGIN_PAUSE_MS;
-    }
-    await bringUp(target, manifest);
-    return STEP_MS;
+    const loaded = load && manifests.find(load);
+    if (load !== undefined && loaded !== undefined) await bringUp(load, loaded);
+    if (hasAsked) return 0;
+    const isDone = load === undefined && measure(newest).heldShare >= 1;
+    return isDone ? IDLE_STEP_MS : STEP_MS;
+  }
+
+  /** One question for the newest version without a manifest, if there is one. */
+  async function askForManifests(
+    targets: readonly TargetWeights[],
+    chunkBytes: number,
+  ): Promise<boolean> {
+    const unknown = targets
+      .filter((target) => manifests.find(target) === undefined)
+      .at(-1);
+    const now = options.nowMs();
+    if (unknown === undefined || now < askAgainAtMs) return false;
+    const isAnswered = await manifests.ask(unknown, chunkBytes);
+    if (!isAnswered) askAgainAtMs = now + ORIGIN_PAUSE_MS;
+    return isAnswered;
   }
 
   /** Chunks that lie at the endpoint from before need not be fetched. */
--- a/src/companion/start_companion.ts
+++ b/src/companion/start_companion.ts
@@ -16,9 +16,8 @@
 import { createOriginStore } from "./origin_store.ts";
 import { startRollOut } from "./roll_out.ts";
 
-/** Two versions of a small model, with room for one more. */
-const WEIGHTS_MEMORY_VERSIONS = 3;
-const WEIGHTS_MEMORY_BYTES = WEIGHTS_MEMORY_VERSIONS * 4 * 1024 * 1024;
+/** Room for several versions of the platform's models, which take 2 MiB. */
+const WEIGHTS_MEMORY_BYTES = 32 * 1024 * 1024;
 
 /**
  * Part of the host's link that weights may send with: the endpoint's answers
