Let a short transfer of weights take over from lost agents sooner

Cause: the last chunks of the origin waited 2 to 2.5 s for an agent that was gone; the origin failed before. After the outage agents waited up to 8 s.

--- a/src/companion/origin_store.ts
+++ b/src/companion/origin_store.ts
@@ -1,16 +1,22 @@
 /** The origin of weights in the form that the transfer of weights asks for. */
 
+import type { Logger } from "../logging/mod.ts";
 import type { FetchResult, StoreClient } from "../weights/mod.ts";
 import type { ManifestSource } from "./agreed_manifest.ts";
 import type { WeightOrigin } from "./endpoint_control.ts";
 
 const RETRY_AFTER_MS = 200;
 
-export function createOriginStore(
-  origin: WeightOrigin,
-  manifests: ManifestSource,
-  findCurrent: () => string | undefined,
-): StoreClient {
+export interface OriginStoreOptions {
+  readonly origin: WeightOrigin;
+  readonly manifests: ManifestSource;
+  /** Manifest digest of the version that is being fetched. */
+  readonly findCurrent: () => string | undefined;
+  readonly logger: Logger;
+}
+
+export function createOriginStore(options: OriginStoreOptions): StoreClient {
+  const { origin, manifests, findCurrent, logger } = options;
   return {
     async fetch(kind, digest, limits): Promise<FetchResult> {
       const known = manifests.findByDigest(
@@ -21,11 +27,22 @@
       }
       if (kind === "manifests") return { type: "ok", bytes: known.bytes };
       const index = known.chunkDigests.indexOf(digest);
+      const startedAtMs = performance.now();
       const result = await origin.readChunk(
         known.version,
         index,
         limits.signal,
       );
+      logger.info(
+        {
+          model: known.version.name,
+          version: known.version.version,
+          index,
+          outcome: result.isOk() ? "received" : result.error,
+          elapsedMs: Math.round(performance.now() - startedAtMs),
+        },
+        "asked the origin for a chunk",
+      );
       if (result.isErr()) {
         return result.error === "refused"
           ? { type: "refused", code: "origin", retryAfterMs: RETRY_AFTER_MS }
--- a/src/companion/start_companion.ts
+++ b/src/companion/start_companion.ts
@@ -7,6 +7,7 @@
 import { startMesh } from "../mesh/mod.ts";
 import type { Registry } from "../metrics/mod.ts";
 import { createWeights } from "../weights/mod.ts";
+import type { TransferPatience } from "../weights/mod.ts";
 import type { FleetNotice } from "../wire/mod.ts";
 import { createManifestSource } from "./agreed_manifest.ts";
 import type { EndpointControl, WeightOrigin } from "./endpoint_control.ts";
@@ -16,6 +17,16 @@
 import { createOriginStore } from "./origin_store.ts";
 import { startRollOut } from "./roll_out.ts";
 
+/**
+ * A transfer takes three seconds here, and the origin can fail at any moment:
+ * chunks of an agent that is gone are taken over well within that time.
+ */
+const PATIENCE: TransferPatience = {
+  lostGraceMs: 400,
+  noProgressMs: 500,
+  noChunkMs: 1_500,
+  maxBackoffMs: 400,
+};
 /** Room for several versions of the platform's models, which take 2 MiB. */
 const WEIGHTS_MEMORY_BYTES = 32 * 1024 * 1024;
 
@@ -70,9 +81,15 @@
   const weights = createWeights({
     node: mesh,
     service: settings.service ?? "",
-    store: createOriginStore(origin, manifests, () => rollOut.currentDigest()),
+    store: createOriginStore({
+      origin,
+      manifests,
+      findCurrent: () => rollOut.currentDigest(),
+      logger,
+    }),
     memoryBytes: WEIGHTS_MEMORY_BYTES,
     policy: "swarm",
+    patience: PATIENCE,
     hostUpMbitPerS: settings.hostMbitPerS * SEND_SHARE,
     registry,
     logger,
--- a/src/weights/create_weights.ts
+++ b/src/weights/create_weights.ts
@@ -22,6 +22,8 @@
 import { parseManifest } from "./manifest.ts";
 import type { Manifest } from "./manifest.ts";
 import { findMembers } from "./members.ts";
+import { DEFAULT_PATIENCE } from "./patience.ts";
+import type { TransferPatience } from "./patience.ts";
 import { createPeerHoldings } from "./peer_holdings.ts";
 import type { Holding } from "./peer_holdings.ts";
 import type { Policy } from "./policy.ts";
@@ -41,6 +43,7 @@
   readonly store: StoreClient;
   readonly memoryBytes: number;
   readonly policy: WeightsPolicy;
+  readonly patience?: TransferPatience;
   readonly logger: Logger;
 }
 
@@ -207,6 +210,7 @@
         policy: decide,
         usesPeers,
         storeTasks,
+        patience: options.patience ?? DEFAULT_PATIENCE,
         cache,
         holdings,
         store,
--- a/src/weights/mod.ts
+++ b/src/weights/mod.ts
@@ -7,6 +7,7 @@
 export { computeDigest } from "./digest.ts";
 export type { FetchLimits, FetchResult } from "./fetch_result.ts";
 export { encodeManifest } from "./manifest.ts";
+export type { TransferPatience } from "./patience.ts";
 export { createStoreClient } from "./store_client.ts";
 export type { StoreClient } from "./store_client.ts";
 export type {
--- a/src/weights/retry_times.ts
+++ b/src/weights/retry_times.ts
@@ -1,7 +1,6 @@
 /** When each source may be asked again after refusals and failures. */
 
 const FIRST_BACKOFF_MS = 250;
-const MAX_BACKOFF_MS = 8_000;
 
 export interface RetryTimes {
   readyAtMs(name: string): number;
@@ -20,8 +19,9 @@
 export function createRetryTimes(options: {
   readonly nowMs: () => number;
   readonly random: () => number;
+  readonly maxBackoffMs: number;
 }): RetryTimes {
-  const { nowMs, random } = options;
+  const { nowMs, random, maxBackoffMs } = options;
   const readyAt = new Map<string, number>();
   const failures = new Map<string, number>();
 
@@ -37,7 +37,7 @@
       if ((readyAt.get(name) ?? 0) > nowMs()) return;
       const count = failures.get(name) ?? 0;
       failures.set(name, count + 1);
-      const limitMs = Math.min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** count);
+      const limitMs = Math.min(maxBackoffMs, FIRST_BACKOFF_MS * 2 ** count);
       delay(name, limitMs * (0.5 + random() / 2));
     },
     failures: (name) => failures.get(name) ?? 0,
--- a/src/weights/retry_times_test.ts
+++ b/src/weights/retry_times_test.ts
@@ -3,7 +3,11 @@
 
 function createTimes() {
   let clockMs = 1_000;
-  const retries = createRetryTimes({ nowMs: () => clockMs, random: () => 1 });
+  const retries = createRetryTimes({
+    nowMs: () => clockMs,
+    random: () => 1,
+    maxBackoffMs: 8_000,
+  });
   return {
     retries,
     waitMs: () => retries.readyAtMs("store") - clockMs,
--- a/src/weights/source_outcomes.ts
+++ b/src/weights/source_outcomes.ts
@@ -43,7 +43,8 @@
 ): SourceOutcomes {
   const { manifestDigest, isEnded, onChange } = options;
   const { counters, changes, logger, nowMs, random } = options.context;
-  const retries = createRetryTimes({ nowMs, random });
+  const { maxBackoffMs } = options.context.patience;
+  const retries = createRetryTimes({ nowMs, random, maxBackoffMs });
   const avoided = new Set<string>();
 
   function settle(name: string, result: FetchResult): Uint8Array | undefined {
--- a/src/weights/takeover.ts
+++ b/src/weights/takeover.ts
@@ -4,17 +4,9 @@
  */
 
 import type { Assignments, Level } from "./assignments.ts";
+import type { TransferPatience } from "./patience.ts";
 import type { Holding } from "./peer_holdings.ts";
 
-/**
- * Covers a reconnection, and the time in which a new configuration reaches
- * agents that do not want the version yet.
- */
-const LOST_GRACE_MS = 2_000;
-/** Longer than the time within which a peer loses a stalled request. */
-const NO_PROGRESS_MS = 2_500;
-/** For an agent that makes progress, but not with this chunk. */
-const NO_CHUNK_MS = 10_000;
 /** Waiting tasks ask at least this often, or the wait for an agent is over. */
 const BLOCKED_GAP_MS = 1_000;
 
@@ -31,6 +23,7 @@
   /** True for an agent that sent corrupt chunks or stalled. */
   readonly isDistrusted: (host: string) => boolean;
   readonly startedAtMs: number;
+  readonly patience: TransferPatience;
   readonly nowMs: () => number;
   /** Runs once for each chunk and level taken over. */
   readonly onTakeover: (level: Level) => void;
@@ -43,7 +36,7 @@
 }
 
 export function createTakeover(options: TakeoverOptions): Takeover {
-  const { findHolding, isDistrusted, startedAtMs, nowMs } = options;
+  const { findHolding, isDistrusted, startedAtMs, nowMs, patience } = options;
   const blockedBy = new Map<string, Blocked>();
   // When the chunk could first have been fetched, as far as is known here.
   const possibleSince = new Map<string, number>();
@@ -78,14 +71,14 @@
           findHolding(host)!.progressAtMs,
         );
         return (
-          now - idleSinceMs > present.length * NO_PROGRESS_MS ||
-          now - possibleMs > present.length * NO_CHUNK_MS
+          now - idleSinceMs > present.length * patience.noProgressMs ||
+          now - possibleMs > present.length * patience.noChunkMs
         );
       });
       const isGone = earlier.every((host) => {
         if (findHolding(host) !== undefined) return true;
         const lostAtMs = options.lostAtMs(host) ?? startedAtMs;
-        return now - Math.max(lostAtMs, startedAtMs) > LOST_GRACE_MS;
+        return now - Math.max(lostAtMs, startedAtMs) > patience.lostGraceMs;
       });
       if (!isLate || !isGone) return false;
       if (!taken.has(key)) options.onTakeover(level);
--- a/src/weights/transfer_context.ts
+++ b/src/weights/transfer_context.ts
@@ -5,6 +5,7 @@
 import type { ChunkCache } from "./chunk_cache.ts";
 import type { Manifest } from "./manifest.ts";
 import type { Member } from "./members.ts";
+import type { TransferPatience } from "./patience.ts";
 import type { PeerHoldings } from "./peer_holdings.ts";
 import type { Policy } from "./policy.ts";
 import type { StoreClient } from "./store_client.ts";
@@ -15,6 +16,7 @@
   readonly policy: Policy;
   readonly usesPeers: boolean;
   readonly storeTasks: number;
+  readonly patience: TransferPatience;
   readonly cache: ChunkCache;
   readonly holdings: PeerHoldings;
   readonly store: StoreClient;
--- a/src/weights/transfer_state.ts
+++ b/src/weights/transfer_state.ts
@@ -84,6 +84,7 @@
     lostAtMs: holdings.lostAtMs,
     isDistrusted: outcomes.isDistrusted,
     startedAtMs,
+    patience: context.patience,
     nowMs,
     onTakeover: (level) => counters.takeovers.increment({ level }),
   });
