--- a/src/gateway/dispatch_faults_test.ts
+++ b/src/gateway/dispatch_faults_test.ts
@@ -243,6 +243,19 @@
   expect(endpoints[0]!.requests).toHaveLength(0);
 });
 
+test("an entry that drains refuses new calls, which it could have to cut off", async () => {
+  const { gateway, endpoints } = await start([streamAll]);
+  gateway.front.startClosing();
+  const closing = await call(gateway.url);
+  expect(closing).toMatchObject({ status: 200, body: WHOLE_STREAM });
+  expect(closing.headers["connection"]).toBe("close");
+  void gateway.front.drain();
+  const draining = await call(gateway.url);
+  expect(draining.status).toBe(503);
+  expect(draining.headers["retry-after"]).toBeDefined();
+  expect(endpoints[0]!.requests).toHaveLength(1);
+});
+
 async function waitUntil(isTrue: () => boolean) {
   while (!isTrue()) await new Promise((resolve) => setTimeout(resolve, 5));
 }
--- a/src/gateway/front_server.ts
+++ b/src/gateway/front_server.ts
@@ -32,6 +32,10 @@
  * knowledge of keys is taken when the request is read.
  */
 const REVOKE_MARGIN_MS = 300;
+/** Another entry can take the call at once. */
+const LEAVING_RETRY_MS = 50;
+/** While draining, connections are closed as soon as their call has ended. */
+const CLOSE_IDLE_MS = 100;
 /** Until a first configuration sets it. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 
@@ -39,7 +43,10 @@
   listen(address: string): Promise<void>;
   /** Answers from now on ask clients to close their connection. */
   startClosing(): void;
-  /** Stops accepting; resolves when no call is under way. */
+  /**
+   * Refuses what still comes, since it could be cut off; resolves when no call
+   * is under way.
+   */
   drain(): Promise<void>;
   countCalls(): number;
   close(): void;
@@ -52,8 +59,9 @@
     "Requests refused before dispatch, by reason",
   );
   let table: RouteTable | undefined;
-  let isClosing = false;
-  let calls = 0;
+  let state: "open" | "closing" | "draining" = "open";
+  let idleTimer: NodeJS.Timeout | undefined;
+  const responses = new Set<ServerResponse>();
   const drainHandlers: (() => void)[] = [];
 
   const server = createServer(
@@ -78,6 +86,13 @@
   }
 
   function findCall(request: IncomingMessage): Omit<Call, "body"> | Refusal {
+    if (state === "draining") {
+      return {
+        status: STATUS_NOT_RUN,
+        reason: "leaving",
+        retryAfterMs: LEAVING_RETRY_MS,
+      };
+    }
     const current = currentTable();
     if (current === undefined) {
       return {
@@ -133,17 +148,17 @@
   }
 
   async function accept(request: IncomingMessage, response: ServerResponse) {
-    calls += 1;
+    responses.add(response);
     response.sendDate = false;
-    if (isClosing) response.setHeader("connection", "close");
+    if (state !== "open") askToClose(response);
     try {
       await handle(request, response);
     } catch (error) {
       context.logger.error({ err: error }, "handling of a request failed");
       response.socket?.destroy();
     } finally {
-      calls -= 1;
-      if (calls === 0) drainHandlers.splice(0).forEach((done) => done());
+      responses.delete(response);
+      if (responses.size === 0) drainHandlers.splice(0).forEach((f) => f());
     }
   }
 
@@ -193,24 +208,33 @@
   return {
     listen: (address) => listen(server, address),
     startClosing() {
-      isClosing = true;
+      state = "closing";
+      responses.forEach(askToClose);
     },
     drain() {
-      server.close();
-      server.closeIdleConnections();
+      state = "draining";
+      idleTimer = setInterval(
+        () => server.closeIdleConnections(),
+        CLOSE_IDLE_MS,
+      );
       return new Promise((resolve) => {
-        if (calls === 0) resolve();
+        if (responses.size === 0) resolve();
         else drainHandlers.push(resolve);
       });
     },
-    countCalls: () => calls,
+    countCalls: () => responses.size,
     close() {
+      clearInterval(idleTimer);
       server.close();
       server.closeAllConnections();
     },
   };
 }
 
+function askToClose(response: ServerResponse) {
+  if (!response.headersSent) response.setHeader("connection", "close");
+}
+
 function applyLimits(server: Server, { limits }: RoutingConfig) {
   server.keepAliveTimeout = limits.idleTimeoutMs;
   server.headersTimeout = limits.headerTimeoutMs;
