Fetch own chunks from the origin first; tell refused callers to come back when there is room

Cause of the second: under a lasting overload callers came back after 0.2 s, were refused again and had no try left.

--- a/src/gateway/choose_endpoint.ts
+++ b/src/gateway/choose_endpoint.ts
@@ -36,8 +36,6 @@
   | {
       readonly type: "none";
       readonly reason: "no_endpoint" | "cold" | "too_busy";
-      /** When an endpoint is likely to have room. */
-      readonly retryAfterMs: number;
     };
 
 /** One way, with room for a queue on the link between regions. */
@@ -52,9 +50,6 @@
 const FAILURE_COST_MS = 2_000;
 /** Cost of one more request at a plain endpoint with all slots taken. */
 const FULL_COST_MS = 200;
-const NO_ENDPOINT_RETRY_MS = 400;
-const COLD_RETRY_MS = 300;
-const MIN_BUSY_RETRY_MS = 150;
 
 export function chooseEndpoint(
   views: readonly EndpointView[],
@@ -64,15 +59,11 @@
   const steady = allowed.filter(({ isPaused }) => !isPaused);
   const usable = steady.length > 0 ? steady : allowed;
   if (usable.length === 0) {
-    return {
-      type: "none",
-      reason: "no_endpoint",
-      retryAfterMs: NO_ENDPOINT_RETRY_MS,
-    };
+    return { type: "none", reason: "no_endpoint" };
   }
   const open = usable.filter(({ hasColdRoom }) => hasColdRoom);
   if (open.length === 0) {
-    return { type: "none", reason: "cold", retryAfterMs: COLD_RETRY_MS };
+    return { type: "none", reason: "cold" };
   }
   const rated = open.map((view) => ({ view, ...rate(view, options) }));
   const best = rated.reduce((a, b) => (b.costMs < a.costMs ? b : a));
@@ -80,11 +71,7 @@
   const limitMs =
     (options.objectiveLeftMs - FORECAST_MARGIN_MS) / FORECAST_SPREAD;
   if (engine !== undefined && best.forecastMs > limitMs) {
-    return {
-      type: "none",
-      reason: "too_busy",
-      retryAfterMs: Math.max(MIN_BUSY_RETRY_MS, best.forecastMs - limitMs),
-    };
+    return { type: "none", reason: "too_busy" };
   }
   return { type: "send", view: best.view, forecastMs: best.forecastMs };
 }
--- a/src/gateway/dispatch_call.ts
+++ b/src/gateway/dispatch_call.ts
@@ -86,12 +86,15 @@
       });
     }
     context.budgetOf(service.name).onRequest();
+    const pressure = context.pressureOf(service.name);
     const state = createState(call);
     for (;;) {
       const choice = choose(context, { call, service, state });
       if (choice.type === "none") {
+        pressure.onRefused();
         return endWithout(context, { call, answer, state, choice });
       }
+      pressure.onAdmitted();
       attempt = send(context, { call, service, state, answer, choice });
       const outcome = await track(context, attempt, choice.view);
       logAttempt(context, { call, state, choice, outcome });
@@ -351,7 +354,10 @@
     answer.refuse({ status: STATUS_UNKNOWN, reason });
     return logEnd(context, call, { outcome: "unknown", reason });
   }
-  const retryAfterMs = choice?.retryAfterMs ?? DEFAULT_RETRY_MS;
+  const retryAfterMs =
+    choice === undefined
+      ? DEFAULT_RETRY_MS
+      : context.pressureOf(call.service).computeDelayMs();
   refuse(context, { call, answer, reason, retryAfterMs });
 }
 
--- a/src/gateway/gateway_context.ts
+++ b/src/gateway/gateway_context.ts
@@ -10,6 +10,7 @@
 import type { EndpointConnections } from "./endpoint_connections.ts";
 import type { EndpointLoads } from "./endpoint_loads.ts";
 import type { EndpointSuspicion } from "./endpoint_suspicion.ts";
+import type { RefusalPressure } from "./refusal_pressure.ts";
 
 /** Bounds that the platform's settings state. */
 export interface GatewayBounds {
@@ -37,6 +38,8 @@
   readonly dataCentre: string;
   /** Region of each data centre. */
   readonly regions: Readonly<Record<string, string>>;
+  /** Refusals under load, by service. */
+  readonly pressureOf: (service: string) => RefusalPressure;
   readonly budgetOf: (service: string) => RetryBudget;
   readonly countEntries: () => number;
   /** Attempts under way by address of the endpoint. */
--- /dev/null
+++ b/src/gateway/refusal_pressure.ts
@@ -0,0 +1,62 @@
+/**
+ * When callers that are refused should come back. Answers the pattern of a
+ * load that stays above what the endpoints can do for seconds: callers that
+ * come back at once are refused again and have no try left, so the more are
+ * refused now, the later and the more spread they are told to return.
+ */
+
+const SLOTS = 10;
+const SLOT_MS = 200;
+/** Delay when hardly anybody is refused: another entry may have room. */
+const MIN_DELAY_MS = 120;
+/** Delay when everybody is: about what it takes an endpoint to switch. */
+const MAX_DELAY_MS = 1_500;
+
+export interface RefusalPressure {
+  onAdmitted(): void;
+  onRefused(): void;
+  /** Share of the calls of the last two seconds that were refused. */
+  share(): number;
+  computeDelayMs(): number;
+}
+
+interface Slot {
+  index: number;
+  admitted: number;
+  refused: number;
+}
+
+export function createRefusalPressure(nowMs: () => number): RefusalPressure {
+  const slots: Slot[] = Array.from({ length: SLOTS }, () => ({
+    index: -SLOTS,
+    admitted: 0,
+    refused: 0,
+  }));
+
+  function currentSlot(): Slot {
+    const index = Math.floor(nowMs() / SLOT_MS);
+    const slot = slots[index % SLOTS]!;
+    if (slot.index !== index) {
+      slot.index = index;
+      slot.admitted = 0;
+      slot.refused = 0;
+    }
+    return slot;
+  }
+
+  function share(): number {
+    const current = currentSlot();
+    const recent = slots.filter(({ index }) => index > current.index - SLOTS);
+    const refused = recent.reduce((sum, slot) => sum + slot.refused, 0);
+    const admitted = recent.reduce((sum, slot) => sum + slot.admitted, 0);
+    return refused === 0 ? 0 : refused / (refused + admitted);
+  }
+
+  return {
+    onAdmitted: () => void (currentSlot().admitted += 1),
+    onRefused: () => void (currentSlot().refused += 1),
+    share,
+    computeDelayMs: () =>
+      MIN_DELAY_MS + (MAX_DELAY_MS - MIN_DELAY_MS) * share(),
+  };
+}
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -26,6 +26,8 @@
 import { createEndpointSuspicion } from "./endpoint_suspicion.ts";
 import { createFrontServer } from "./front_server.ts";
 import type { GatewayBounds, GatewayContext } from "./gateway_context.ts";
+import { createRefusalPressure } from "./refusal_pressure.ts";
+import type { RefusalPressure } from "./refusal_pressure.ts";
 
 export interface GatewaySettings {
   readonly host: string;
@@ -102,6 +104,16 @@
     return created;
   }
 
+  const pressures = new Map<string, RefusalPressure>();
+
+  function pressureOf(service: string): RefusalPressure {
+    const found = pressures.get(service);
+    if (found !== undefined) return found;
+    const created = createRefusalPressure(nowMs);
+    pressures.set(service, created);
+    return created;
+  }
+
   const context: GatewayContext = {
     directory,
     clock,
@@ -113,6 +125,7 @@
     bounds,
     dataCentre: settings.dataCentre,
     regions: settings.regions,
+    pressureOf,
     budgetOf,
     countEntries,
     attempts: new Map(),
--- a/src/gateway/testing/mod.ts
+++ b/src/gateway/testing/mod.ts
@@ -22,6 +22,7 @@
 import { createEndpointSuspicion } from "../endpoint_suspicion.ts";
 import { createFrontServer } from "../front_server.ts";
 import type { GatewayContext } from "../gateway_context.ts";
+import { createRefusalPressure } from "../refusal_pressure.ts";
 
 type Respond = (
   request: IncomingMessage,
@@ -123,6 +124,7 @@
     1,
   );
   directory.confirm(clock.nowMs());
+  const pressure = createRefusalPressure(nowMs);
   const context: GatewayContext = {
     directory,
     clock,
@@ -144,6 +146,7 @@
     },
     dataCentre: "kol-a",
     regions: { "kol-a": "kolkata", "sil-a": "siliguri" },
+    pressureOf: () => pressure,
     budgetOf: () =>
       createRetryBudget(nowMs, { readMinimum: () => options.retries ?? 10 }),
     countEntries: () => 1,
--- a/src/weights/policy.ts
+++ b/src/weights/policy.ts
@@ -28,6 +28,8 @@
   holders(level: Level, index: number): number;
   /** True if another holder can serve now and has sent much less. */
   hasBetterHolder(index: number): boolean;
+  /** True if no other agent should fetch the chunk before this one. */
+  isAssigned(level: Level, index: number): boolean;
   /** Whether this agent may fetch the chunk into the level now. */
   mayFetch(level: Level, index: number): boolean;
   /** Chunks that the whole fleet may have in flight from the store. */
--- a/src/weights/swarm_policy.ts
+++ b/src/weights/swarm_policy.ts
@@ -24,16 +24,19 @@
   // Were each agent to start its own at once, all of them would share the
   // store's link and none would be complete, and passed on, before the end.
   const windowChunks = view.storeWindowChunks;
+  // After an outage of the store every agent may take over every chunk; with
+  // the assigned ones first, hardly any leaves the store twice.
+  let takenOver = -1;
   let missing = 0;
   for (let index = 0; index < view.chunkCount; index += 1) {
     if (view.isHeld(index) || view.holders("fleet", index) > 0) continue;
     if (missing >= windowChunks) break;
     missing += 1;
-    if (view.isWanted(index) && view.mayFetch("fleet", index)) {
-      return { type: "fetch", index };
-    }
+    if (!view.isWanted(index)) continue;
+    if (view.isAssigned("fleet", index)) return { type: "fetch", index };
+    if (takenOver < 0 && view.mayFetch("fleet", index)) takenOver = index;
   }
-  return wait(view);
+  return takenOver < 0 ? wait(view) : { type: "fetch", index: takenOver };
 }
 
 function decidePeer(view: TransferView): Decision {
--- a/src/weights/swarm_rules_test.ts
+++ b/src/weights/swarm_rules_test.ts
@@ -201,6 +201,7 @@
       isWanted: () => true,
       holders: (level, index) => options.holders[index]![level],
       hasBetterHolder: () => false,
+      isAssigned: () => false,
       mayFetch: () => options.mayFetch ?? true,
       storeWindowChunks: 4,
       regionLinkFreeAtMs: 0,
@@ -227,6 +228,15 @@
       view({ holders: [NONE], source: store, mayFetch: false }),
       "wait",
     ],
+    [
+      "its own chunk from the store before one that it takes over",
+      view({
+        holders: [NONE, NONE, NONE],
+        source: store,
+        change: { isAssigned: (_, index) => index === 2 },
+      }),
+      2,
+    ],
     [
       "from the store only within the window",
       view({
--- a/src/weights/takeover.ts
+++ b/src/weights/takeover.ts
@@ -11,6 +11,8 @@
 const BLOCKED_GAP_MS = 1_000;
 
 export interface Takeover {
+  /** True if no other agent should fetch the chunk before this one. */
+  isAssigned(level: Level, index: number): boolean;
   mayFetch(level: Level, index: number): boolean;
 }
 
@@ -54,6 +56,8 @@
   }
 
   return {
+    isAssigned: (level, index) =>
+      options.assignments().earlier(level, index)?.length === 0,
     mayFetch(level, index) {
       const earlier = options.assignments().earlier(level, index);
       if (earlier === undefined) return false;
--- a/src/weights/transfer_view.ts
+++ b/src/weights/transfer_view.ts
@@ -37,6 +37,7 @@
     holders: peers.holders,
     hasBetterHolder: (index) =>
       holding !== undefined && peers.hasBetterHolder(holding, index),
+    isAssigned: takeover.isAssigned,
     mayFetch: takeover.mayFetch,
     get storeWindowChunks() {
       const { storeBytesPerS } = context.readLinks();
