Keep running on SIGHUP; refuse requests that crash endpoints; no final refusals on old knowledge

SIGHUP ended the process, since Node.js does that without a handler: changed settings are now taken over (seeds, bounds), with and without the signal, and wrong ones are refused as a whole. A request that broke the connection at three endpoints runs nowhere for 30 s; entries tell each other. An entry whose knowledge is older than 1.8 s answers 503 in place of 401 and 404, and one that can accept no key leaves the rotation.

--- a/bin/companion.ts
+++ b/bin/companion.ts
@@ -13,7 +13,7 @@
 
 async function start(
   settings: CompanionProgramSettings,
-): Promise<RunningProgram> {
+): Promise<RunningProgram<CompanionProgramSettings>> {
   const registry = createRegistry();
   const logger = createOutputLogger(NAME, settings.host);
   const metrics = await startMetricsServer(settings.metricsAddress, registry);
@@ -26,6 +26,7 @@
   });
   return {
     stopped: new Promise(() => undefined),
+    reload: (next) => companion.reload(next),
     async shutDown() {
       await companion.close();
       metrics.close();
--- a/bin/gateway.ts
+++ b/bin/gateway.ts
@@ -13,7 +13,7 @@
 
 async function start(
   settings: GatewayProgramSettings,
-): Promise<RunningProgram> {
+): Promise<RunningProgram<GatewayProgramSettings>> {
   const registry = createRegistry();
   const logger = createOutputLogger(NAME, settings.host);
   const metrics = await startMetricsServer(settings.metricsAddress, registry);
@@ -30,6 +30,7 @@
   });
   return {
     stopped: new Promise(() => undefined),
+    reload: (next) => gateway.reload(next),
     async shutDown() {
       await gateway.shutDown();
       metrics.close();
--- a/src/companion/start_companion.ts
+++ b/src/companion/start_companion.ts
@@ -60,6 +60,8 @@
 }
 
 export interface Companion {
+  /** Takes over the seeds of changed settings. */
+  reload(settings: CompanionSettings): void;
   close(): Promise<void>;
 }
 
@@ -121,6 +123,7 @@
     facts.update(notice as FleetNotice);
   });
   return {
+    reload: (next) => mesh.setSeeds(next.seeds),
     async close() {
       rollOut.close();
       reporter.close();
--- a/src/entry/read_call_request.ts
+++ b/src/entry/read_call_request.ts
@@ -12,7 +12,7 @@
 } from "../idempotency/mod.ts";
 import type { Admitted } from "./admit_caller.ts";
 import type { CallRequest } from "./call.ts";
-import { createFingerprint } from "./fingerprint.ts";
+import { createFingerprint } from "../quarantine/mod.ts";
 import { parseLanguageRequest } from "./language_request.ts";
 import { createNotRun } from "./refusal.ts";
 import type { Refusal } from "./refusal.ts";
--- a/src/gateway/dispatch_call.ts
+++ b/src/gateway/dispatch_call.ts
@@ -5,6 +5,7 @@
  */
 
 import type { CallService } from "../directory/mod.ts";
+import { createFingerprint } from "../quarantine/mod.ts";
 import { startAttempt } from "./attempt.ts";
 import type { Attempt, AttemptOutcome } from "./attempt.ts";
 import type { Call } from "./call.ts";
@@ -75,6 +76,13 @@
     Math.max(0, call.deadlineMs - context.nowMs()),
   );
 
+  const fingerprint = createFingerprint({
+    clientAccount: call.account?.name ?? "",
+    method: call.method,
+    path: call.path,
+    body: call.body,
+  });
+
   async function run() {
     const service = findService(context, call.service);
     if (service === undefined) {
@@ -85,6 +93,15 @@
         retryAfterMs: UNKNOWN_SERVICE_RETRY_MS,
       });
     }
+    const quarantinedMs = context.quarantine.remainingMs(fingerprint);
+    if (quarantinedMs > 0) {
+      return refuse(context, {
+        call,
+        answer,
+        reason: "crashes_endpoints",
+        retryAfterMs: quarantinedMs,
+      });
+    }
     context.budgetOf(service.name).onRequest();
     const pressure = context.pressureOf(service.name);
     const state = createState(call);
@@ -98,6 +115,12 @@
       attempt = send(context, { call, service, state, answer, choice });
       const outcome = await track(context, attempt, choice.view);
       logAttempt(context, { call, state, choice, outcome });
+      if (isLikelyCrash(outcome)) {
+        const { address } = choice.view.endpoint;
+        context.onCrash(
+          context.quarantine.recordPreliminary(fingerprint, address),
+        );
+      }
       if (ended === "cancelled") return;
       if (ended === "expired") {
         return endExpired(context, { call, answer, state, outcome });
@@ -111,6 +134,17 @@
   return { cancel: () => end("cancelled"), done };
 }
 
+const CRASH_REASONS: ReadonlySet<string> = new Set([
+  "ECONNRESET",
+  "UND_ERR_SOCKET",
+  "cut_off",
+]);
+
+/** The endpoint closed the connection of a request that it may have run. */
+function isLikelyCrash(outcome: AttemptOutcome): boolean {
+  return outcome.type === "lost" && CRASH_REASONS.has(outcome.reason);
+}
+
 function createState(call: Call): CallState {
   return {
     runs: 0,
--- a/src/gateway/dispatch_faults_test.ts
+++ b/src/gateway/dispatch_faults_test.ts
@@ -243,6 +243,29 @@
   expect(endpoints[0]!.requests).toHaveLength(0);
 });
 
+test("a request that broke the connection at three endpoints runs at no other", async () => {
+  const { gateway, endpoints } = await start([
+    resetAtOnce,
+    resetAtOnce,
+    resetAtOnce,
+    streamAll,
+  ]);
+  expect((await call(gateway.url)).status).toBe(502);
+  expect((await call(gateway.url)).status).toBe(200);
+  const record = gateway.context.quarantine;
+  expect(record.size()).toBe(1);
+  const before = endpoints[3]!.requests.length;
+  expect((await call(gateway.url)).status).toBe(503);
+  expect(endpoints[3]!.requests).toHaveLength(before);
+});
+
+test("no client is turned away for good on knowledge that may be too old", async () => {
+  const { gateway } = await start([streamAll]);
+  gateway.time.monotonic += 2_500;
+  expect((await call(gateway.url, { "x-key": "new" })).status).toBe(503);
+  expect((await call(gateway.url, { host: "new" })).status).toBe(503);
+});
+
 test("an entry that drains refuses new calls, which it could have to cut off", async () => {
   const { gateway, endpoints } = await start([streamAll]);
   gateway.front.startClosing();
--- a/src/gateway/front_server.ts
+++ b/src/gateway/front_server.ts
@@ -32,6 +32,13 @@
  * knowledge of keys is taken when the request is read.
  */
 const REVOKE_MARGIN_MS = 300;
+/** A configuration has to be in force within two seconds. */
+const MAX_CONFIG_AGE_MS = 1_800;
+const STALE_CONFIG: Refusal = {
+  status: STATUS_NOT_RUN,
+  reason: "stale_configuration",
+  retryAfterMs: NO_CONFIG_RETRY_MS,
+};
 /** Another entry can take the call at once. */
 const LEAVING_RETRY_MS = 50;
 /** While draining, connections are closed as soon as their call has ended. */
@@ -106,7 +113,11 @@
       normaliseHost(request.headers.host),
       readPath(path),
     );
-    if (route === undefined) return { status: 404, reason: "no_route" };
+    if (route === undefined) {
+      return isConfigStale(context)
+        ? STALE_CONFIG
+        : { status: 404, reason: "no_route" };
+    }
     if (countBytes(request.rawHeaders) > current.config.limits.maxHeaderBytes) {
       return { status: 431, reason: "headers_too_large" };
     }
@@ -125,7 +136,9 @@
       };
     }
     if (needsKey && account === undefined) {
-      return { status: 401, reason: "unknown_key" };
+      return isConfigStale(context)
+        ? STALE_CONFIG
+        : { status: 401, reason: "unknown_key" };
     }
     const receivedAtMs = nowMs();
     const waitMs = Math.min(
@@ -240,6 +253,11 @@
   server.headersTimeout = limits.headerTimeoutMs;
 }
 
+/** Clients do not repeat a 404 or 401, so it must not rest on old knowledge. */
+function isConfigStale({ directory }: GatewayContext): boolean {
+  return directory.ageMs() > MAX_CONFIG_AGE_MS;
+}
+
 /** The key may have been revoked longer ago than it may still be accepted. */
 export function isKeyKnowledgeStale(
   context: Pick<GatewayContext, "directory" | "bounds">,
--- a/src/gateway/gateway_context.ts
+++ b/src/gateway/gateway_context.ts
@@ -4,6 +4,8 @@
 import type { Logger } from "../logging/mod.ts";
 import type { RetryBudget } from "../limits/mod.ts";
 import type { Registry } from "../metrics/mod.ts";
+import type { Quarantine } from "../quarantine/mod.ts";
+import type { CrashNotice } from "../wire/mod.ts";
 import type { Attempt } from "./attempt.ts";
 import type { HeaderCodec } from "./call.ts";
 import type { RateWindow } from "./cold_share.ts";
@@ -38,6 +40,9 @@
   readonly dataCentre: string;
   /** Region of each data centre. */
   readonly regions: Readonly<Record<string, string>>;
+  /** Requests that may have crashed the endpoints that ran them. */
+  readonly quarantine: Quarantine;
+  readonly onCrash: (notice: CrashNotice) => void;
   /** Refusals under load, by service. */
   readonly pressureOf: (service: string) => RefusalPressure;
   readonly budgetOf: (service: string) => RetryBudget;
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -16,7 +16,8 @@
 import type { Logger } from "../logging/mod.ts";
 import { startMesh } from "../mesh/mod.ts";
 import type { Registry } from "../metrics/mod.ts";
-import type { EndpointLoadNotice } from "../wire/mod.ts";
+import { createQuarantine } from "../quarantine/mod.ts";
+import type { CrashNotice, EndpointLoadNotice, Notice } from "../wire/mod.ts";
 import type { HeaderCodec } from "./call.ts";
 import { createRateWindow } from "./cold_share.ts";
 import { describeFleet } from "./describe_fleet.ts";
@@ -24,7 +25,7 @@
 import { createEndpointConnections } from "./endpoint_connections.ts";
 import { createEndpointLoads } from "./endpoint_loads.ts";
 import { createEndpointSuspicion } from "./endpoint_suspicion.ts";
-import { createFrontServer } from "./front_server.ts";
+import { createFrontServer, isKeyKnowledgeStale } from "./front_server.ts";
 import type { GatewayBounds, GatewayContext } from "./gateway_context.ts";
 import { createRefusalPressure } from "./refusal_pressure.ts";
 import type { RefusalPressure } from "./refusal_pressure.ts";
@@ -51,6 +52,8 @@
 }
 
 export interface Gateway {
+  /** Takes over seeds and bounds of changed settings. */
+  reload(settings: GatewaySettings): void;
   /** Ends gracefully: no call in progress is cut off. */
   shutDown(): Promise<void>;
 }
@@ -61,13 +64,15 @@
 const KILL_MARGIN_MS = 600;
 /** Part of the shared retry budget that is used; the rest covers errors. */
 const BUDGET_SHARE = 0.75;
+/** Endpoints lose connections for other reasons too; three are no accident. */
+const CRASHES_TO_QUARANTINE = 3;
 /** Looks for a jump of the clock or a pause. */
 const PAUSE_CHECK_MS = 100;
 const PAUSE_MS = 300;
 
 export async function startGateway(options: GatewayOptions): Promise<Gateway> {
-  const { settings, store, codec, registry, logger } = options;
-  const { bounds } = settings;
+  const { store, codec, registry, logger } = options;
+  let { settings } = options;
   const nowMs = () => performance.now();
   const clock = createAgeClock();
   const directory = createDirectory({
@@ -97,8 +102,9 @@
     const found = budgets.get(service);
     if (found !== undefined) return found;
     const created = createRetryBudget(nowMs, {
-      share: bounds.budgetRatio * BUDGET_SHARE,
-      readMinimum: () => (bounds.budgetExtra * BUDGET_SHARE) / countEntries(),
+      share: settings.bounds.budgetRatio * BUDGET_SHARE,
+      readMinimum: () =>
+        (settings.bounds.budgetExtra * BUDGET_SHARE) / countEntries(),
     });
     budgets.set(service, created);
     return created;
@@ -114,6 +120,18 @@
     return created;
   }
 
+  const quarantine = createQuarantine({
+    wallMs: Date.now,
+    crashesToQuarantine: CRASHES_TO_QUARANTINE,
+  });
+
+  function sendToEntries(notice: Notice) {
+    mesh
+      .peers()
+      .filter((peer) => peer.hello.role === "entry")
+      .forEach((peer) => peer.sendNotice(notice));
+  }
+
   const context: GatewayContext = {
     directory,
     clock,
@@ -122,9 +140,13 @@
     rates: createRateWindow(nowMs),
     connections: createEndpointConnections(registry),
     codec,
-    bounds,
+    get bounds() {
+      return settings.bounds;
+    },
     dataCentre: settings.dataCentre,
     regions: settings.regions,
+    quarantine,
+    onCrash: (notice) => sendToEntries(notice),
     pressureOf,
     budgetOf,
     countEntries,
@@ -160,6 +182,13 @@
     const notice = describeFleet(directory, clock);
     if (peer.hello.role === "agent" && notice) peer.sendNotice(notice);
   });
+  mesh.onPeer((peer) => {
+    if (peer.hello.role !== "entry") return;
+    quarantine.notices().forEach((notice) => peer.sendNotice(notice));
+  });
+  mesh.onNotice("crash", (_, notice) => {
+    quarantine.accept(notice as CrashNotice);
+  });
   mesh.onMeshNotice("endpoint_load", (_, notice) => {
     const load = notice as EndpointLoadNotice;
     context.loads.onReport(load);
@@ -169,7 +198,8 @@
   });
 
   function isReady(): boolean {
-    return !isLeaving && directory.config() !== undefined;
+    const hasConfig = directory.config() !== undefined;
+    return !isLeaving && hasConfig && !isKeyKnowledgeStale(context);
   }
 
   const readyServer = await startReadyServer(settings.readyAddress, isReady);
@@ -189,6 +219,10 @@
   }, PAUSE_CHECK_MS);
 
   return {
+    reload(next) {
+      settings = { ...settings, seeds: next.seeds, bounds: next.bounds };
+      mesh.setSeeds(next.seeds);
+    },
     async shutDown() {
       isLeaving = true;
       logger.info({ calls: front.countCalls() }, "entry is leaving");
@@ -196,7 +230,9 @@
       const startedAtMs = nowMs();
       await wait(LEAVE_ROTATION_MS);
       const leftMs =
-        bounds.graceS * 1_000 - KILL_MARGIN_MS - (nowMs() - startedAtMs);
+        settings.bounds.graceS * 1_000 -
+        KILL_MARGIN_MS -
+        (nowMs() - startedAtMs);
       await Promise.race([front.drain(), wait(leftMs)]);
       logger.info({ calls: front.countCalls() }, "entry has stopped");
       clearInterval(pauseTimer);
--- a/src/gateway/testing/mod.ts
+++ b/src/gateway/testing/mod.ts
@@ -15,6 +15,7 @@
 import type { CallRoute, EndpointRecord } from "../../directory/mod.ts";
 import { createRetryBudget } from "../../limits/mod.ts";
 import { createRegistry } from "../../metrics/mod.ts";
+import { createQuarantine } from "../../quarantine/mod.ts";
 import type { HeaderCodec } from "../call.ts";
 import { createRateWindow } from "../cold_share.ts";
 import { createEndpointConnections } from "../endpoint_connections.ts";
@@ -146,6 +147,8 @@
     },
     dataCentre: "kol-a",
     regions: { "kol-a": "kolkata", "sil-a": "siliguri" },
+    quarantine: createQuarantine({ wallMs: Date.now, crashesToQuarantine: 3 }),
+    onCrash: () => undefined,
     pressureOf: () => pressure,
     budgetOf: () =>
       createRetryBudget(nowMs, { readMinimum: () => options.retries ?? 10 }),
--- a/src/mesh/start_mesh.ts
+++ b/src/mesh/start_mesh.ts
@@ -51,6 +51,8 @@
   readonly onMeshNotice: Handlers["onNotice"];
   /** Entries known at present, this process included if it is one. */
   countEntries(): number;
+  /** Replaces the addresses from which the fleet is found. */
+  setSeeds(seeds: readonly string[]): void;
   /** Call after the published state has changed. */
   notifyViewChange(): void;
   close(): Promise<void>;
@@ -71,7 +73,8 @@
 }
 
 export async function startMesh(options: MeshOptions): Promise<Mesh> {
-  const { registry, logger, seeds } = options;
+  const { registry, logger } = options;
+  let { seeds } = options;
   const self: MemberIdentity = {
     host: options.host,
     role: options.role,
@@ -241,6 +244,10 @@
     onMeshNotice: handlers.onNotice,
     countEntries: () =>
       listEntries().length + (options.role === "entry" ? 1 : 0),
+    setSeeds(next) {
+      seeds = next;
+      updateTargets();
+    },
     notifyViewChange,
     async close() {
       clearInterval(repeatTimer);
--- a/src/program/run_program.ts
+++ b/src/program/run_program.ts
@@ -13,7 +13,9 @@
 const EXIT_FAILURE = 1;
 const EXIT_USAGE = 2;
 
-export interface RunningProgram {
+export interface RunningProgram<Settings = unknown> {
+  /** Takes over changed settings; without it they need a restart. */
+  reload?(settings: Settings): void;
   /** Ends gracefully: no request in progress is cut off. */
   shutDown(): Promise<void>;
   /** Resolves with the reason if the program must end by itself. */
@@ -26,7 +28,7 @@
   readonly loadSettings: (
     file: string,
   ) => Promise<Result<Settings, readonly Finding[]>>;
-  readonly start: (settings: Settings) => Promise<RunningProgram>;
+  readonly start: (settings: Settings) => Promise<RunningProgram<Settings>>;
   readonly print?: (line: string) => void;
   readonly printError?: (line: string) => void;
 }
@@ -69,16 +71,24 @@
     print(`${flags.settings}: no findings`);
     return EXIT_SUCCESS;
   }
-  return runUntilStopped(settings.value, options);
+  return runUntilStopped(settings.value, flags.settings, options);
 }
 
 async function runUntilStopped<Settings>(
   settings: Settings,
-  { name, start, printError = console.error }: ProgramOptions<Settings>,
+  file: string,
+  options: ProgramOptions<Settings>,
 ): Promise<number> {
+  const { name, start, printError = console.error } = options;
   const signal = waitForSignal();
+  // Without a handler the signal would end the process.
+  const onReload: (() => void)[] = [];
+  process.on("SIGHUP", () => onReload.forEach((reload) => reload()));
   try {
     const program = await start(settings);
+    const watch = watchSettings(file, options, program);
+    onReload.push(watch.check);
+    void signal.then(watch.close);
     const reason = await Promise.race([signal, program.stopped]);
     await program.shutDown();
     return reason === "signal" ? EXIT_SUCCESS : EXIT_FAILURE;
@@ -88,6 +98,51 @@
   }
 }
 
+/** The file can change without a signal; this is soon enough for that. */
+const SETTINGS_CHECK_MS = 2_000;
+
+/** A wrong file is refused as a whole, and the former settings stay. */
+function watchSettings<Settings>(
+  file: string,
+  options: ProgramOptions<Settings>,
+  program: RunningProgram<Settings>,
+) {
+  const {
+    loadSettings,
+    print = console.log,
+    printError = console.error,
+  } = options;
+  let known = readIfPresent(file);
+
+  async function check() {
+    const text = readIfPresent(file);
+    if (text === undefined || text === known) return;
+    known = text;
+    const loaded = await loadSettings(file);
+    loaded.match(
+      (settings) => {
+        program.reload?.(settings);
+        print(`${file}: changed settings taken over`);
+      },
+      (findings) =>
+        findings.forEach((finding) => printError(formatFinding(finding))),
+    );
+  }
+
+  const timer = setInterval(() => void check(), SETTINGS_CHECK_MS);
+  timer.unref();
+  return { check: () => void check(), close: () => clearInterval(timer) };
+}
+
+/** Undefined while the file is being replaced; it is looked at again. */
+function readIfPresent(file: string): string | undefined {
+  try {
+    return readFileSync(file, "utf8");
+  } catch {
+    return undefined;
+  }
+}
+
 function waitForSignal(): Promise<"signal"> {
   return new Promise((resolve) => {
     process.once("SIGTERM", () => resolve("signal"));
--- a/src/program/run_program_test.ts
+++ b/src/program/run_program_test.ts
@@ -1,5 +1,7 @@
 import { describe, expect, jest, test } from "@jest/globals";
-import { readFileSync } from "node:fs";
+import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { err, ok } from "neverthrow";
 import { runProgram } from "./mod.ts";
 
@@ -37,6 +39,10 @@
   return { exitCode, start, lines };
 }
 
+function settle() {
+  return new Promise((resolve) => setTimeout(resolve, 30));
+}
+
 describe("runProgram", () => {
   const never = new Promise<string>(() => undefined);
   const good = ["--settings", "good"];
@@ -67,6 +73,42 @@
     expect(start).toHaveBeenCalledTimes(1);
   });
 
+  // Guards against a SIGHUP that ends the process, and against settings that
+  // are wrong taking the place of good ones.
+  test("takes over changed settings on SIGHUP, and refuses wrong ones", async () => {
+    const file = join(mkdtempSync(join(tmpdir(), "settings-")), "s.yaml");
+    writeFileSync(file, "1");
+    const reloaded: string[] = [];
+    const lines: string[] = [];
+    const exitCode = runProgram<string>(["--settings", file], {
+      name: "program",
+      description: "A program",
+      loadSettings: () => {
+        const text = readFileSync(file, "utf8");
+        return Promise.resolve(text === "wrong" ? err([FINDING]) : ok(text));
+      },
+      start: () =>
+        Promise.resolve({
+          stopped: never,
+          shutDown: () => Promise.resolve(),
+          reload: (settings: string) => reloaded.push(settings),
+        }),
+      print: () => undefined,
+      printError: (line) => lines.push(line),
+    });
+    await settle();
+    await ["wrong", "2"].reduce(async (former, text) => {
+      await former;
+      writeFileSync(file, text);
+      process.emit("SIGHUP");
+      await settle();
+    }, Promise.resolve());
+    process.emit("SIGTERM");
+    expect(await exitCode).toBe(0);
+    expect(reloaded).toEqual(["2"]);
+    expect(lines).toHaveLength(1);
+  });
+
   // Guards against a supervisor taking a superseded process for a clean exit.
   test("ends with 1 when the program must stop by itself", async () => {
     const { exitCode } = run(good, Promise.resolve("superseded"));
--- a/src/quarantine/mod.ts
+++ b/src/quarantine/mod.ts
@@ -2,3 +2,5 @@
 
 export { createQuarantine } from "./quarantine.ts";
 export type { Quarantine, QuarantineOptions } from "./quarantine.ts";
+export { createFingerprint } from "./fingerprint.ts";
+export type { FingerprintInput } from "./fingerprint.ts";
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -13,7 +13,7 @@
  */
 const PRELIMINARY_LIFETIME_MS = 30_000;
 const MAX_FINGERPRINTS = 1_000;
-/** Endpoints that must have crashed before a request is refused. */
+/** Endpoints that must have crashed before a request is refused, by default. */
 const CRASHES_TO_QUARANTINE = 2;
 
 export interface Quarantine {
@@ -34,6 +34,7 @@
 
 export interface QuarantineOptions {
   readonly wallMs: () => number;
+  readonly crashesToQuarantine?: number;
 }
 
 interface CrashRecord {
@@ -41,7 +42,8 @@
   readonly isPreliminary: boolean;
 }
 
-export function createQuarantine({ wallMs }: QuarantineOptions): Quarantine {
+export function createQuarantine(options: QuarantineOptions): Quarantine {
+  const { wallMs, crashesToQuarantine = CRASHES_TO_QUARANTINE } = options;
   // Fingerprint, then endpoint. Oldest fingerprint first.
   const records = new Map<string, Map<string, CrashRecord>>();
 
@@ -113,16 +115,16 @@
     },
     remainingMs(fingerprint) {
       const valid = readValid(fingerprint);
-      if (valid.length < CRASHES_TO_QUARANTINE) return 0;
+      if (valid.length < crashesToQuarantine) return 0;
       const expiries = valid.map(([, { expiresAtMs }]) => expiresAtMs);
       expiries.sort((a, b) => b - a);
-      return expiries[CRASHES_TO_QUARANTINE - 1]! - wallMs();
+      return expiries[crashesToQuarantine - 1]! - wallMs();
     },
     isSuspect(fingerprint) {
       const certain = readValid(fingerprint).filter(
         ([, { isPreliminary }]) => !isPreliminary,
       );
-      return certain.length > 0 && certain.length < CRASHES_TO_QUARANTINE;
+      return certain.length > 0 && certain.length < crashesToQuarantine;
     },
     notices: () =>
       [...records.keys()].flatMap((fingerprint) =>
