--- /dev/null
+++ b/src/companion/staging_test.ts
@@ -0,0 +1,107 @@
+import { createHash } from "node:crypto";
+import { expect, test } from "@jest/globals";
+import { err, ok } from "neverthrow";
+import { SILENT_LOGGER } from "../directory/testing/mod.ts";
+import { createFleetFacts, createManifestSource, stageChunks } from "./mod.ts";
+import type { EndpointControl, WeightOrigin } from "./mod.ts";
+
+const CHUNKS = [Buffer.from("aaaa"), Buffer.from("bbbb")];
+
+function hash(bytes: Uint8Array): string {
+  return createHash("sha256").update(bytes).digest("hex");
+}
+
+const DIGESTS = CHUNKS.map((bytes) => `sha256:${hash(bytes)}`);
+
+/** `isRotting` spoils whatever is written. */
+function createFakeEndpoint(options: { readonly isRotting?: boolean } = {}) {
+  const staged = new Map<number, Uint8Array>();
+  let writes = 0;
+  const endpoint = {
+    listStaged: () => Promise.resolve(ok([...staged.keys()])),
+    readStaged: (_: string, index: number) =>
+      Promise.resolve(ok(staged.get(index))),
+    writeStaged(_: string, index: number, bytes: Uint8Array) {
+      writes += 1;
+      staged.set(index, options.isRotting ? Buffer.from("????") : bytes);
+      return Promise.resolve(ok(undefined));
+    },
+  } as unknown as EndpointControl;
+  return { endpoint, staged, countWrites: () => writes };
+}
+
+function stage(endpoint: EndpointControl) {
+  return stageChunks({ endpoint, model: "m", chunkDigests: DIGESTS }, CHUNKS);
+}
+
+test("only missing and spoilt chunks are written", async () => {
+  const fake = createFakeEndpoint();
+  fake.staged.set(0, CHUNKS[0]!);
+  fake.staged.set(1, Buffer.from("spoilt"));
+  expect(await stage(fake.endpoint)).toBe(true);
+  expect(fake.countWrites()).toBe(1);
+  expect(await stage(fake.endpoint)).toBe(true);
+  expect(fake.countWrites()).toBe(1);
+});
+
+test("chunks that turn bad at the endpoint are not called ready", async () => {
+  const fake = createFakeEndpoint({ isRotting: true });
+  expect(await stage(fake.endpoint)).toBe(false);
+});
+
+function createFakeOrigin(answers: readonly (readonly string[] | undefined)[]) {
+  const left = [...answers];
+  return {
+    readDigests() {
+      const digests = left.shift();
+      return Promise.resolve(
+        digests === undefined ? err("malformed") : ok(digests),
+      );
+    },
+  } as unknown as WeightOrigin;
+}
+
+test("a manifest is believed once two answers agree", async () => {
+  const right = CHUNKS.map(hash);
+  const wrong = [right[0]!, hash(Buffer.from("zzzz"))];
+  const version = { name: "m", version: 2 };
+  const manifests = createManifestSource(
+    createFakeOrigin([wrong, undefined, right, right]),
+    SILENT_LOGGER,
+  );
+  expect(await manifests.ask(version, 4)).toBe(true);
+  expect(await manifests.ask(version, 4)).toBe(false);
+  expect(await manifests.ask(version, 4)).toBe(true);
+  expect(manifests.find(version)).toBeUndefined();
+  await manifests.ask(version, 4);
+  expect(manifests.find(version)!.chunkDigests).toEqual(DIGESTS);
+  expect(manifests.find(version)!.wanted.sizeBytes).toBe(8);
+});
+
+test("an older word of the published state does not replace a newer one", () => {
+  const facts = createFleetFacts("pool", () => 10_000);
+  const service = {
+    name: "pool",
+    models: ["m"],
+    chunkCount: 2,
+    chunkBytes: 4,
+  };
+  const notice = {
+    topic: "fleet" as const,
+    revision: 5,
+    services: [service],
+    wantedWeights: [{ model: "m", version: 2, publishedForMs: 300 }],
+  };
+  expect(facts.update(notice)).toBe(true);
+  expect(facts.update({ ...notice, revision: 4, services: [] })).toBe(false);
+  expect(facts.ownService()).toEqual(service);
+  facts.update({
+    ...notice,
+    revision: 6,
+    wantedWeights: [{ model: "m", version: 2, publishedForMs: 9_000 }],
+  });
+  // The first word of a version is the nearest to its publication.
+  expect(facts.targets()).toEqual([
+    { name: "m", version: 2, publishedAtMs: 9_700 },
+  ]);
+});
--- /dev/null
+++ b/src/gateway/bounds_test.ts
@@ -0,0 +1,164 @@
+/** Limits that entries keep without seeing each other. */
+
+import { expect, test } from "@jest/globals";
+import fc from "fast-check";
+import { createRouteTable, chooseService } from "./route_table.ts";
+import { computeColdShare, createRateWindow } from "./cold_share.ts";
+import { createEndpointSuspicion } from "./endpoint_suspicion.ts";
+import { createEndpointLoads } from "./endpoint_loads.ts";
+import { createEventSplitter } from "./event_splitter.ts";
+import { isVersionAllowed } from "./weight_versions.ts";
+import { createConfig, createRoute } from "../directory/testing/mod.ts";
+
+test("all entries together stay within what a cold endpoint bears", () => {
+  const limits = fc.record({
+    requestsPerS: fc.integer({ min: 1, max: 200 }),
+    entries: fc.integer({ min: 1, max: 20 }),
+  });
+  const arrivals = fc.array(fc.integer({ min: 0, max: 30 }), {
+    maxLength: 400,
+  });
+  fc.assert(
+    fc.property(limits, arrivals, ({ requestsPerS, entries }, gapsMs) => {
+      const bound = requestsPerS * 1.5 + 5;
+      const share = computeColdShare({
+        requestsPerS,
+        overageFactor: 1.5,
+        slack: 5,
+        entries,
+      });
+      let now = 0;
+      const window = createRateWindow(() => now);
+      const sent: number[] = [];
+      gapsMs.forEach((gapMs) => {
+        now += gapMs;
+        if (!window.hasRoom("e", share)) return;
+        window.count("e");
+        sent.push(now);
+      });
+      sent.forEach((start) => {
+        const inSecond = sent.filter((t) => t >= start && t < start + 1_000);
+        const isAlone = share === 1 && entries > bound;
+        if (!isAlone) {
+          expect(inSecond.length * entries).toBeLessThanOrEqual(bound);
+        }
+      });
+    }),
+  );
+});
+
+test("an older version begins no request after its time", () => {
+  const wanted = [
+    { model: "m", version: 3, notBeforeMs: 12_000 },
+    { model: "m", version: 2, notBeforeMs: 10_000 },
+  ];
+  const at = (served: number, nowMs: number) =>
+    isVersionAllowed(served, wanted, { replaceWithinMs: 8_000, nowMs });
+  expect(at(1, 17_000)).toBe(true);
+  expect(at(1, 18_000)).toBe(false);
+  expect(at(2, 18_000)).toBe(true);
+  expect(at(2, 20_000)).toBe(false);
+  expect(at(3, 99_000)).toBe(true);
+});
+
+test("a failing endpoint gets a request now and then, and trust after a success", () => {
+  let now = 0;
+  const suspicion = createEndpointSuspicion(() => now);
+  suspicion.onUnreachable("e");
+  expect(suspicion.isPaused("e")).toBe(true);
+  now += 500;
+  expect(suspicion.isPaused("e")).toBe(false);
+  suspicion.onUnreachable("e");
+  now += 500;
+  expect(suspicion.isPaused("e")).toBe(true);
+  now += 500;
+  suspicion.onSuccess("e");
+  suspicion.onUnreachable("e");
+  now += 450;
+  expect(suspicion.isPaused("e")).toBe(false);
+});
+
+test("requests that failed together count as one failure", () => {
+  let now = 0;
+  const suspicion = createEndpointSuspicion(() => now);
+  Array.from({ length: 20 }).forEach(() => suspicion.onUnreachable("e"));
+  now += 450;
+  expect(suspicion.isPaused("e")).toBe(false);
+});
+
+test("a report counts other entries' requests, and own ones only once", () => {
+  let now = 0;
+  const loads = createEndpointLoads(() => now);
+  loads.begin("e", 500);
+  now += 100;
+  loads.onReport({
+    topic: "endpoint_load",
+    address: "e",
+    phase: "warm",
+    models: [],
+    running: 3,
+    waiting: 1,
+    memoryUsedTokens: 0,
+    memoryTotalTokens: 0,
+    slowdown: 1,
+  });
+  const later = loads.begin("e", 700);
+  expect(loads.read("e", 900).requests).toBe(5);
+  expect(loads.read("e", 900).unreadTokens).toBe(500 + 700);
+  later.onStart();
+  expect(loads.read("e", 900).unreadTokens).toBe(500);
+  now += 4_000;
+  expect(loads.read("e", 900)).toMatchObject({
+    report: undefined,
+    requests: 2,
+  });
+});
+
+test("events are passed on whole, wherever the network cuts the bytes", () => {
+  const text = [1, 2, 3].map((id) => `id: ${id}\ndata: a id: 9\n\n`).join("");
+  fc.assert(
+    fc.property(
+      fc.array(fc.integer({ min: 1, max: text.length - 1 }), { maxLength: 9 }),
+      (cuts) => {
+        const places = [...new Set([0, ...cuts, text.length])].sort(
+          (a, b) => a - b,
+        );
+        const splitter = createEventSplitter();
+        let passed = "";
+        let lastId: string | undefined;
+        places.slice(1).forEach((end, index) => {
+          const events = splitter.push(
+            Buffer.from(text.slice(places[index], end)),
+          );
+          passed += events?.bytes.toString() ?? "";
+          lastId = events?.lastId ?? lastId;
+          expect(passed.endsWith("\n\n") || passed === "").toBe(true);
+        });
+        expect(passed).toBe(text);
+        expect(lastId).toBe("3");
+      },
+    ),
+  );
+});
+
+test("the longest prefix of the host decides, and weights split a route", () => {
+  const split = [
+    { service: "a", weight: 90 },
+    { service: "b", weight: 10 },
+  ];
+  const table = createRouteTable(
+    createConfig({
+      routes: [
+        createRoute({ name: "short", pathPrefix: "/a/" }),
+        createRoute({ name: "long", pathPrefix: "/a/b/", services: split }),
+        createRoute({ name: "other", host: "x", pathPrefix: "/a/b/c/" }),
+      ],
+    }),
+  );
+  expect(table.findRoute("desk.example", "/a/b/c/1")?.name).toBe("long");
+  expect(table.findRoute("desk.example", "/a/1")?.name).toBe("short");
+  expect(table.findRoute("desk.example", "/b/")).toBeUndefined();
+  const long = table.findRoute("desk.example", "/a/b/")!;
+  expect(chooseService(long, 0.89)).toBe("a");
+  expect(chooseService(long, 0.91)).toBe("b");
+});
--- /dev/null
+++ b/src/mesh/mesh_test.ts
@@ -0,0 +1,103 @@
+import { afterEach, expect, test } from "@jest/globals";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { SILENT_LOGGER } from "../directory/testing/mod.ts";
+import { createRegistry } from "../metrics/mod.ts";
+import { createMembers, startMesh } from "./mod.ts";
+import type { Mesh } from "./mod.ts";
+
+const meshes: Mesh[] = [];
+
+afterEach(() => Promise.all(meshes.splice(0).map((mesh) => mesh.close())));
+
+const SELF = {
+  host: "self",
+  role: "entry" as const,
+  dataCentre: "kol-a",
+  peerAddress: "127.0.0.1:1",
+};
+
+test("an older word of a member does not replace a newer one", () => {
+  const time = { ms: 100_000 };
+  const members = createMembers(SELF, () => time.ms);
+  const member = { ...SELF, host: "other", peerAddress: "127.0.0.1:2" };
+  expect(members.merge([{ ...member, silentMs: 1_000 }])).toBe(true);
+  const moved = { ...member, peerAddress: "127.0.0.1:3" };
+  expect(members.merge([{ ...moved, silentMs: 5_000 }])).toBe(false);
+  expect(members.merge([{ ...moved, silentMs: 10 }])).toBe(true);
+  expect(members.list()).toEqual([moved]);
+});
+
+test("a member that nobody hears of is forgotten, itself never", () => {
+  const time = { ms: 100_000 };
+  const members = createMembers(SELF, () => time.ms);
+  members.merge([
+    { ...SELF, silentMs: 0 },
+    { ...SELF, host: "other", silentMs: 0 },
+  ]);
+  time.ms += 29_000;
+  expect(members.expire()).toBe(false);
+  time.ms += 2_000;
+  expect(members.expire()).toBe(true);
+  expect(members.describe().map(({ host }) => host)).toEqual(["self"]);
+});
+
+async function findPort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+  const { port } = server.address() as AddressInfo;
+  await new Promise((done) => server.close(done));
+  return port;
+}
+
+async function start(
+  host: string,
+  role: "entry" | "agent",
+  options: { readonly port: number; readonly seeds: readonly string[] },
+) {
+  const mesh = await startMesh({
+    host,
+    role,
+    dataCentre: "kol-a",
+    service: role === "agent" ? "pool" : undefined,
+    peerAddress: `127.0.0.1:${options.port}`,
+    seeds: options.seeds,
+    readDocument: () => undefined,
+    registry: createRegistry(),
+    logger: SILENT_LOGGER,
+  });
+  meshes.push(mesh);
+  return mesh;
+}
+
+async function waitUntil(isTrue: () => boolean) {
+  while (!isTrue()) await new Promise((resolve) => setTimeout(resolve, 10));
+}
+
+test("processes that know one seed find all others", async () => {
+  const [first, second, third] = await Promise.all([
+    findPort(),
+    findPort(),
+    findPort(),
+  ]);
+  const seeds = [`127.0.0.1:${first}`];
+  const entry = await start("entry-1", "entry", { port: first, seeds });
+  await start("entry-2", "entry", { port: second, seeds });
+  const agent = await start("side-1", "agent", { port: third, seeds });
+  await waitUntil(() => agent.peers().length === 2);
+  await waitUntil(() => entry.view.hosts().hosts.length === 1);
+  expect(entry.countEntries()).toBe(2);
+});
+
+test("a process that comes back under its name is connected again", async () => {
+  const [first, second] = await Promise.all([findPort(), findPort()]);
+  const seeds = [`127.0.0.1:${first}`];
+  const entry = await start("entry-1", "entry", { port: first, seeds });
+  const agent = await start("side-1", "agent", { port: second, seeds });
+  await waitUntil(() => entry.peers().length === 1);
+  meshes.splice(meshes.indexOf(agent), 1);
+  await agent.close();
+  await waitUntil(() => entry.peers().length === 0);
+  await start("side-1", "agent", { port: second, seeds });
+  await waitUntil(() => entry.peers().length === 1);
+});
