--- a/src/cli/run_command.ts
+++ b/src/cli/run_command.ts
@@ -3,6 +3,7 @@
 import { Command, CommanderError } from "commander";
 import { runCheck } from "./check.ts";
 import { runDiff } from "./diff.ts";
+import { runExplain } from "./explain.ts";
 import { EXIT_FINDINGS, EXIT_OK, EXIT_USAGE } from "./io.ts";
 import type { CommandIo } from "./io.ts";
 import { runPromote } from "./promote.ts";
@@ -75,6 +76,15 @@
       onExit(await runStatus({ addresses, ...options }, io));
     });
 
+  program
+    .command("explain")
+    .description("tell from logs what happened to a request, and why")
+    .argument("<id>", "id of the request, as its headers gave it")
+    .requiredOption("--logs <files...>", "log files of any processes")
+    .action(async (id: string, { logs }: { readonly logs: string[] }) =>
+      onExit(await runExplain({ id, logs }, io)),
+    );
+
   return program;
 }
 
--- /dev/null
+++ b/src/explain/explain_request.ts
@@ -0,0 +1,72 @@
+/** One request's way through the system, put together from log records. */
+
+import type { LogRecord } from "./read_records.ts";
+
+export interface Explanation {
+  /** In order of time. */
+  readonly steps: readonly LogRecord[];
+  /** Probable cause of the outcome; undefined if it is not known. */
+  readonly cause: string | undefined;
+}
+
+/** What each reason of a refusal or failure means. */
+const CAUSES: Readonly<Record<string, string>> = {
+  too_busy:
+    "every endpoint would have answered later than the latency objective; refused at once",
+  no_endpoint:
+    "no endpoint of the service could be used: draining, evacuated, switching weights, or not holding an allowed version",
+  cold: "every usable endpoint had this entry's share of the requests that a cold endpoint bears",
+  stale_keys:
+    "the entry had not reached the store, nor a peer that had, for so long that a revoked key could have been accepted",
+  stale_configuration:
+    "the entry's knowledge was too old to tell a caller for good that the route or key does not exist",
+  no_configuration: "the entry had not read a first configuration yet",
+  no_route: "no route of the configuration matches the host and path",
+  unknown_key: "no client account of the configuration has this key",
+  leaving: "the entry was shutting down and refuses what it could cut off",
+  crashes_endpoints:
+    "the same request broke its connection at three endpoints lately; it runs nowhere for a while",
+  unknown_service: "the route's service is not in the configuration",
+  headers_too_large: "the headers exceed the configured limit",
+  body_too_large: "the body exceeds the configured limit",
+  not_sent: "no connection to any endpoint tried could be opened",
+  not_run: "the endpoints tried refused the request without running it",
+  lost: "the endpoint's connection broke and the request may not run again, or the retry budget or the route's attempts were used up",
+  deadline: "the caller's or the route's time was over",
+};
+
+export function explainRequest(
+  records: readonly LogRecord[],
+  id: string,
+): Explanation {
+  const steps = records
+    .filter(({ fields }) => fields["id"] === id)
+    .sort((a, b) => (a.time < b.time ? -1 : 1));
+  return { steps, cause: findCause(steps) };
+}
+
+function findCause(steps: readonly LogRecord[]): string | undefined {
+  const last = steps.findLast(
+    ({ message }) =>
+      message === "call ended" ||
+      message === "request refused" ||
+      message === "the caller has left",
+  );
+  if (last === undefined) return undefined;
+  if (last.message === "the caller has left") {
+    return "the caller closed its connection before the answer was complete";
+  }
+  const { outcome, reason, status } = last.fields;
+  if (outcome === "answered") {
+    return Number(status) < 500
+      ? "answered in full"
+      : `the endpoint itself answered ${String(status)}`;
+  }
+  if (outcome === "expired") return CAUSES["deadline"];
+  return CAUSES[String(reason)];
+}
+
+/** The reasons that `explainRequest` can name, for the check of the docs. */
+export function listReasons(): readonly string[] {
+  return Object.keys(CAUSES);
+}
--- a/src/gateway/choose_endpoint.ts
+++ b/src/gateway/choose_endpoint.ts
@@ -36,6 +36,10 @@
   | {
       readonly type: "none";
       readonly reason: "no_endpoint" | "cold" | "too_busy";
+      readonly listedEndpoints: number;
+      readonly usableEndpoints: number;
+      /** Of the best endpoint, where one was rated. */
+      readonly forecastMs?: number | undefined;
     };
 
 /**
@@ -62,12 +66,17 @@
   const allowed = views.filter(({ isAllowed }) => isAllowed);
   const steady = allowed.filter(({ isPaused }) => !isPaused);
   const usable = steady.length > 0 ? steady : allowed;
+  const seen = {
+    type: "none",
+    listedEndpoints: views.length,
+    usableEndpoints: usable.length,
+  } as const;
   if (usable.length === 0) {
-    return { type: "none", reason: "no_endpoint" };
+    return { ...seen, reason: "no_endpoint" };
   }
   const open = usable.filter(({ hasColdRoom }) => hasColdRoom);
   if (open.length === 0) {
-    return { type: "none", reason: "cold" };
+    return { ...seen, reason: "cold" };
   }
   const rated = open.map((view) => ({ view, ...rate(view, options) }));
   const best = rated.reduce((a, b) => (b.costMs < a.costMs ? b : a));
@@ -75,7 +84,7 @@
   const limitMs =
     (options.objectiveLeftMs - FORECAST_MARGIN_MS) / FORECAST_SPREAD;
   if (engine !== undefined && best.forecastMs > limitMs) {
-    return { type: "none", reason: "too_busy" };
+    return { ...seen, reason: "too_busy", forecastMs: best.forecastMs };
   }
   return { type: "send", view: best.view, forecastMs: best.forecastMs };
 }
--- a/src/gateway/dispatch_call.ts
+++ b/src/gateway/dispatch_call.ts
@@ -66,8 +66,8 @@
   let attempt: Attempt | undefined;
   let ended: "cancelled" | "expired" | undefined;
 
-  function end(reason: "cancelled" | "expired") {
-    ended ??= reason;
+  function end(how: "cancelled" | "expired") {
+    ended ??= how;
     attempt?.abort();
   }
 
@@ -392,7 +392,7 @@
     choice === undefined
       ? DEFAULT_RETRY_MS
       : context.pressureOf(call.service).computeDelayMs();
-  refuse(context, { call, answer, reason, retryAfterMs });
+  refuse(context, { call, answer, reason, retryAfterMs, choice });
 }
 
 function refuse(
@@ -400,13 +400,26 @@
   options: Pick<Ending, "call" | "answer"> & {
     readonly reason: Reason;
     readonly retryAfterMs: number;
+    readonly choice?: Extract<Choice, { type: "none" }> | undefined;
   },
 ) {
-  const { call, answer, reason } = options;
+  const { call, answer, reason, choice } = options;
   const spread = 1 + RETRY_SPREAD * context.random();
   const retryAfterMs = Math.round(options.retryAfterMs * spread);
   answer.refuse({ status: STATUS_NOT_RUN, reason, retryAfterMs });
-  logEnd(context, call, { outcome: "refused", reason, retryAfterMs });
+  logEnd(context, call, {
+    outcome: "refused",
+    reason,
+    retryAfterMs,
+    ...(choice !== undefined && {
+      listedEndpoints: choice.listedEndpoints,
+      usableEndpoints: choice.usableEndpoints,
+      forecastMs: choice.forecastMs,
+      refusedShare: context.pressureOf(call.service).share(),
+    }),
+    configVersion: call.configVersion,
+    directoryAgeMs: Math.round(context.directory.ageMs()),
+  });
 }
 
 function endExpired(
--- a/src/gateway/front_server.ts
+++ b/src/gateway/front_server.ts
@@ -206,7 +206,7 @@
     context.logger.info(
       {
         id: context.codec.readCall(request.headers).attemptId,
-        host: request.headers.host,
+        requestHost: request.headers.host,
         path: request.url,
         configVersion: directory.config()?.version,
         directoryAgeMs: Math.round(directory.ageMs()),
--- a/src/logging/mod.ts
+++ b/src/logging/mod.ts
@@ -26,7 +26,7 @@
   const output = createBoundedOutput(process.stdout);
   return bunyan.createLogger({
     name: program,
-    host,
+    hostname: host,
     streams: [{ stream: output as NodeJS.WritableStream, level: "info" }],
   });
 }
