--- a/src/explain/explain_test.ts
+++ b/src/explain/explain_test.ts
@@ -60,9 +60,12 @@
 // Guards against a reason that operators meet in a log and nowhere else.
 test("each reason of a refusal is explained here and on the operators' page", () => {
   const page = readFileSync("docs/OPERATIONS.md", "utf8");
-  const sources = ["front_server", "dispatch_call", "choose_endpoint"].map(
-    (name) => readFileSync(`src/gateway/${name}.ts`, "utf8"),
-  );
+  const sources = [
+    "front_server",
+    "dispatch_call",
+    "end_call",
+    "choose_endpoint",
+  ].map((name) => readFileSync(`src/gateway/${name}.ts`, "utf8"));
   const used = sources.flatMap((text) =>
     [...text.matchAll(/reason: "([a-z_]+)"/g)].map((match) => match[1]!),
   );
--- a/src/mesh/start_mesh.ts
+++ b/src/mesh/start_mesh.ts
@@ -14,8 +14,8 @@
 import type { DialTarget } from "../node/dialler.ts";
 import { createHandlers } from "../node/handlers.ts";
 import type { Handlers } from "../node/handlers.ts";
-import type { Node } from "../node/mod.ts";
 import { createUuidV7 } from "../uuid/mod.ts";
+import type { WeightsNode } from "../weights/mod.ts";
 import {
   connectPeer,
   createWireCounters,
@@ -36,17 +36,7 @@
  */
 const ENTRIES_PER_AGENT = 32;
 
-export interface Mesh extends Pick<
-  Node,
-  | "identity"
-  | "view"
-  | "peers"
-  | "findPeer"
-  | "onPeer"
-  | "onNotice"
-  | "onStream"
-  | "addPeerChooser"
-> {
+export interface Mesh extends WeightsNode {
   /** Same as `onNotice`, for the topics that only this mesh carries. */
   readonly onMeshNotice: Handlers["onNotice"];
   /** Entries known at present, this process included if it is one. */
--- a/test/users_platform/platform_fleet.ts
+++ b/test/users_platform/testing/platform_fleet.ts
@@ -15,11 +15,11 @@
   startMetadataStore,
   startOrigin,
   startWorker,
-} from "../../stand_ins/users_platform/mod.ts";
+} from "../../../stand_ins/users_platform/mod.ts";
 import type {
   ModelShape,
   WorkerStandIn,
-} from "../../stand_ins/users_platform/mod.ts";
+} from "../../../stand_ins/users_platform/mod.ts";
 
 const MODEL: ModelShape = { name: "m1", chunkCount: 16, chunkBytes: 4_096 };
 const SERVICE = "pool";
