Call the process beside an endpoint a sidecar; give a test's context the patience that it reads

The fields of a hand-made context are not checked by the compiler, so three tests of the sources' outcomes failed since the patience of a transfer became a parameter.

--- a/bin/companion.ts
+++ b/bin/sidecar.ts
@@ -1,23 +1,23 @@
 /** The program beside a model worker on the users' platform. */
 
 import { createEndpointClient, createOriginClient } from "../platform/mod.ts";
-import { startCompanion } from "../src/companion/mod.ts";
+import { startSidecar } from "../src/sidecar/mod.ts";
 import { createOutputLogger } from "../src/logging/mod.ts";
 import { createRegistry, startMetricsServer } from "../src/metrics/mod.ts";
 import { runProgram } from "../src/program/mod.ts";
 import type { RunningProgram } from "../src/program/mod.ts";
-import { loadSettings, parseCompanionSettings } from "../src/settings/mod.ts";
-import type { CompanionProgramSettings } from "../src/settings/mod.ts";
+import { loadSettings, parseSidecarSettings } from "../src/settings/mod.ts";
+import type { SidecarProgramSettings } from "../src/settings/mod.ts";
 
-const NAME = "zinniaspur-companion";
+const NAME = "zinniaspur-sidecar";
 
 async function start(
-  settings: CompanionProgramSettings,
-): Promise<RunningProgram<CompanionProgramSettings>> {
+  settings: SidecarProgramSettings,
+): Promise<RunningProgram<SidecarProgramSettings>> {
   const registry = createRegistry();
   const logger = createOutputLogger(NAME, settings.host);
   const metrics = await startMetricsServer(settings.metricsAddress, registry);
-  const companion = await startCompanion({
+  const sidecar = await startSidecar({
     settings,
     endpoint: createEndpointClient(settings.endpointAddress),
     createOrigin: (readAddress) => createOriginClient({ readAddress }),
@@ -26,9 +26,9 @@
   });
   return {
     stopped: new Promise(() => undefined),
-    reload: (next) => companion.reload(next),
+    reload: (next) => sidecar.reload(next),
     async shutDown() {
-      await companion.close();
+      await sidecar.close();
       metrics.close();
     },
   };
@@ -38,7 +38,7 @@
   await runProgram(process.argv.slice(2), {
     name: NAME,
     description: "Brings weights to a model worker and reports its load",
-    loadSettings: (file) => loadSettings(file, parseCompanionSettings),
+    loadSettings: (file) => loadSettings(file, parseSidecarSettings),
     start,
   }),
 );
--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -7,7 +7,7 @@
 import { build } from "esbuild";
 
 await build({
-  entryPoints: ["bin/gateway.ts", "bin/companion.ts"],
+  entryPoints: ["bin/gateway.ts", "bin/sidecar.ts"],
   outdir: "target",
   bundle: true,
   platform: "node",
--- a/src/settings/companion_settings.ts
+++ b/src/settings/sidecar_settings.ts
@@ -2,7 +2,7 @@
 
 import type { Result } from "neverthrow";
 import { z } from "zod";
-import type { CompanionSettings } from "../companion/mod.ts";
+import type { SidecarSettings } from "../sidecar/mod.ts";
 import { parseYaml, toCamelCaseKeys } from "../document/mod.ts";
 import type { Finding } from "../document/mod.ts";
 import {
@@ -12,7 +12,7 @@
   rateField,
 } from "./fields.ts";
 
-export interface CompanionProgramSettings extends CompanionSettings {
+export interface SidecarProgramSettings extends SidecarSettings {
   readonly metricsAddress: string;
 }
 
@@ -36,10 +36,10 @@
   switch_within_ms: z.number().nonnegative(),
 });
 
-export function parseCompanionSettings(
+export function parseSidecarSettings(
   text: string,
   { file }: { readonly file: string },
-): Result<CompanionProgramSettings, readonly Finding[]> {
+): Result<SidecarProgramSettings, readonly Finding[]> {
   return parseYaml(text, { file, schema }).map((parsed) => ({
     ...toCamelCaseKeys(parsed),
     regions: parsed.regions,
--- a/src/companion/endpoint_control.ts
+++ b/src/sidecar/endpoint_control.ts
@@ -1,4 +1,4 @@
-/** What the companion needs of the endpoint beside it and of the origin. */
+/** What the sidecar needs of the endpoint beside it and of the origin. */
 
 import type { Result } from "neverthrow";
 import type { ServedModel } from "../directory/mod.ts";
--- a/src/companion/mod.ts
+++ b/src/sidecar/mod.ts
@@ -11,5 +11,5 @@
 export { createFleetFacts } from "./fleet_facts.ts";
 export { createManifestSource } from "./agreed_manifest.ts";
 export { readSoundChunks, stageChunks } from "./staging.ts";
-export { startCompanion } from "./start_companion.ts";
-export type { Companion, CompanionSettings } from "./start_companion.ts";
+export { startSidecar } from "./start_sidecar.ts";
+export type { Sidecar, SidecarSettings } from "./start_sidecar.ts";
--- a/src/companion/start_companion.ts
+++ b/src/sidecar/start_sidecar.ts
@@ -36,7 +36,7 @@
  */
 const SEND_SHARE = 0.9;
 
-export interface CompanionSettings {
+export interface SidecarSettings {
   readonly host: string;
   readonly dataCentre: string;
   readonly service: string | undefined;
@@ -49,8 +49,8 @@
   readonly switchWithinMs: number;
 }
 
-export interface CompanionOptions {
-  readonly settings: CompanionSettings;
+export interface SidecarOptions {
+  readonly settings: SidecarSettings;
   readonly endpoint: EndpointControl;
   readonly createOrigin: (
     readAddress: () => string | undefined,
@@ -59,15 +59,13 @@
   readonly logger: Logger;
 }
 
-export interface Companion {
+export interface Sidecar {
   /** Takes over the seeds of changed settings. */
-  reload(settings: CompanionSettings): void;
+  reload(settings: SidecarSettings): void;
   close(): Promise<void>;
 }
 
-export async function startCompanion(
-  options: CompanionOptions,
-): Promise<Companion> {
+export async function startSidecar(options: SidecarOptions): Promise<Sidecar> {
   const { settings, endpoint, registry, logger } = options;
   const nowMs = () => performance.now();
   const facts = createFleetFacts(settings.service, nowMs);
--- a/src/weights/source_outcomes_test.ts
+++ b/src/weights/source_outcomes_test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from "@jest/globals";
 import { createRegistry } from "../metrics/mod.ts";
 import type { FetchResult } from "./fetch_result.ts";
+import { DEFAULT_PATIENCE } from "./patience.ts";
 import { createSourceOutcomes } from "./source_outcomes.ts";
 import type { TransferContext } from "./transfer_context.ts";
 import { createWeightCounters } from "./weight_counters.ts";
@@ -11,6 +12,7 @@
   const context = {
     counters: createWeightCounters(createRegistry()),
     changes: { notify: () => undefined },
+    patience: DEFAULT_PATIENCE,
     nowMs: () => 0,
     random: () => 1,
   } as unknown as TransferContext;
--- a/test/users_platform/testing/platform_fleet.ts
+++ b/test/users_platform/testing/platform_fleet.ts
@@ -107,7 +107,7 @@
     };
   }
 
-  async function startWorkerWithCompanion(
+  async function startWorkerWithSidecar(
     index: number,
     version: number | undefined,
   ): Promise<WorkerStandIn> {
@@ -117,7 +117,7 @@
       version,
     });
     const [peer, metrics] = await findPorts(2);
-    await start("companion", `side-${index}`, {
+    await start("sidecar", `side-${index}`, {
       host: `side-${index}`,
       data_centre: index % 2 === 0 ? "kol-a" : "sil-a",
       service: SERVICE,
@@ -157,7 +157,7 @@
   );
   const workers = await Promise.all(
     options.workers.map((version, index) =>
-      startWorkerWithCompanion(index, version),
+      startWorkerWithSidecar(index, version),
     ),
   );
 
@@ -169,7 +169,7 @@
     processes,
     publishConfig,
     async addWorker(version: number | undefined) {
-      const worker = await startWorkerWithCompanion(workers.length, version);
+      const worker = await startWorkerWithSidecar(workers.length, version);
       workers.push(worker);
       return worker;
     },
