Take an answer without length for complete only after an orderly end

Only an error that the socket reported was looked at; a socket that closes without one also ends such an answer. Ruled out: a length that did not match, which the HTTP client rejects.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -141,7 +141,7 @@
   function onEnd() {
     if (head === undefined) return;
     // A reset also ends an answer without length, but does not complete it.
-    const isReset = isDelimitedByClose && connection.socketError();
+    const isReset = isDelimitedByClose && !connection.hasEndedInOrder();
     if (isReset || splitter.rest().length > 0) {
       return finish({ type: "lost", reason: "cut_off" }, false);
     }
--- a/src/gateway/endpoint_connections.ts
+++ b/src/gateway/endpoint_connections.ts
@@ -17,8 +17,11 @@
 
 export interface EndpointConnection {
   readonly client: Client;
-  /** The error that ended the socket, if one did. */
-  socketError(): Error | undefined;
+  /**
+   * True if the endpoint closed its side in order. A reset, or a socket that
+   * just closes, says nothing of whether the last bytes were all.
+   */
+  hasEndedInOrder(): boolean;
 }
 
 export interface EndpointConnections {
@@ -47,7 +50,8 @@
   );
 
   function open(address: string): EndpointConnection {
-    let failure: Error | undefined;
+    let hasEnded = false;
+    let hasFailed = false;
     const client = new Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: 0,
@@ -56,15 +60,17 @@
       keepAliveMaxTimeout: MAX_IDLE_MS,
       connect: ({ hostname, port }, callback) => {
         opened.increment();
-        failure = undefined;
+        hasEnded = false;
+        hasFailed = false;
         openSocket(hostname, Number(port), (error, socket) => {
           if (socket === undefined) return callback(error!, null);
-          socket.on("error", (reason) => (failure = reason));
+          socket.on("error", () => (hasFailed = true));
+          socket.on("end", () => (hasEnded = true));
           callback(null, socket);
         });
       },
     });
-    return { client, socketError: () => failure };
+    return { client, hasEndedInOrder: () => hasEnded && !hasFailed };
   }
 
   return {
