--- a/src/gateway/testing/mod.ts
+++ b/src/gateway/testing/mod.ts
@@ -16,6 +16,7 @@
 import { createRetryBudget } from "../../limits/mod.ts";
 import { createRegistry } from "../../metrics/mod.ts";
 import { createQuarantine } from "../../quarantine/mod.ts";
+import { findPorts } from "../../../test/free_ports.ts";
 import type { HeaderCodec } from "../call.ts";
 import { createRateWindow } from "../cold_share.ts";
 import { createEndpointConnections } from "../endpoint_connections.ts";
@@ -161,7 +162,7 @@
     random: () => 0,
   };
   const front = createFrontServer(context);
-  const port = await findFreePort();
+  const [port] = await findPorts(1);
   await front.listen(`127.0.0.1:${port}`);
   return {
     context,
@@ -174,11 +175,3 @@
     },
   };
 }
-
-async function findFreePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
--- a/src/mesh/mesh_test.ts
+++ b/src/mesh/mesh_test.ts
@@ -1,8 +1,7 @@
 import { afterEach, expect, test } from "@jest/globals";
-import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { SILENT_LOGGER } from "../directory/testing/mod.ts";
 import { createRegistry } from "../metrics/mod.ts";
+import { findPorts } from "../../test/free_ports.ts";
 import { createMembers, startMesh } from "./mod.ts";
 import type { Mesh } from "./mod.ts";
 
@@ -42,14 +41,6 @@
   expect(members.describe().map(({ host }) => host)).toEqual(["self"]);
 });
 
-async function findPort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
-  const { port } = server.address() as AddressInfo;
-  await new Promise((done) => server.close(done));
-  return port;
-}
-
 async function start(
   host: string,
   role: "entry" | "agent",
@@ -75,29 +66,25 @@
 }
 
 test("processes that know one seed find all others", async () => {
-  const [first, second, third] = await Promise.all([
-    findPort(),
-    findPort(),
-    findPort(),
-  ]);
+  const [first, second, third] = await findPorts(3);
   const seeds = [`127.0.0.1:${first}`];
-  const entry = await start("entry-1", "entry", { port: first, seeds });
-  await start("entry-2", "entry", { port: second, seeds });
-  const agent = await start("side-1", "agent", { port: third, seeds });
+  const entry = await start("entry-1", "entry", { port: first!, seeds });
+  await start("entry-2", "entry", { port: second!, seeds });
+  const agent = await start("side-1", "agent", { port: third!, seeds });
   await waitUntil(() => agent.peers().length === 2);
   await waitUntil(() => entry.view.hosts().hosts.length === 1);
   expect(entry.countEntries()).toBe(2);
 });
 
 test("a process that comes back under its name is connected again", async () => {
-  const [first, second] = await Promise.all([findPort(), findPort()]);
+  const [first, second] = await findPorts(2);
   const seeds = [`127.0.0.1:${first}`];
-  const entry = await start("entry-1", "entry", { port: first, seeds });
-  const agent = await start("side-1", "agent", { port: second, seeds });
+  const entry = await start("entry-1", "entry", { port: first!, seeds });
+  const agent = await start("side-1", "agent", { port: second!, seeds });
   await waitUntil(() => entry.peers().length === 1);
   meshes.splice(meshes.indexOf(agent), 1);
   await agent.close();
   await waitUntil(() => entry.peers().length === 0);
-  await start("side-1", "agent", { port: second, seeds });
+  await start("side-1", "agent", { port: second!, seeds });
   await waitUntil(() => entry.peers().length === 1);
 });
--- /dev/null
+++ b/test/free_ports.ts
@@ -0,0 +1,31 @@
+/** Ports for processes that have to know their address before they listen. */
+
+import { createServer } from "node:net";
+
+/**
+ * Below the range from which the system gives out ports: a port that is free
+ * now would otherwise be taken by another test before its process listens.
+ */
+const FIRST_PORT = 20_000;
+const PORTS_PER_WORKER = 1_000;
+const firstPort =
+  FIRST_PORT + Number(process.env["JEST_WORKER_ID"] ?? 0) * PORTS_PER_WORKER;
+let usedPorts = 0;
+
+export async function findPorts(count: number): Promise<readonly number[]> {
+  const ports: number[] = [];
+  while (ports.length < count) {
+    const port = firstPort + (usedPorts % PORTS_PER_WORKER);
+    usedPorts += 1;
+    if (await isFree(port)) ports.push(port);
+  }
+  return ports;
+}
+
+function isFree(port: number): Promise<boolean> {
+  const server = createServer();
+  return new Promise((resolve) => {
+    server.once("error", () => resolve(false));
+    server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
+  });
+}
--- a/test/users_platform/testing/platform_fleet.ts
+++ b/test/users_platform/testing/platform_fleet.ts
@@ -6,11 +6,10 @@
 import { spawn } from "node:child_process";
 import type { ChildProcess } from "node:child_process";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
-import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { stringify } from "yaml";
+import { findPorts } from "../../free_ports.ts";
 import {
   startMetadataStore,
   startOrigin,
@@ -243,21 +242,6 @@
   };
 }
 
-async function findPorts(count: number): Promise<readonly number[]> {
-  const servers = await Promise.all(
-    Array.from({ length: count }, async () => {
-      const server = createServer();
-      await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
-      return server;
-    }),
-  );
-  const ports = servers.map((server) => (server.address() as AddressInfo).port);
-  await Promise.all(
-    servers.map((server) => new Promise((done) => server.close(done))),
-  );
-  return ports;
-}
-
 async function endProcess(child: ChildProcess) {
   if (child.exitCode !== null || child.signalCode !== null) return;
   const ended = new Promise((resolve) => child.once("exit", resolve));
