Log and count the bytes of each purpose, round trips and the busy share

Nothing showed either. Each process now logs one line a second, and counts bytes to peers by purpose and data centre, bytes of calls and of answers of the store, and notices received by topic. A ping that is under way no longer restarts its round trip when the next one is due.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -60,6 +60,8 @@
 
 export interface Attempt {
   readonly outcome: Promise<AttemptOutcome>;
+  /** Of the answer's body, so far. */
+  receivedBytes(): number;
   abort(): void;
   /** The endpoint is known to be gone. */
   cutOff(reason: string): void;
@@ -78,7 +80,7 @@
   let head: StreamHead | undefined;
   let isEventStream = false;
   let isDelimitedByClose = false;
-  let collectedBytes = 0;
+  let receivedBytes = 0;
   const collected: Buffer[] = [];
   const splitter = createEventSplitter();
   const timer = setTimeout(onSilence, options.firstByteTimeoutMs);
@@ -128,9 +130,9 @@
 
   function onData(bytes: Buffer) {
     onActivity();
+    receivedBytes += bytes.length;
     if (!isEventStream) {
-      collectedBytes += bytes.length;
-      if (collectedBytes > MAX_COLLECTED_BYTES) {
+      if (receivedBytes > MAX_COLLECTED_BYTES) {
         return finish({ type: "lost", reason: "too_large" }, false);
       }
       collected.push(bytes);
@@ -180,6 +182,7 @@
 
   return {
     outcome,
+    receivedBytes: () => receivedBytes,
     abort: () => finish({ type: "aborted" }, false),
     cutOff: (reason) =>
       finish({ type: isSent ? "lost" : "not_sent", reason }, false),
--- a/src/gateway/gateway_context.ts
+++ b/src/gateway/gateway_context.ts
@@ -5,6 +5,7 @@
 import type { RetryBudget } from "../limits/mod.ts";
 import type { Registry } from "../metrics/mod.ts";
 import type { Quarantine } from "../quarantine/mod.ts";
+import type { TrafficCounters } from "../traffic/mod.ts";
 import type { CrashNotice } from "../wire/mod.ts";
 import type { Attempt } from "./attempt.ts";
 import type { HeaderCodec } from "./call.ts";
@@ -49,6 +50,7 @@
   readonly countEntries: () => number;
   /** Attempts under way by address of the endpoint. */
   readonly attempts: Map<string, Set<Attempt>>;
+  readonly traffic: TrafficCounters;
   readonly registry: Registry;
   readonly logger: Logger;
   readonly nowMs: () => number;
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -71,7 +71,17 @@
       answer.sendEvents(head.status, head.headers, events.bytes);
     },
   });
-  void attempt.outcome.then(() => load.end());
+  context.traffic.bytesSent.increment(
+    { purpose: "call", to: endpoint.dataCentre },
+    call.body.length,
+  );
+  void attempt.outcome.then(() => {
+    load.end();
+    context.traffic.bytesReceived.increment(
+      { purpose: "answer", from: endpoint.dataCentre },
+      attempt.receivedBytes(),
+    );
+  });
   return attempt;
 }
 
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -17,6 +17,7 @@
 import { startMesh } from "../mesh/mod.ts";
 import type { Registry } from "../metrics/mod.ts";
 import { createQuarantine } from "../quarantine/mod.ts";
+import { createTrafficCounters, startTrafficLog } from "../traffic/mod.ts";
 import type { CrashNotice, EndpointLoadNotice, Notice } from "../wire/mod.ts";
 import type { HeaderCodec } from "./call.ts";
 import { createRateWindow } from "./cold_share.ts";
@@ -152,6 +153,7 @@
     budgetOf,
     countEntries,
     attempts: new Map(),
+    traffic: createTrafficCounters(registry),
     registry,
     logger,
     nowMs,
@@ -159,6 +161,11 @@
   };
   const exchange = startDirectoryExchange({ directory, clock, mesh, logger });
   const front = createFrontServer(context);
+  const trafficLog = startTrafficLog({
+    registry,
+    logger,
+    listPeers: mesh.peers,
+  });
   let sentFleet = "";
   let isLeaving = false;
 
@@ -240,6 +247,7 @@
       front.close();
       readyServer.close();
       exchange.close();
+      trafficLog.close();
       reader.close();
       await Promise.all([
         store.close(),
--- a/src/gateway/testing/mod.ts
+++ b/src/gateway/testing/mod.ts
@@ -19,6 +19,7 @@
 } from "../../directory/mod.ts";
 import { createRetryBudget } from "../../limits/mod.ts";
 import { createRegistry } from "../../metrics/mod.ts";
+import { createTrafficCounters } from "../../traffic/mod.ts";
 import { createQuarantine } from "../../quarantine/mod.ts";
 import { findPorts } from "../../../stand_ins/free_ports.ts";
 import type { HeaderCodec } from "../call.ts";
@@ -161,6 +162,7 @@
       createRetryBudget(nowMs, { readMinimum: () => options.retries ?? 10 }),
     countEntries: () => 1,
     attempts: new Map(),
+    traffic: createTrafficCounters(registry),
     registry,
     logger: SILENT_LOGGER,
     nowMs,
--- a/src/sidecar/start_sidecar.ts
+++ b/src/sidecar/start_sidecar.ts
@@ -8,6 +8,7 @@
 import type { Registry } from "../metrics/mod.ts";
 import { createWeights } from "../weights/mod.ts";
 import type { TransferPatience } from "../weights/mod.ts";
+import { startTrafficLog } from "../traffic/mod.ts";
 import type { FleetNotice } from "../wire/mod.ts";
 import { createManifestSource } from "./agreed_manifest.ts";
 import type { EndpointControl, WeightOrigin } from "./endpoint_control.ts";
@@ -121,6 +122,11 @@
     switchWithinMs: settings.switchWithinMs,
     nowMs,
   });
+  const trafficLog = startTrafficLog({
+    registry,
+    logger,
+    listPeers: mesh.peers,
+  });
   facts.onChange(() => mesh.notifyViewChange());
   mesh.onMeshNotice("fleet", (_, notice) => {
     facts.update(notice as FleetNotice);
@@ -129,6 +135,7 @@
     reload: (next) => mesh.setSeeds(next.seeds),
     async close() {
       rollOut.close();
+      trafficLog.close();
       reporter.close();
       await weights.close();
       await endpoint.close();
--- /dev/null
+++ b/src/traffic/traffic_log.ts
@@ -0,0 +1,87 @@
+/**
+ * One log line a second that tells a link that is full from a process that is
+ * busy: bytes by purpose and data centre, the longest round trip to each data
+ * centre, and the share of time for which the event loop was busy.
+ */
+
+import { performance } from "node:perf_hooks";
+import type { Logger } from "../logging/mod.ts";
+import type { Counter, Registry } from "../metrics/mod.ts";
+import { createWireCounters } from "../wire/mod.ts";
+import type { Peer } from "../wire/mod.ts";
+import { createTrafficCounters } from "./traffic_counters.ts";
+
+const INTERVAL_MS = 1_000;
+const US_PER_MS = 1_000;
+
+export interface TrafficLog {
+  close(): void;
+}
+
+export interface TrafficLogOptions {
+  readonly registry: Registry;
+  readonly logger: Logger;
+  readonly listPeers: () => readonly Peer[];
+}
+
+export function startTrafficLog(options: TrafficLogOptions): TrafficLog {
+  const { registry, logger, listPeers } = options;
+  const wire = createWireCounters(registry);
+  const traffic = createTrafficCounters(registry);
+  const readPeerBytes = createDifference(wire.bytesSent);
+  const readSentBytes = createDifference(traffic.bytesSent);
+  const readReceivedBytes = createDifference(traffic.bytesReceived);
+  const readNotices = createDifference(wire.noticesReceived);
+  let loop = performance.eventLoopUtilization();
+  let processor = process.cpuUsage();
+
+  function log() {
+    const busy = performance.eventLoopUtilization(loop);
+    loop = performance.eventLoopUtilization();
+    const used = process.cpuUsage(processor);
+    processor = process.cpuUsage();
+    const peers = listPeers();
+    logger.info(
+      {
+        peers: peers.length,
+        sentBytes: { ...readPeerBytes(), ...readSentBytes() },
+        receivedBytes: readReceivedBytes(),
+        receivedNotices: readNotices(),
+        roundTripMs: findLongestRoundTrips(peers),
+        loopBusyShare: Number(busy.utilization.toFixed(2)),
+        processorMs: Math.round((used.user + used.system) / US_PER_MS),
+      },
+      "traffic of the last second",
+    );
+  }
+
+  const timer = setInterval(log, INTERVAL_MS);
+  timer.unref();
+  return { close: () => clearInterval(timer) };
+}
+
+/** What was added to each series since the last call, without zeros. */
+function createDifference(counter: Counter) {
+  const former = new Map<string, number>();
+  return (): Readonly<Record<string, number>> =>
+    Object.fromEntries(
+      counter.samples().flatMap(({ labels, value }) => {
+        const name = Object.values(labels).join(" ");
+        const added = value - (former.get(name) ?? 0);
+        former.set(name, value);
+        return added === 0 ? [] : [[name, added] as const];
+      }),
+    );
+}
+
+function findLongestRoundTrips(
+  peers: readonly Peer[],
+): Readonly<Record<string, number>> {
+  const longest = new Map<string, number>();
+  peers.forEach((peer) => {
+    const ms = Math.round(peer.roundTripMs?.() ?? 0);
+    const { dataCentre } = peer.hello;
+    longest.set(dataCentre, Math.max(ms, longest.get(dataCentre) ?? 0));
+  });
+  return Object.fromEntries(longest);
+}
--- a/src/wire/clock_offset.ts
+++ b/src/wire/clock_offset.ts
@@ -12,23 +12,31 @@
   onPong(remoteWallMs: unknown): void;
   /** Newest sample; undefined before the first. */
   aheadMs(): number | undefined;
+  /** Last round trip, or the time for which a longer one has lasted so far. */
+  roundTripMs(): number | undefined;
 }
 
 export function createClockOffset(wallMs: () => number): ClockOffset {
   let pingedAtMs: number | undefined;
   let aheadMs: number | undefined;
+  let lastRoundTripMs: number | undefined;
   return {
     onPing() {
-      pingedAtMs = performance.now();
+      pingedAtMs ??= performance.now();
     },
     onPong(remoteWallMs) {
       if (pingedAtMs === undefined) return;
       const roundTripMs = performance.now() - pingedAtMs;
       pingedAtMs = undefined;
+      lastRoundTripMs = roundTripMs;
       if (!Number.isFinite(remoteWallMs)) return;
       if (roundTripMs > MAX_ROUND_TRIP_MS) return;
       aheadMs = (remoteWallMs as number) + roundTripMs / 2 - wallMs();
     },
     aheadMs: () => aheadMs,
+    roundTripMs() {
+      if (pingedAtMs === undefined) return lastRoundTripMs;
+      return Math.max(lastRoundTripMs ?? 0, performance.now() - pingedAtMs);
+    },
   };
 }
--- a/src/wire/peer.ts
+++ b/src/wire/peer.ts
@@ -43,6 +43,8 @@
   sendNotice(notice: Notice): void;
   /** How far the other side's clock is ahead; undefined before a sample. */
   clockAheadMs?(): number | undefined;
+  /** Of the last ping; longer than the way takes while a link is congested. */
+  roundTripMs?(): number | undefined;
   /** Number of streams that are not closed in both directions. */
   openStreams?(): number;
   isClosed(): boolean;
@@ -77,7 +79,7 @@
   let unsentSinceMs: number | undefined;
   let isFlushSoon = false;
   let unsent: Buffer[] = [];
-  const unsentBytes = new Map<Frame["type"], number>();
+  const unsentBytes = new Map<string, number>();
   let resolveClosed: (reason: string) => void;
   let resolvePeer: (result: Result<Peer, string>) => void;
   const closed = new Promise<string>((resolve) => (resolveClosed = resolve));
@@ -100,10 +102,8 @@
     const bytes = encodeFrame(frame);
     if (bytes.length > MAX_FRAME_BYTES) return dropOversized(frame);
     unsent.push(bytes);
-    unsentBytes.set(
-      frame.type,
-      (unsentBytes.get(frame.type) ?? 0) + bytes.length,
-    );
+    const purpose = readPurpose(frame);
+    unsentBytes.set(purpose, (unsentBytes.get(purpose) ?? 0) + bytes.length);
     flushLater(frame.type === "data");
     if (performance.now() - unsentSinceMs! > MAX_UNSENT_MS) flush();
   }
@@ -137,8 +137,9 @@
       frames.forEach((bytes) => socket.write(bytes));
       socket.uncork();
     }
-    unsentBytes.forEach((bytes, frame) =>
-      counters.bytesSent.increment({ frame }, bytes),
+    const to = peer?.hello.dataCentre ?? "unknown";
+    unsentBytes.forEach((bytes, purpose) =>
+      counters.bytesSent.increment({ purpose, to }, bytes),
     );
     unsentBytes.clear();
   }
@@ -215,6 +216,7 @@
       // A topic of a later protocol version or a faulty sender.
       return counters.framesDropped.increment({ reason: "malformed_notice" });
     }
+    counters.noticesReceived.increment({ topic: notice.topic });
     handlers.onNotice(peer!, notice);
   }
 
@@ -228,6 +230,7 @@
       closed,
       close,
       clockAheadMs: clockOffset.aheadMs,
+      roundTripMs: clockOffset.roundTripMs,
       openStreams: () => ports.size,
       isClosed: () => closeReason !== undefined,
       openStream(head) {
@@ -273,3 +276,9 @@
   sendFrame({ type: "hello", hello: options.hello() });
   return ready;
 }
+
+/** What the bytes of a frame serve, for the counters. */
+function readPurpose(frame: Frame): string {
+  if (frame.type !== "notice") return frame.type;
+  return (frame.notice as Notice).topic;
+}
