Pass on members as changes, and whole lists only on request

Cause: each process that heard of a new member sent its whole list to all of its peers. The bytes grow with the third power of the fleet's size. Round trips between peers were 0.9 s at the median and 2.9 s at most, so connects, cancellations and the store's changes waited as long.

Ruled out: weights (no chunk was sent in these seconds) and processor time (event loops of entries busy 0.25 to 0.35 of the time, of sidecars 0.09).

A process now says who it is to each peer, an entry passes on what it heard first-hand unless another entry was faster, and whole lists go to who asks: three times after the start, then at most 1.5 KB/s.

--- a/src/mesh/members.ts
+++ b/src/mesh/members.ts
@@ -10,6 +10,15 @@
  * restart or a short partition, so that it is dialled again afterwards.
  */
 const FORGET_AFTER_MS = 30_000;
+/** Signs of life of members that are not peers come with whole lists only. */
+const FORGET_AFTER_REFRESHES = 3;
+/** Between two questions for a whole list, which heal what was missed. */
+const MIN_REFRESH_MS = 10_000;
+/**
+ * A record takes 150 bytes, so that whole lists take at most 1.5 KB/s of the
+ * 2 KB/s that a node may spend on control.
+ */
+const REFRESH_PER_MEMBER_MS = 100;
 
 export type MemberIdentity = Omit<MemberRecord, "silentMs">;
 
@@ -17,11 +26,14 @@
   list(): readonly MemberIdentity[];
   /** A direct connection to this member is open now. */
   noteAlive(host: string): void;
-  /** Adds what a peer said; true if a member is new or has moved. */
-  merge(records: readonly MemberRecord[]): boolean;
+  /** Adds what a peer said; returns the hosts that are new or have moved. */
+  merge(records: readonly MemberRecord[]): readonly string[];
   /** Forgets members that have been silent for long; true if any was. */
   expire(): boolean;
-  describe(): readonly MemberRecord[];
+  /** Time between two questions for a whole list; longer in a large fleet. */
+  refreshMs(): number;
+  /** Records of all members and this process, or of the given ones. */
+  describe(hosts?: ReadonlySet<string>): readonly MemberRecord[];
 }
 
 interface Entry {
@@ -35,8 +47,17 @@
 ): Members {
   const entries = new Map<string, Entry>();
 
+  function refreshMs(): number {
+    return Math.max(MIN_REFRESH_MS, entries.size * REFRESH_PER_MEMBER_MS);
+  }
+
+  function forgetAfterMs(): number {
+    return Math.max(FORGET_AFTER_MS, refreshMs() * FORGET_AFTER_REFRESHES);
+  }
+
+  /** True if the member is new or has moved. */
   function mergeOne({ silentMs, ...member }: MemberRecord): boolean {
-    if (member.host === self.host || silentMs > FORGET_AFTER_MS) return false;
+    if (member.host === self.host || silentMs > forgetAfterMs()) return false;
     const aliveAtMs = nowMs() - silentMs;
     const former = entries.get(member.host);
     if (former === undefined) {
@@ -56,20 +77,23 @@
       const entry = entries.get(host);
       if (entry !== undefined) entry.aliveAtMs = nowMs();
     },
-    merge: (records) => records.filter(mergeOne).length > 0,
+    merge: (records) => records.filter(mergeOne).map(({ host }) => host),
     expire() {
+      const limitMs = forgetAfterMs();
       const expired = [...entries].filter(
-        ([, { aliveAtMs }]) => nowMs() - aliveAtMs > FORGET_AFTER_MS,
+        ([, { aliveAtMs }]) => nowMs() - aliveAtMs > limitMs,
       );
       expired.forEach(([host]) => entries.delete(host));
       return expired.length > 0;
     },
-    describe: () => [
-      { ...self, silentMs: 0 },
-      ...[...entries.values()].map(({ member, aliveAtMs }) => ({
-        ...member,
-        silentMs: Math.max(0, nowMs() - aliveAtMs),
-      })),
-    ],
+    refreshMs,
+    describe: (hosts) =>
+      [
+        { ...self, silentMs: 0 },
+        ...[...entries.values()].map(({ member, aliveAtMs }) => ({
+          ...member,
+          silentMs: Math.max(0, nowMs() - aliveAtMs),
+        })),
+      ].filter(({ host }) => hosts?.has(host) ?? true),
   };
 }
--- a/src/mesh/mesh_test.ts
+++ b/src/mesh/mesh_test.ts
@@ -20,10 +20,10 @@
   const time = { ms: 100_000 };
   const members = createMembers(SELF, () => time.ms);
   const member = { ...SELF, host: "other", peerAddress: "127.0.0.1:2" };
-  expect(members.merge([{ ...member, silentMs: 1_000 }])).toBe(true);
+  expect(members.merge([{ ...member, silentMs: 1_000 }])).toEqual(["other"]);
   const moved = { ...member, peerAddress: "127.0.0.1:3" };
-  expect(members.merge([{ ...moved, silentMs: 5_000 }])).toBe(false);
-  expect(members.merge([{ ...moved, silentMs: 10 }])).toBe(true);
+  expect(members.merge([{ ...moved, silentMs: 5_000 }])).toEqual([]);
+  expect(members.merge([{ ...moved, silentMs: 10 }])).toEqual(["other"]);
   expect(members.list()).toEqual([moved]);
 });
 
@@ -88,3 +88,40 @@
   await start("side-1", "agent", { port: second!, seeds });
   await waitUntil(() => entry.peers().length === 1);
 });
+
+test("an entry without live seeds learns the others from an agent", async () => {
+  const [first, second, third, unused] = await findPorts(4);
+  const seeds = [`127.0.0.1:${first}`];
+  await start("entry-1", "entry", { port: first!, seeds });
+  const agent = await start("side-1", "agent", { port: second!, seeds });
+  const options = { port: third!, seeds };
+  const former = await start("entry-2", "entry", options);
+  await waitUntil(() => agent.peers().length === 2);
+  meshes.splice(meshes.indexOf(former), 1);
+  await former.close();
+  const deadSeeds = [`127.0.0.1:${unused}`];
+  const restarted = await start("entry-2", "entry", {
+    port: third!,
+    seeds: deadSeeds,
+  });
+  await waitUntil(() => restarted.countEntries() === 2);
+});
+
+test("a host that joins at one entry is known to agents of all entries", async () => {
+  const [first, second, third, fourth] = await findPorts(4);
+  const firstSeed = [`127.0.0.1:${first}`];
+  await start("entry-1", "entry", { port: first!, seeds: firstSeed });
+  const other = await start("entry-2", "entry", {
+    port: second!,
+    seeds: firstSeed,
+  });
+  const agent = await start("side-1", "agent", {
+    port: third!,
+    seeds: [`127.0.0.1:${second}`],
+  });
+  await waitUntil(() => agent.peers().length === 2);
+  await start("side-2", "agent", { port: fourth!, seeds: firstSeed });
+  const countAgents = (mesh: Mesh) => mesh.view.hosts().hosts.length;
+  await waitUntil(() => countAgents(agent) === 2);
+  await waitUntil(() => countAgents(other) === 2);
+});
--- a/src/mesh/start_mesh.ts
+++ b/src/mesh/start_mesh.ts
@@ -22,14 +22,10 @@
   listenForPeers,
   PROTOCOL_VERSION,
 } from "../wire/mod.ts";
-import type { MembersNotice } from "../wire/mod.ts";
+import { startMemberGossip } from "./member_gossip.ts";
 import { createMembers } from "./members.ts";
 import type { MemberIdentity } from "./members.ts";
 
-/** Joins announcements that come close together into one. */
-const ANNOUNCE_DELAY_MS = 100;
-/** Entries repeat the list, so that a member heard of by one reaches all. */
-const REPEAT_MS = 10_000;
 /**
  * An agent keeps this many entries informed; in a larger fleet the others
  * learn its load from answers alone.
@@ -86,7 +82,6 @@
   const connections = createConnections({ identity, logger });
   const choosers: ((view: FleetView) => readonly Host[])[] = [];
   const changeHandlers: (() => void)[] = [];
-  let announceTimer: NodeJS.Timeout | undefined;
 
   const view: FleetView = {
     config: options.readDocument,
@@ -154,24 +149,6 @@
     changeHandlers.forEach((handle) => handlers.run("view_change", handle));
   }
 
-  function onMembersChange() {
-    announceSoon();
-    notifyViewChange();
-  }
-
-  function announceSoon() {
-    announceTimer ??= setTimeout(() => {
-      announceTimer = undefined;
-      const notice = createNotice();
-      connections.peers().forEach((peer) => peer.sendNotice(notice));
-    }, ANNOUNCE_DELAY_MS);
-  }
-
-  function createNotice(): MembersNotice {
-    connections.peers().forEach((peer) => members.noteAlive(peer.hello.host));
-    return { topic: "members", members: members.describe() };
-  }
-
   const transport = {
     hello: () => ({
       protocolVersion: PROTOCOL_VERSION,
@@ -194,28 +171,29 @@
     registry,
   });
 
+  const gossip = startMemberGossip({
+    selfHost: self.host,
+    role: options.role,
+    members,
+    listPeers: connections.peers,
+    handlers,
+    onChange: notifyViewChange,
+    logger,
+    random: Math.random,
+  });
   connections.onPeer((peer) => {
     const { host, incarnation } = peer.hello;
     logger.info({ peer: host, incarnation }, "connected to a peer");
-    peer.sendNotice(createNotice());
+    gossip.onPeer(peer);
     void peer.closed.then((reason) =>
       logger.info({ peer: host, reason }, "lost the connection to a peer"),
     );
   });
-  handlers.onNotice("members", (_, notice) => {
-    if (members.merge((notice as MembersNotice).members)) onMembersChange();
-  });
-
   const listener = await listenForPeers(self.peerAddress, {
     ...transport,
     onPeer: (peer) => connections.add(peer, { isDialled: false }),
   });
   updateTargets();
-  const repeatTimer = setInterval(() => {
-    if (members.expire()) onMembersChange();
-    else if (options.role === "entry") announceSoon();
-  }, REPEAT_MS);
-
   return {
     identity,
     view,
@@ -240,8 +218,7 @@
     },
     notifyViewChange,
     async close() {
-      clearInterval(repeatTimer);
-      clearTimeout(announceTimer);
+      gossip.close();
       dialler.close();
       connections.close();
       await listener.close();
--- a/src/wire/fleet_notices.ts
+++ b/src/wire/fleet_notices.ts
@@ -19,11 +19,17 @@
   readonly silentMs: number;
 }
 
+/** Members that the sender has heard of, not always all of them. */
 export interface MembersNotice {
   readonly topic: "members";
   readonly members: readonly MemberRecord[];
 }
 
+/** Asks a peer for all members that it knows. */
+export interface MembersAskNotice {
+  readonly topic: "members_ask";
+}
+
 /** Load of the endpoint beside an agent, as the endpoint reports it. */
 export interface EndpointLoadNotice {
   readonly topic: "endpoint_load";
@@ -71,6 +77,8 @@
   readonly topic: "directory_ask";
   readonly askId: number;
   readonly revision: number;
+  /** True if only the dates of versions are asked for, not the state. */
+  readonly isForDates?: boolean | undefined;
 }
 
 export interface DirectoryReplyNotice {
@@ -79,8 +87,10 @@
   readonly revision: number;
   /** Age of the sender's knowledge when it replied. */
   readonly ageMs: number;
-  /** The whole state, compressed; absent unless it is later than asked. */
+  /** The state, compressed; absent unless it is later than asked. */
   readonly state?: Uint8Array | undefined;
+  /** True if `state` holds only what is later than asked, not everything. */
+  readonly isPartial?: boolean | undefined;
   /** Versions whose publication the sender can bound. */
   readonly wantedWeights?: readonly FleetWeights[] | undefined;
 }
@@ -99,6 +109,10 @@
   ),
 });
 
+export const membersAskNoticeSchema = z.object({
+  topic: z.literal("members_ask"),
+});
+
 export const endpointLoadNoticeSchema = z.object({
   topic: z.literal("endpoint_load"),
   address: z.string(),
@@ -137,6 +151,7 @@
   topic: z.literal("directory_ask"),
   askId: z.number().int(),
   revision: z.number().int(),
+  isForDates: z.boolean().optional(),
 });
 
 export const directoryReplyNoticeSchema = z.object({
@@ -145,5 +160,6 @@
   revision: z.number().int(),
   ageMs: z.number().nonnegative(),
   state: z.instanceof(Uint8Array).optional(),
+  isPartial: z.boolean().optional(),
   wantedWeights: z.array(fleetWeightsSchema).optional(),
 });
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -9,6 +9,7 @@
   directoryReplyNoticeSchema,
   endpointLoadNoticeSchema,
   fleetNoticeSchema,
+  membersAskNoticeSchema,
   membersNoticeSchema,
 } from "./fleet_notices.ts";
 import type {
@@ -16,6 +17,7 @@
   DirectoryReplyNotice,
   EndpointLoadNotice,
   FleetNotice,
+  MembersAskNotice,
   MembersNotice,
 } from "./fleet_notices.ts";
 import { phaseSchema } from "./phase.ts";
@@ -234,6 +236,7 @@
   crashNoticeSchema,
   replacedNoticeSchema,
   membersNoticeSchema,
+  membersAskNoticeSchema,
   endpointLoadNoticeSchema,
   fleetNoticeSchema,
   directoryAskNoticeSchema,
@@ -246,6 +249,7 @@
   | CrashNotice
   | ReplacedNotice
   | MembersNotice
+  | MembersAskNotice
   | EndpointLoadNotice
   | FleetNotice
   | DirectoryAskNotice
--- a/src/wire/mod.ts
+++ b/src/wire/mod.ts
@@ -13,6 +13,7 @@
   FleetService,
   FleetWeights,
   MemberRecord,
+  MembersAskNotice,
   MembersNotice,
 } from "./fleet_notices.ts";
 export * from "./messages.ts";
