Send an entry without the store changes, from two entries, not whole states from all

The same class of fault as the flood of member lists: an entry that had lost the store asked all entries every 400 ms, and each sent its whole published state, configuration included, whenever an entry of any endpoint had changed. While a third of 14 entries was without the store, that was up to 160 states a second, and it grows with the configuration and the number of entries.

An entry now asks one entry in its own region and one elsewhere, others the next time, and gets what is later than the revision it holds; the whole state only if the other does not know what was removed before. An entry that merely connects asks for the dates of versions alone, and a reply without the state no longer confirms a state that the asking entry does not hold.

The test failed before (459 KB of replies in two seconds, 24 KB allowed) and passes now.

--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -28,10 +28,12 @@
   readonly listedAtMs: number;
 }
 
-/** The state in a form that another process can take over. */
-export interface DirectorySnapshot {
+/** What another process lacks, in a form that it can take over. */
+export interface DirectoryUpdate {
   readonly revision: number;
   readonly changes: readonly DirectoryChange[];
+  /** True if `changes` list everything; false if only what is newer. */
+  readonly isWhole: boolean;
 }
 
 export interface Directory {
@@ -57,7 +59,8 @@
   replace(changes: readonly DirectoryChange[], revision: number): void;
   /** The state was complete up to its revision at this time or later. */
   confirm(atMs: number): void;
-  snapshot(): DirectorySnapshot;
+  /** What a process lacks that holds the state up to `revision`. */
+  describeSince(revision: number): DirectoryUpdate;
   /** Runs after each change. */
   onChange(handler: () => void): void;
 }
@@ -101,6 +104,8 @@
   const handlers: (() => void)[] = [];
   let config: RoutingConfig | undefined;
   let revision = 0;
+  /** Removals before this revision are not known. */
+  let knownSince = Infinity;
   let confirmedAtMs = -Infinity;
 
   function applyOne(change: DirectoryChange, seenAtMs: number): boolean {
@@ -234,6 +239,7 @@
   ) {
     const applied = changes.filter((change) => applyOne(change, seenAtMs));
     revision = Math.max(revision, upTo);
+    knownSince = Math.min(knownSince, revision);
     if (applied.length > 0) notify();
   }
 
@@ -280,7 +286,13 @@
     confirm(atMs) {
       confirmedAtMs = Math.max(confirmedAtMs, atMs);
     },
-    snapshot: () => ({ revision, changes: [...changeOf.values()] }),
+    describeSince(held) {
+      const isWhole = held < knownSince;
+      const changes = [...changeOf.values()].filter(
+        (change) => isWhole || change.revision > held,
+      );
+      return { revision, changes, isWhole };
+    },
     onChange: (handler) => void handlers.push(handler),
   };
 }
--- a/src/directory/mod.ts
+++ b/src/directory/mod.ts
@@ -9,7 +9,7 @@
 export type {
   Directory,
   DirectoryOptions,
-  DirectorySnapshot,
+  DirectoryUpdate,
   ListedEndpoint,
   WantedWeights,
 } from "./directory.ts";
--- a/src/gateway/directory_exchange.ts
+++ b/src/gateway/directory_exchange.ts
@@ -5,7 +5,12 @@
  */
 
 import { deflateRawSync, inflateRawSync } from "node:zlib";
-import type { AgeClock, Directory, DirectoryChange } from "../directory/mod.ts";
+import type {
+  AgeClock,
+  Directory,
+  DirectoryChange,
+  DirectoryUpdate,
+} from "../directory/mod.ts";
 import type { Logger } from "../logging/mod.ts";
 import type { Mesh } from "../mesh/mod.ts";
 import type {
@@ -28,41 +33,55 @@
   readonly directory: Directory;
   readonly clock: AgeClock;
   readonly mesh: Mesh;
+  readonly isInOwnRegion: (dataCentre: string) => boolean;
   readonly logger: Logger;
 }
 
 export function startDirectoryExchange(
   options: DirectoryExchangeOptions,
 ): DirectoryExchange {
-  const { directory, clock, mesh, logger } = options;
+  const { directory, clock, mesh, isInOwnRegion, logger } = options;
   let askId = 0;
   const askedAtMs = new Map<number, number>();
 
-  function createAsk(): DirectoryAskNotice {
+  function createAsk(isForDates: boolean): DirectoryAskNotice {
     askId += 1;
     askedAtMs.set(askId, clock.nowMs());
     askedAtMs.delete(askId - 16);
-    return { topic: "directory_ask", askId, revision: directory.revision() };
+    return {
+      topic: "directory_ask",
+      askId,
+      revision: directory.revision(),
+      ...(isForDates && { isForDates }),
+    };
   }
 
+  /**
+   * One entry in the own region, where bytes cost little, and one elsewhere,
+   * because a whole region can be without the store; others the next time.
+   */
   function ask() {
-    const notice = createAsk();
-    mesh
-      .peers()
-      .filter((peer) => peer.hello.role === "entry")
-      .forEach((peer) => peer.sendNotice(notice));
+    const notice = createAsk(false);
+    const entries = mesh.peers().filter(({ hello }) => hello.role === "entry");
+    const isNear = ({ hello }: Peer) => isInOwnRegion(hello.dataCentre);
+    const groups = [
+      entries.filter(isNear),
+      entries.filter((peer) => !isNear(peer)),
+    ];
+    groups.forEach((group) => group[askId % group.length]?.sendNotice(notice));
   }
 
   function reply(peer: Peer, notice: DirectoryAskNotice) {
     const ageMs = directory.ageMs();
     if (!Number.isFinite(ageMs)) return;
     const revision = directory.revision();
+    const hasNews = revision > notice.revision && notice.isForDates !== true;
     peer.sendNotice({
       topic: "directory_reply",
       askId: notice.askId,
       revision,
       ageMs,
-      ...(revision > notice.revision && { state: encodeState(directory) }),
+      ...(hasNews && encodeUpdate(directory.describeSince(notice.revision))),
       wantedWeights: listDated(directory, clock.nowMs()),
     });
   }
@@ -82,9 +101,11 @@
     if (state !== undefined && revision > former) {
       const changes = decodeState(state);
       if (changes === undefined) return;
-      directory.replace(changes, revision);
+      if (notice.isPartial === true) directory.apply(changes, revision);
+      else directory.replace(changes, revision);
     }
-    if (revision < directory.revision()) return;
+    // Without the state, what this process holds is older than that.
+    if (revision !== directory.revision()) return;
     directory.confirm(sentAtMs - ageMs);
     logger.info(
       { peer: peer.hello.host, revision, former, ageMs: directory.ageMs() },
@@ -94,7 +115,7 @@
 
   // An entry that starts cannot tell how long ago a version was named.
   mesh.onPeer((peer) => {
-    if (peer.hello.role === "entry") peer.sendNotice(createAsk());
+    if (peer.hello.role === "entry") peer.sendNotice(createAsk(true));
   });
   mesh.onMeshNotice("directory_ask", (peer, notice) =>
     reply(peer, notice as DirectoryAskNotice),
@@ -124,8 +145,9 @@
     }));
 }
 
-function encodeState(directory: Directory): Uint8Array {
-  return deflateRawSync(JSON.stringify(directory.snapshot().changes));
+function encodeUpdate({ changes, isWhole }: DirectoryUpdate) {
+  const state = deflateRawSync(JSON.stringify(changes));
+  return isWhole ? { state } : { state, isPartial: true };
 }
 
 function decodeState(
--- a/src/gateway/directory_exchange_test.ts
+++ b/src/gateway/directory_exchange_test.ts
@@ -1,10 +1,15 @@
 import { afterEach, expect, test } from "@jest/globals";
 import {
+  createConfig,
+  createEndpoint,
+  createRoute,
   createTestDirectory,
+  listEndpoint,
   SILENT_LOGGER,
 } from "../directory/testing/mod.ts";
 import { startMesh } from "../mesh/mod.ts";
 import { createRegistry } from "../metrics/mod.ts";
+import { createWireCounters } from "../wire/mod.ts";
 import { findPorts } from "../../stand_ins/free_ports.ts";
 import { startDirectoryExchange } from "./directory_exchange.ts";
 
@@ -29,20 +34,26 @@
 async function startEntry({ host, port, seeds, clockMs }: EntryOptions) {
   const { directory, clock, time } = createTestDirectory();
   time.monotonic += clockMs;
+  const registry = createRegistry();
   const mesh = await startMesh({
     host,
     role: "entry",
-    dataCentre: "kol-a",
+    dataCentre: `dc-${port % 3}`,
     peerAddress: `127.0.0.1:${port}`,
     seeds,
     readDocument: () => undefined,
-    registry: createRegistry(),
+    registry,
+    logger: SILENT_LOGGER,
+  });
+  const exchange = startDirectoryExchange({
+    directory,
+    clock,
+    mesh,
+    isInOwnRegion: (dataCentre) => dataCentre === `dc-${port % 3}`,
     logger: SILENT_LOGGER,
   });
-  const logger = SILENT_LOGGER;
-  const exchange = startDirectoryExchange({ directory, clock, mesh, logger });
   closers.push(exchange.close, mesh.close);
-  return { directory, clock, time };
+  return { directory, clock, time, mesh, registry };
 }
 
 test("an entry that starts late does not take a new version for an old one", async () => {
@@ -72,3 +83,89 @@
   }
   expect(countsFromMs()).toBe(47_000);
 });
+
+function wait(ms: number) {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+async function waitUntil(isTrue: () => boolean) {
+  const endMs = performance.now() + 8_000;
+  while (!isTrue() && performance.now() < endMs) await wait(10);
+  expect(isTrue()).toBe(true);
+}
+
+// Guards against replies of all entries with the whole published state: while
+// a third of the entries was without the store, they filled the links.
+test("an entry without the store gets changes, not whole states from all", async () => {
+  const ports = await findPorts(6);
+  const seeds = [`127.0.0.1:${ports[0]}`];
+  const entries = await Promise.all(
+    ports.map((port, index) =>
+      startEntry({ host: `entry-${index}`, port, seeds, clockMs: 0 }),
+    ),
+  );
+  const routes = Array.from({ length: 1_300 }, (_, index) =>
+    createRoute({
+      name: `r-${index}`,
+      host: `desk-${(index * 7_919) % 1_009}.example`,
+      pathPrefix: `/${(index * 104_729).toString(36)}/`,
+    }),
+  );
+  const config = createConfig({ routes });
+  const published = [
+    { type: "config" as const, revision: 1, config },
+    listEndpoint(createEndpoint({ id: "leaves" }), 1),
+  ];
+  const [without, ...others] = entries;
+  entries.forEach(({ directory }) => directory.replace(published, 1));
+  others.forEach(({ directory, clock }) => directory.confirm(clock.nowMs()));
+  await waitUntil(() => entries.every(({ mesh }) => mesh.peers().length === 5));
+  function countReplyBytes(): number {
+    return others
+      .flatMap(({ registry }) =>
+        createWireCounters(registry).bytesSent.samples(),
+      )
+      .filter(({ labels }) => labels["purpose"] === "directory_reply")
+      .reduce((sum, { value }) => sum + value, 0);
+  }
+  const before = countReplyBytes();
+  for (let revision = 2; revision <= 11; revision += 1) {
+    const change = listEndpoint(createEndpoint({ id: "busy" }), revision);
+    const removal = {
+      type: "endpoint" as const,
+      revision,
+      id: "leaves",
+      endpoint: undefined,
+    };
+    others.forEach(({ directory }) =>
+      directory.apply(revision === 5 ? [change, removal] : [change], revision),
+    );
+    // Its knowledge is always old enough to ask.
+    without!.time.monotonic += 2_000;
+    await wait(200);
+  }
+  await waitUntil(() => without!.directory.revision() === 11);
+  const listed = without!.directory.endpoints().map(({ id }) => id);
+  expect(listed).toEqual(["busy"]);
+  expect(without!.directory.ageMs()).toBeLessThan(2_000);
+  // 2 KB/s for each node over two seconds.
+  expect(countReplyBytes() - before).toBeLessThan(6 * 2_000 * 2);
+}, 20_000);
+
+test("a whole state is sent to an entry whose state is older than what is known", async () => {
+  const [first, second] = await findPorts(2);
+  const seeds = [`127.0.0.1:${first}`];
+  const options = { seeds, clockMs: 0 };
+  const old = await startEntry({ host: "entry-1", port: first!, ...options });
+  old.directory.replace([listEndpoint(createEndpoint({ id: "gone" }), 1)], 1);
+  const other = await startEntry({
+    host: "entry-2",
+    port: second!,
+    ...options,
+  });
+  // It has listed the store after the endpoint was removed.
+  other.directory.replace([listEndpoint(createEndpoint({ id: "new" }), 8)], 9);
+  other.directory.confirm(other.clock.nowMs());
+  await waitUntil(() => old.directory.revision() === 9);
+  expect(old.directory.endpoints().map(({ id }) => id)).toEqual(["new"]);
+});
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -159,7 +159,14 @@
     nowMs,
     random: Math.random,
   };
-  const exchange = startDirectoryExchange({ directory, clock, mesh, logger });
+  const exchange = startDirectoryExchange({
+    directory,
+    clock,
+    mesh,
+    isInOwnRegion: (dataCentre) =>
+      settings.regions[dataCentre] === settings.regions[settings.dataCentre],
+    logger,
+  });
   const front = createFrontServer(context);
   const trafficLog = startTrafficLog({
     registry,
