Pause between watches of the store, and let their answers confirm the state

A watch is now sent at most every 300 ms, a sixth of the tightest bound on a configuration. Its answer proves that nothing was missed before the question was sent, so the revision is read only while watches stay silent. A version that a watch brings is taken to be named up to 550 ms before it is seen (250 ms before): the pause comes on top of the way.

The expected 550 ms in the test of named versions follows from the longer pause.

--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -6,6 +6,7 @@
 
 import type { Logger } from "../logging/mod.ts";
 import type { AgeClock } from "./age_clock.ts";
+import { MIN_WATCH_INTERVAL_MS } from "./directory_reader.ts";
 import type {
   DirectoryChange,
   EndpointRecord,
@@ -75,10 +76,11 @@
 }
 
 /**
- * A watch of a store that is in order brings a change within this time. The
- * bound on an older version of weights holds only while the store is in order.
+ * A watch of a store that is in order brings a change within this time: the
+ * pause between two watches and 250 ms for the way. The bound on an older
+ * version of weights holds only while the store is in order.
  */
-const WATCH_DELAY_MS = 250;
+const WATCH_DELAY_MS = MIN_WATCH_INTERVAL_MS + 250;
 /** A store that is away for as long counts as disturbed, not just as slow. */
 const DISTURBED_MS = 3_000;
 /**
--- a/src/directory/directory_reader.ts
+++ b/src/directory/directory_reader.ts
@@ -1,7 +1,8 @@
 /**
- * Keeps the directory up to date from the store. A watch brings each change at
- * once; a small linearizable read of the store's revision proves every second
- * that nothing was missed, because a watch can fall silent without an error.
+ * Keeps the directory up to date from the store. A watch brings each change
+ * soon; each of its answers proves that nothing was missed before the question.
+ * While it is silent, a small linearizable read of the store's revision proves
+ * it every second, because a watch can fall silent without an error.
  */
 
 import type { Logger } from "../logging/mod.ts";
@@ -9,7 +10,7 @@
 import { createBackoff, delay } from "../platform/mod.ts";
 import type { AgeClock } from "./age_clock.ts";
 import type { Directory } from "./directory.ts";
-import type { MetadataStore, StoreChanges, StoreFailure } from "./store.ts";
+import type { MetadataStore, StoreFailure } from "./store.ts";
 import { createStoreAbsence } from "./store_absence.ts";
 
 const WATCH_WAIT_MS = 10_000;
@@ -17,6 +18,12 @@
 const PROBE_INTERVAL_MS = 1_000;
 /** A watch that has not shown a change after this is taken for silent. */
 const WATCH_LAG_MS = 250;
+/**
+ * Endpoints change their entries dozens of times a second in a large fleet,
+ * and each change would end a watch. A sixth of the tightest bound on a
+ * configuration's delay, 2 s.
+ */
+export const MIN_WATCH_INTERVAL_MS = 300;
 const FIRST_BACKOFF_MS = 50;
 const MAX_BACKOFF_MS = 500;
 /**
@@ -65,6 +72,9 @@
   let isLost = false;
   let failedAtMs = -Infinity;
   const absence = createStoreAbsence(() => performance.now());
+  let nextWatchAtMs = -Infinity;
+  /** On the age clock; of answers of the store, not of peers. */
+  let answeredAtMs = -Infinity;
   let needsListing = "start";
   let probeTimer: NodeJS.Timeout | undefined;
 
@@ -82,11 +92,16 @@
     else logger.info(age, "regained the platform's store");
   }
 
+  function confirm(atMs: number) {
+    answeredAtMs = Math.max(answeredAtMs, atMs);
+    directory.confirm(atMs);
+  }
+
   function settle() {
     const revision = directory.revision();
     pending
       .filter((item) => item.revision <= revision)
-      .forEach((item) => directory.confirm(item.sentAtMs));
+      .forEach((item) => confirm(item.sentAtMs));
     pending = pending.filter((item) => item.revision > revision);
   }
 
@@ -97,7 +112,7 @@
     if (result.isErr()) return result.error;
     needsListing = "";
     directory.replace(result.value.changes, result.value.revision);
-    directory.confirm(sentAtMs);
+    confirm(sentAtMs);
     settle();
     return undefined;
   }
@@ -105,6 +120,8 @@
   async function watchOnce(): Promise<StoreFailure | undefined> {
     const controller = new AbortController();
     watchController = controller;
+    const sentAtMs = clock.nowMs();
+    nextWatchAtMs = performance.now() + MIN_WATCH_INTERVAL_MS;
     const result = await store.watch({
       afterRevision: directory.revision(),
       waitMs: WATCH_WAIT_MS,
@@ -114,13 +131,17 @@
       if (result.error === "compacted") needsListing = "compacted";
       return result.error;
     }
-    applyChanges(result.value);
+    const { changes, revision } = result.value;
+    directory.apply(changes, revision, clock.nowMs());
+    confirm(sentAtMs);
+    settle();
+    await delay(readPauseMs(), closing.signal);
     return undefined;
   }
 
-  function applyChanges({ changes, revision }: StoreChanges) {
-    directory.apply(changes, revision, clock.nowMs());
-    settle();
+  /** Time until the next watch may be sent. */
+  function readPauseMs(): number {
+    return Math.max(0, nextWatchAtMs - performance.now());
   }
 
   async function follow() {
@@ -144,7 +165,7 @@
     pending = [...pending, { revision, sentAtMs }];
     settle();
     if (directory.revision() >= revision) return;
-    await delay(WATCH_LAG_MS, closing.signal);
+    await delay(readPauseMs() + WATCH_LAG_MS, closing.signal);
     if (directory.revision() >= revision) return;
     logger.warn(
       { revision, held: directory.revision(), ageMs: directory.ageMs() },
@@ -157,6 +178,9 @@
   function scheduleProbe(delayMs: number) {
     clearTimeout(probeTimer);
     probeTimer = setTimeout(() => {
+      const leftMs = PROBE_INTERVAL_MS - (clock.nowMs() - answeredAtMs);
+      // A watch that was answered meanwhile has confirmed the state.
+      if (delayMs > 0 && leftMs > 0) return scheduleProbe(leftMs);
       scheduleProbe(PROBE_INTERVAL_MS);
       void probe();
     }, delayMs);
