End older versions of weights sooner at hosts whose link is full

Requests began on an older version 0.36 s after its bound: chunks of the next version fill a host's link, which its endpoint shares, so that a request arrived 1.04 s after it was sent and its end as late.

The round trip to the agent on the endpoint's host, which the connection's pings measure, now shortens the time in which requests are sent to an older version there and wait to begin.

Tried and reverted: two chunks in flight from peers and one from the origin instead of four to six and two.

The new tests fail without the change.

--- a/src/gateway/bounds_test.ts
+++ b/src/gateway/bounds_test.ts
@@ -2,12 +2,13 @@
 
 import { expect, test } from "@jest/globals";
 import fc from "fast-check";
+import type { EndpointLoadNotice } from "../wire/mod.ts";
 import { createRouteTable, chooseService } from "./route_table.ts";
 import { computeColdShare, createRateWindow } from "./cold_share.ts";
 import { createEndpointSuspicion } from "./endpoint_suspicion.ts";
 import { createEndpointLoads } from "./endpoint_loads.ts";
 import { createEventSplitter } from "./event_splitter.ts";
-import { isVersionAllowed } from "./weight_versions.ts";
+import { computeBeginPatienceMs, isVersionAllowed } from "./weight_versions.ts";
 import { createConfig, createRoute } from "../directory/testing/mod.ts";
 
 test("all entries together stay within what a cold endpoint bears", () => {
@@ -53,7 +54,11 @@
     { model: "m", version: 2, countsFromMs: 10_000 },
   ].map((item) => ({ ...item, notBeforeMs: item.countsFromMs }));
   const at = (served: number, nowMs: number) =>
-    isVersionAllowed(served, wanted, { replaceWithinMs: 8_000, nowMs });
+    isVersionAllowed(served, wanted, {
+      replaceWithinMs: 8_000,
+      nowMs,
+      roundTripMs: 0,
+    });
   expect(at(1, 17_000)).toBe(true);
   expect(at(1, 18_000)).toBe(false);
   expect(at(2, 18_000)).toBe(true);
@@ -61,6 +66,51 @@
   expect(at(3, 99_000)).toBe(true);
 });
 
+function createReport(): EndpointLoadNotice {
+  return {
+    topic: "endpoint_load",
+    address: "e",
+    phase: "warm",
+    models: [],
+    running: 3,
+    waiting: 1,
+    memoryUsedTokens: 0,
+    memoryTotalTokens: 0,
+    slowdown: 1,
+  };
+}
+
+// Guards against requests that begin on an older version after its bound: one
+// sent 1 s before it arrived after its end, through the queue of chunks on the
+// host's link.
+test("a full link to an endpoint ends its older version sooner", () => {
+  const wanted = [
+    { model: "m", version: 2, notBeforeMs: 10_000, countsFromMs: 10_000 },
+  ];
+  const limits = { replaceWithinMs: 8_000, roundTripMs: 1_100 };
+  const allowedAt = (nowMs: number) =>
+    isVersionAllowed(1, wanted, { ...limits, nowMs });
+  expect(allowedAt(16_400)).toBe(true);
+  expect(allowedAt(16_900)).toBe(false);
+  const patienceMs = computeBeginPatienceMs(1, wanted, {
+    ...limits,
+    nowMs: 16_400,
+  });
+  // The end of the request arrives a round trip later, within the bound.
+  expect(16_400 + patienceMs + limits.roundTripMs).toBeLessThan(18_000);
+});
+
+test("the round trip to the sender of a recent report counts, no other", () => {
+  let nowMs = 0;
+  const loads = createEndpointLoads(() => nowMs);
+  const notice = createReport();
+  expect(loads.read(notice.address, 0).roundTripMs).toBe(0);
+  loads.onReport(notice, { roundTripMs: () => 700 });
+  expect(loads.read(notice.address, 0).roundTripMs).toBe(700);
+  nowMs += 10_000;
+  expect(loads.read(notice.address, 0).roundTripMs).toBe(0);
+});
+
 test("a failing endpoint gets a request now and then, and trust after a success", () => {
   let now = 0;
   const suspicion = createEndpointSuspicion(() => now);
@@ -91,17 +141,7 @@
   const loads = createEndpointLoads(() => now);
   loads.begin("e", 500);
   now += 100;
-  loads.onReport({
-    topic: "endpoint_load",
-    address: "e",
-    phase: "warm",
-    models: [],
-    running: 3,
-    waiting: 1,
-    memoryUsedTokens: 0,
-    memoryTotalTokens: 0,
-    slowdown: 1,
-  });
+  loads.onReport(createReport());
   const later = loads.begin("e", 700);
   expect(loads.read("e", 900).requests).toBe(5);
   expect(loads.read("e", 900).unreadTokens).toBe(500 + 700);
--- a/src/gateway/choose_endpoint_test.ts
+++ b/src/gateway/choose_endpoint_test.ts
@@ -20,7 +20,7 @@
       firstSeenAtMs: 0,
       listedAtMs: 0,
     },
-    load: { report: undefined, requests, unreadTokens: 0 },
+    load: { report: undefined, requests, unreadTokens: 0, roundTripMs: 0 },
     isAllowed: true,
     isPaused: false,
     hasColdRoom: true,
@@ -52,7 +52,12 @@
     views: [
       view("far", { distance: "other_region" }),
       view("near", {
-        load: { report: undefined, requests: 5, unreadTokens: 979 },
+        load: {
+          report: undefined,
+          requests: 5,
+          unreadTokens: 979,
+          roundTripMs: 0,
+        },
       }),
     ],
     expected: "far",
--- a/src/gateway/endpoint_loads.ts
+++ b/src/gateway/endpoint_loads.ts
@@ -3,7 +3,7 @@
  * entry's requests, and the requests that this entry has there now.
  */
 
-import type { EndpointLoadNotice } from "../wire/mod.ts";
+import type { EndpointLoadNotice, Peer } from "../wire/mod.ts";
 
 /** An older report says little: a request starts and ends in less time. */
 const REPORT_VALID_MS = 3_000;
@@ -24,15 +24,23 @@
   readonly requests: number;
   /** Prompt tokens that the endpoint has still to read. */
   readonly unreadTokens: number;
+  /**
+   * Round trip to the agent on the endpoint's host: the link that they share
+   * delays requests and their ends by as much. 0 while it is not known.
+   */
+  readonly roundTripMs: number;
 }
 
 export interface EndpointLoads {
-  onReport(notice: EndpointLoadNotice): void;
+  onReport(notice: EndpointLoadNotice, sender?: ReportSender): void;
   read(address: string, usualPromptTokens: number): EndpointLoad;
   /** Counts a request as running there until `end` is called. */
   begin(address: string, promptTokens: number): OwnLoad;
 }
 
+/** The agent that sends an endpoint's reports. */
+export type ReportSender = Pick<Peer, "roundTripMs">;
+
 export interface OwnLoad {
   onStart(): void;
   end(): void;
@@ -41,6 +49,7 @@
 interface Entry {
   readonly own: Set<OwnRequest>;
   report: EndpointLoadNotice | undefined;
+  sender: ReportSender | undefined;
   reportedAtMs: number;
   /** Of the other entries, when the report arrived. */
   othersRequests: number;
@@ -56,6 +65,7 @@
     const created: Entry = {
       own: new Set(),
       report: undefined,
+      sender: undefined,
       reportedAtMs: -Infinity,
       othersRequests: 0,
       othersUnstarted: 0,
@@ -65,7 +75,7 @@
   }
 
   return {
-    onReport(notice) {
+    onReport(notice, sender) {
       const entry = find(notice.address);
       const now = nowMs();
       const included = [...entry.own].filter(
@@ -73,6 +83,7 @@
       );
       const unstarted = included.filter(({ hasStarted }) => !hasStarted);
       entry.report = notice;
+      entry.sender = sender;
       entry.reportedAtMs = now;
       entry.othersRequests = Math.max(
         0,
@@ -83,7 +94,12 @@
     read(address, usualPromptTokens) {
       const entry = entries.get(address);
       if (entry === undefined) {
-        return { report: undefined, requests: 0, unreadTokens: 0 };
+        return {
+          report: undefined,
+          requests: 0,
+          unreadTokens: 0,
+          roundTripMs: 0,
+        };
       }
       const isRecent = nowMs() - entry.reportedAtMs < REPORT_VALID_MS;
       const ownUnread = [...entry.own].reduce(
@@ -95,6 +111,7 @@
         report: isRecent ? entry.report : undefined,
         requests: entry.own.size + (isRecent ? entry.othersRequests : 0),
         unreadTokens: ownUnread + (isRecent ? othersUnread : 0),
+        roundTripMs: (isRecent && entry.sender?.roundTripMs?.()) || 0,
       };
     },
     begin(address, promptTokens) {
--- a/src/gateway/forecast_test.ts
+++ b/src/gateway/forecast_test.ts
@@ -5,7 +5,7 @@
 function forecast(requests: number, unreadTokens = 0, promptTokens = 979) {
   return forecastFirstEventMs(
     ENGINE,
-    { report: undefined, requests, unreadTokens },
+    { report: undefined, requests, unreadTokens, roundTripMs: 0 },
     promptTokens,
   );
 }
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -57,7 +57,7 @@
     isFresh: route.kind === "non_idempotent",
     firstByteTimeoutMs: Math.min(
       patience.firstMs,
-      computeVersionPatienceMs(context, call, weightVersion),
+      computeVersionPatienceMs(context, call, choice.view),
     ),
     silenceTimeoutMs: patience.gapMs,
     isStream,
@@ -89,7 +89,7 @@
 function computeVersionPatienceMs(
   { directory, bounds, clock }: GatewayContext,
   { headers }: Call,
-  weightVersion: number | undefined,
+  { weightVersion, load }: EndpointView,
 ): number {
   if (weightVersion === undefined || headers.model === undefined) {
     return Infinity;
@@ -97,7 +97,11 @@
   return computeBeginPatienceMs(
     weightVersion,
     directory.wantedWeights(headers.model),
-    { replaceWithinMs: bounds.versionMs, nowMs: clock.nowMs() },
+    {
+      replaceWithinMs: bounds.versionMs,
+      nowMs: clock.nowMs(),
+      roundTripMs: load.roundTripMs,
+    },
   );
 }
 
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -204,9 +204,9 @@
   mesh.onNotice("crash", (_, notice) => {
     quarantine.accept(notice as CrashNotice);
   });
-  mesh.onMeshNotice("endpoint_load", (_, notice) => {
+  mesh.onMeshNotice("endpoint_load", (peer, notice) => {
     const load = notice as EndpointLoadNotice;
-    context.loads.onReport(load);
+    context.loads.onReport(load, peer);
     if (load.phase !== "down") return;
     const lost = context.attempts.get(load.address) ?? [];
     [...lost].forEach((attempt) => attempt.cutOff("endpoint_down"));
--- a/src/gateway/view_endpoints.ts
+++ b/src/gateway/view_endpoints.ts
@@ -102,6 +102,7 @@
     {
       replaceWithinMs: context.bounds.versionMs,
       nowMs: context.clock.nowMs(),
+      roundTripMs: found.load.roundTripMs,
     },
   );
 }
--- a/src/gateway/weight_versions.ts
+++ b/src/gateway/weight_versions.ts
@@ -10,7 +10,7 @@
  * the bound is ended, so this only keeps most from waiting in vain.
  */
 const BEGIN_MARGIN_MS = 400;
-/** The end of a request reaches the endpoint this much later at most. */
+/** The end of a request reaches the endpoint this much later in any case. */
 const ABORT_TRAVEL_MS = 100;
 
 export interface VersionLimits {
@@ -18,20 +18,25 @@
   readonly replaceWithinMs: number;
   /** On the clock of `countsFromMs`. */
   readonly nowMs: number;
+  /**
+   * Round trip to the endpoint's host. While chunks of the next version fill
+   * its link, a request begins, and its end arrives, later by as much.
+   */
+  readonly roundTripMs: number;
 }
 
-/** Time left in which requests may begin on `served`; Infinity if unbounded. */
+/** Time left in which a request may begin on `served`; Infinity if unbounded. */
 export function computeBeginLeftMs(
   served: number,
   wanted: readonly WantedWeights[],
-  { replaceWithinMs, nowMs }: VersionLimits,
+  { replaceWithinMs, nowMs, roundTripMs }: VersionLimits,
 ): number {
   if (replaceWithinMs <= 0) return Infinity;
   return wanted
     .filter(({ version }) => version > served)
     .reduce(
       (least, { countsFromMs }) =>
-        Math.min(least, countsFromMs + replaceWithinMs - nowMs),
+        Math.min(least, countsFromMs + replaceWithinMs - nowMs - roundTripMs),
       Infinity,
     );
 }
