Encode a notice to many peers once, and bundle without whitespace

On the grown deployment the sidecars together use as much processor time as the entries. A load report goes to 14 entries and the chunks held are told to 45 agents; each of them encoded the same notice anew.

--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -20,6 +20,8 @@
   },
   // An optional native module of bunyan that is not installed.
   external: ["dtrace-provider", "cbor-extract", "mv", "source-map-support"],
+  // A quarter less to read and parse at each start; names stay in stack traces.
   minifySyntax: true,
+  minifyWhitespace: true,
   legalComments: "none",
 });
--- a/src/mesh/member_gossip.ts
+++ b/src/mesh/member_gossip.ts
@@ -50,9 +50,10 @@
     listPeers().forEach(({ hello }) => members.noteAlive(hello.host));
   }
 
-  function send(peer: Peer, hosts?: ReadonlySet<string>) {
+  /** Of all members, or of the given ones. */
+  function createNotice(hosts?: ReadonlySet<string>): MembersNotice {
     noteConnected();
-    peer.sendNotice({ topic: "members", members: members.describe(hosts) });
+    return { topic: "members", members: members.describe(hosts) };
   }
 
   function ask(peer: Peer) {
@@ -64,9 +65,10 @@
     announceTimer ??= setTimeout(
       () => {
         announceTimer = undefined;
-        const hosts = new Set(unannounced);
+        if (unannounced.size === 0) return;
+        const notice = createNotice(unannounced);
         unannounced.clear();
-        if (hosts.size > 0) listPeers().forEach((peer) => send(peer, hosts));
+        listPeers().forEach((peer) => peer.sendNotice(notice));
       },
       MIN_ANNOUNCE_MS + options.random() * ANNOUNCE_SPREAD_MS,
     );
@@ -107,7 +109,7 @@
   handlers.onNotice("members", (peer, notice) =>
     onMembers(peer, notice as MembersNotice),
   );
-  handlers.onNotice("members_ask", (peer) => send(peer));
+  handlers.onNotice("members_ask", (peer) => peer.sendNotice(createNotice()));
   scheduleRefresh();
   const expireTimer = setInterval(() => {
     noteConnected();
@@ -116,7 +118,7 @@
 
   return {
     onPeer(peer) {
-      send(peer, new Set([selfHost]));
+      peer.sendNotice(createNotice(new Set([selfHost])));
       const isUseful = options.role === "entry" || peer.hello.role === "entry";
       if (isUseful && asks < INITIAL_ASKS) ask(peer);
     },
--- /dev/null
+++ b/src/wire/encode_notice_test.ts
@@ -0,0 +1,18 @@
+import { expect, test } from "@jest/globals";
+import { encodeNotice } from "./encode_notice.ts";
+import { createFrameDecoder } from "./frame.ts";
+
+// Guards against a cost per peer: a report that goes to 14 entries, or chunks
+// held that are told to 45 agents, were encoded as often.
+test("a notice to many peers is encoded once", () => {
+  const notice = { topic: "members_ask" as const };
+  const first = encodeNotice({ type: "notice", notice });
+  expect(encodeNotice({ type: "notice", notice })).toBe(first);
+  const other = encodeNotice({ type: "notice", notice: { ...notice } });
+  expect(other).not.toBe(first);
+  const frames = createFrameDecoder().push(Buffer.concat([first, other]));
+  expect(frames._unsafeUnwrap()).toEqual([
+    { type: "notice", notice },
+    { type: "notice", notice },
+  ]);
+});
--- a/src/wire/peer.ts
+++ b/src/wire/peer.ts
@@ -7,6 +7,7 @@
 import type { Socket } from "node:net";
 import { createClockOffset } from "./clock_offset.ts";
 import { createFrameDecoder, encodeFrame, MAX_FRAME_BYTES } from "./frame.ts";
+import { encodeNotice } from "./encode_notice.ts";
 import type { Frame } from "./frame.ts";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
@@ -99,7 +100,8 @@
 
   function sendFrame(frame: Frame) {
     if (closeReason !== undefined) return;
-    const bytes = encodeFrame(frame);
+    const bytes =
+      frame.type === "notice" ? encodeNotice(frame) : encodeFrame(frame);
     if (bytes.length > MAX_FRAME_BYTES) return dropOversized(frame);
     unsent.push(bytes);
     const purpose = readPurpose(frame);
