--- a/src/gateway/answer_framing_test.ts
+++ b/src/gateway/answer_framing_test.ts
@@ -1,3 +1,4 @@
+import type { Socket } from "node:net";
 import { afterEach, expect, test } from "@jest/globals";
 import type { CallRoute } from "../directory/mod.ts";
 import { callTestGateway as call } from "./testing/caller.ts";
@@ -5,6 +6,7 @@
   answerWhole,
   event,
   startTestFleet,
+  streamAll,
   WHOLE_STREAM,
 } from "./testing/fleet.ts";
 import type { Respond } from "./testing/fleet.ts";
@@ -99,3 +101,50 @@
   });
   expect((await call(gateway.url)).isWhole).toBe(false);
 });
+
+/** Sends until the connection closes. */
+function sendEndlessly(socket: Socket, bytes: string) {
+  const timer = setInterval(() => socket.write(bytes), 1);
+  socket.on("close", () => clearInterval(timer));
+  socket.on("error", () => undefined);
+}
+
+const ENDLESS = "x".repeat(16 * 1024);
+const HEAD = "HTTP/1.1 200 OK\r\nx-attempt: a1\r\n";
+
+// Guards against an endpoint in trouble that holds a call, and memory, until
+// the deadline with bytes that never become an answer.
+test.each([
+  {
+    what: "a head",
+    route: PLAIN,
+    start: `${HEAD}x-more: `,
+    other: answerWhole,
+    body: "whole",
+  },
+  {
+    what: "a body without length",
+    route: PLAIN,
+    start: `${HEAD}\r\n`,
+    other: answerWhole,
+    body: "whole",
+  },
+  {
+    what: "an event",
+    route: {},
+    start: `${HEAD}content-type: text/event-stream\r\n\r\ndata: `,
+    other: streamAll,
+    body: WHOLE_STREAM,
+  },
+])("bytes without end in $what are given up", async (garbage) => {
+  const endless: Respond = ({ socket }) => {
+    socket.write(garbage.start);
+    sendEndlessly(socket, ENDLESS);
+  };
+  const { gateway } = await start([endless, garbage.other], {
+    route: garbage.route,
+  });
+  const startedAtMs = performance.now();
+  expect(await call(gateway.url)).toMatchObject({ body: garbage.body });
+  expect(performance.now() - startedAtMs).toBeLessThan(3_000);
+});
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -15,6 +15,11 @@
 
 /** Larger answers than this are not collected; none is expected. */
 const MAX_COLLECTED_BYTES = 16 * 1024 * 1024;
+/**
+ * An event holds a few tokens, some hundred bytes. An endpoint in trouble can
+ * send bytes without end that complete no event.
+ */
+const MAX_EVENT_BYTES = 256 * 1024;
 
 export type AttemptOutcome =
   /** The request did not reach the endpoint. */
@@ -140,6 +145,9 @@
     }
     const events = splitter.push(bytes);
     if (events !== undefined) options.onEvents(events, head!);
+    if (splitter.rest().length > MAX_EVENT_BYTES) {
+      finish({ type: "lost", reason: "too_large" }, false);
+    }
   }
 
   function onEnd() {
