Let only answers of watches that cannot be cut confirm the state

A long answer of the store may be cut at a page, and what follows can be a key that was revoked. An answer with 50 changes or more no longer proves that nothing was missed; the read of the revision does, as before. The test fails without the check (age 320 ms instead of over 600).

--- a/src/directory/directory_reader.ts
+++ b/src/directory/directory_reader.ts
@@ -24,6 +24,11 @@
  * configuration's delay, 2 s.
  */
 export const MIN_WATCH_INTERVAL_MS = 300;
+/**
+ * The store may cut a long answer. One with fewer changes than the smallest
+ * page, 50, is taken to be complete.
+ */
+const MAX_COMPLETE_CHANGES = 49;
 const FIRST_BACKOFF_MS = 50;
 const MAX_BACKOFF_MS = 500;
 /**
@@ -133,7 +138,7 @@
     }
     const { changes, revision } = result.value;
     directory.apply(changes, revision, clock.nowMs());
-    confirm(sentAtMs);
+    if (changes.length <= MAX_COMPLETE_CHANGES) confirm(sentAtMs);
     settle();
     await delay(readPauseMs(), closing.signal);
     return undefined;
--- a/src/directory/directory_reader_test.ts
+++ b/src/directory/directory_reader_test.ts
@@ -6,7 +6,9 @@
 import type { MetadataStore, StoreChanges, StoreFailure } from "./mod.ts";
 import {
   createConfig,
+  createEndpoint,
   createTestDirectory,
+  listEndpoint,
   SILENT_LOGGER,
 } from "./testing/mod.ts";
 
@@ -144,3 +146,22 @@
   expect(directory.ageMs()).toBeLessThan(1_000);
   expect(directory.config()!.version).toBeGreaterThan(60);
 });
+
+// Guards against knowledge that is taken for newer than it is: the store may
+// cut a long answer, and what follows can be a key that was revoked.
+test("an answer with many changes does not confirm the state", async () => {
+  const fake = createFakeStore();
+  const { directory } = start(fake);
+  const wait = (ms: number) =>
+    new Promise((resolve) => setTimeout(resolve, ms));
+  await wait(400);
+  fake.answerWatch();
+  await wait(300);
+  const changes = Array.from({ length: 50 }, (_, index) =>
+    listEndpoint(createEndpoint({ id: `e${index}` }), index + 2),
+  );
+  fake.answerWatch(ok({ revision: 51, changes }));
+  await wait(20);
+  expect(directory.endpoints()).toHaveLength(50);
+  expect(directory.ageMs()).toBeGreaterThan(600);
+});
