Send long lists of members in pages, and ask for them at different moments

A list of 4,100 members, the planned size, exceeds a frame of 256 KB, which is dropped whole: a host that joins would learn of nobody. Lists now go out 500 records at a time. Before, the one notice of the list had about 600 KB, worked out from 150 bytes a record; the test was not run on that code. Processes that start together no longer ask for whole lists at the same moments.

--- a/src/mesh/member_gossip.ts
+++ b/src/mesh/member_gossip.ts
@@ -20,6 +20,10 @@
 /** Whole lists after the start; more than one, as peers start together. */
 const INITIAL_ASKS = 3;
 const EXPIRE_CHECK_MS = 5_000;
+/** Processes that start together must not ask at the same moments. */
+const REFRESH_JITTER = 0.25;
+/** 75 KB of records; frames hold 256 KB, fewer than a large fleet's list. */
+const MAX_RECORDS_PER_NOTICE = 500;
 
 export interface MemberGossip {
   onPeer(peer: Peer): void;
@@ -51,9 +55,17 @@
   }
 
   /** Of all members, or of the given ones. */
-  function createNotice(hosts?: ReadonlySet<string>): MembersNotice {
+  function createNotices(hosts?: ReadonlySet<string>): MembersNotice[] {
     noteConnected();
-    return { topic: "members", members: members.describe(hosts) };
+    const records = members.describe(hosts);
+    const pages = Math.ceil(records.length / MAX_RECORDS_PER_NOTICE);
+    return Array.from({ length: pages }, (_, page) => ({
+      topic: "members",
+      members: records.slice(
+        page * MAX_RECORDS_PER_NOTICE,
+        (page + 1) * MAX_RECORDS_PER_NOTICE,
+      ),
+    }));
   }
 
   function ask(peer: Peer) {
@@ -66,9 +78,9 @@
       () => {
         announceTimer = undefined;
         if (unannounced.size === 0) return;
-        const notice = createNotice(unannounced);
+        const notices = createNotices(unannounced);
         unannounced.clear();
-        listPeers().forEach((peer) => peer.sendNotice(notice));
+        listPeers().forEach((peer) => notices.forEach(peer.sendNotice));
       },
       MIN_ANNOUNCE_MS + options.random() * ANNOUNCE_SPREAD_MS,
     );
@@ -103,13 +115,16 @@
   }
 
   function scheduleRefresh() {
-    refreshTimer = setTimeout(refresh, members.refreshMs());
+    const jitter = 1 + REFRESH_JITTER * (2 * options.random() - 1);
+    refreshTimer = setTimeout(refresh, members.refreshMs() * jitter);
   }
 
   handlers.onNotice("members", (peer, notice) =>
     onMembers(peer, notice as MembersNotice),
   );
-  handlers.onNotice("members_ask", (peer) => peer.sendNotice(createNotice()));
+  handlers.onNotice("members_ask", (peer) =>
+    createNotices().forEach(peer.sendNotice),
+  );
   scheduleRefresh();
   const expireTimer = setInterval(() => {
     noteConnected();
@@ -118,7 +133,7 @@
 
   return {
     onPeer(peer) {
-      peer.sendNotice(createNotice(new Set([selfHost])));
+      createNotices(new Set([selfHost])).forEach(peer.sendNotice);
       const isUseful = options.role === "entry" || peer.hello.role === "entry";
       if (isUseful && asks < INITIAL_ASKS) ask(peer);
     },
--- a/src/mesh/mesh_traffic_test.ts
+++ b/src/mesh/mesh_traffic_test.ts
@@ -2,10 +2,18 @@
 import { SILENT_LOGGER } from "../directory/testing/mod.ts";
 import { createRegistry } from "../metrics/mod.ts";
 import type { Registry } from "../metrics/mod.ts";
-import { createWireCounters } from "../wire/mod.ts";
+import { createHandlers } from "../node/handlers.ts";
+import {
+  createWireCounters,
+  encodeFrame,
+  MAX_FRAME_BYTES,
+} from "../wire/mod.ts";
+import type { Notice, Peer } from "../wire/mod.ts";
 import { findPorts } from "../../stand_ins/free_ports.ts";
 import { startMesh } from "./mod.ts";
 import type { Mesh } from "./mod.ts";
+import { createMembers } from "./members.ts";
+import { startMemberGossip } from "./member_gossip.ts";
 
 /** Control traffic that a node may cause (docs/CAPACITY.md). */
 const CONTROL_BYTES_PER_S = 2_000;
@@ -76,3 +84,49 @@
   const spent = countMemberBytes() - before;
   expect(spent / nodes.length).toBeLessThan(CONTROL_BYTES_PER_S * WATCHED_S);
 }, 30_000);
+
+// Guards against a list that exceeds a frame, which is dropped whole: a host
+// that joins a fleet of the planned size would learn of nobody.
+test("the list of 4,100 members reaches the process that asks for it", () => {
+  const self = {
+    host: "self",
+    role: "entry" as const,
+    dataCentre: "kolkata-a",
+    peerAddress: "10.1.0.1:8688",
+  };
+  const members = createMembers(self, () => 0);
+  const others = Array.from({ length: 4_100 }, (_, index) => ({
+    ...self,
+    host: `side-kolkata-a-${index}`,
+    service: "assistant-models",
+    peerAddress: `10.${index % 250}.64.12:8688`,
+    silentMs: 1_234.5678,
+  }));
+  members.merge(others);
+  const handlers = createHandlers(createRegistry(), SILENT_LOGGER);
+  const gossip = startMemberGossip({
+    selfHost: self.host,
+    role: self.role,
+    members,
+    listPeers: () => [],
+    handlers,
+    onChange: () => undefined,
+    logger: SILENT_LOGGER,
+    random: Math.random,
+  });
+  const sent: Notice[] = [];
+  const peer = {
+    hello: { host: "asks", role: "agent" },
+    sendNotice: (notice: Notice) => void sent.push(notice),
+  } as unknown as Peer;
+  handlers.dispatchNotice(peer, { topic: "members_ask" });
+  gossip.close();
+  const sizes = sent.map(
+    (notice) => encodeFrame({ type: "notice", notice }).length,
+  );
+  expect(Math.max(...sizes)).toBeLessThan(MAX_FRAME_BYTES);
+  const told = sent.flatMap((notice) =>
+    notice.topic === "members" ? notice.members : [],
+  );
+  expect(new Set(told.map(({ host }) => host)).size).toBe(4_101);
+});
