Detect a reset that arrives with the last bytes of a response

Callers could get a truncated response without length as a complete one.

Cause: the socket layer below Node.js reports the end of the data, and no error, when the same poll returns the last bytes and the hang-up of a reset connection. The entry then took the reset for an orderly close. It depends on the process being busy for the time between both packets, so the property test failed only now and then.

Ruled out: the order of the listeners of the client library and of this project (the error event never comes), and the test's own caller.

A socket that was reset has no peer address any more, one that received a FIN has; the pool checks this when the data ends.

The new test writes data and reset, and data, FIN and reset, before the entry's next poll: both fail without the change (body "half").

--- a/src/gateway/endpoint_connections.ts
+++ b/src/gateway/endpoint_connections.ts
@@ -18,8 +18,8 @@
 export interface EndpointConnection {
   readonly client: Client;
   /**
-   * True if the endpoint closed its side cleanly. After a reset, or a close
-   * without FIN, bytes may be missing at the end.
+   * True if the endpoint closed its side cleanly. After a reset bytes may be
+   * missing at the end.
    */
   hasClosedCleanly(): boolean;
 }
@@ -65,7 +65,7 @@
         openSocket(hostname, Number(port), (error, socket) => {
           if (socket === undefined) return callback(error!, null);
           socket.on("error", () => (hasFailed = true));
-          socket.on("end", () => (hasEnded = true));
+          socket.on("end", () => (hasEnded = !isReset(socket)));
           callback(null, socket);
         });
       },
@@ -103,6 +103,15 @@
   };
 }
 
+/**
+ * The event loop reports a reset that arrives together with the last bytes as
+ * the end of the data, without an error. A socket that was reset has no peer
+ * any more, whereas a socket that received a FIN still has one.
+ */
+function isReset(socket: Socket): boolean {
+  return socket.remoteAddress === undefined;
+}
+
 function openSocket(
   host: string,
   port: number,
--- a/src/gateway/response_framing_test.ts
+++ b/src/gateway/response_framing_test.ts
@@ -36,6 +36,33 @@
   expect(await call(gateway.url)).toMatchObject({ body: "whole" });
 });
 
+// Guards against a reset that arrives together with the last bytes: the event
+// loop then reports the end of the data and never the error.
+test.each([
+  {
+    what: "data and a reset",
+    end: (socket: Socket) => void socket.resetAndDestroy(),
+  },
+  {
+    what: "data, FIN and a reset",
+    end: (socket: Socket) => void socket.end(() => socket.resetAndDestroy()),
+  },
+])(
+  "a response without length is incomplete if $what arrive at once",
+  async ({ end }) => {
+    const unframed: RequestHandler = ({ socket }) => {
+      socket.write(
+        "HTTP/1.1 200 OK\r\nx-attempt: a1\r\nconnection: close\r\n\r\nhalf",
+      );
+      end(socket);
+    };
+    const { gateway } = await start([unframed, respondCompletely], {
+      route: PLAIN,
+    });
+    expect(await call(gateway.url)).toMatchObject({ body: "whole" });
+  },
+);
+
 test("a response without length that ends cleanly is passed on without length", async () => {
   // A crash can also end it cleanly, so it must not be marked as complete.
   const unframed: RequestHandler = (request) => {
