Put the data centre back after a failed process test, and print refusals

A test that failed before its last lines left the platform down and a data centre out, so that four later tests failed as a consequence. The checks are as strict as before.

--- a/test/process_faults_test.ts
+++ b/test/process_faults_test.ts
@@ -16,6 +16,7 @@
   book,
   countRuns,
   createKeyForRunner,
+  describeResult,
   isCompleteOrUnknown,
 } from "./fleet_calls.ts";
 import {
@@ -162,6 +163,22 @@
   const [suspendedEntry, runningEntry] = [ENTRIES[1], ENTRIES[0]];
   const leaving = [...ENGINES, ...LEDGERS].filter((n) => n.includes(out));
 
+  // A failure must not leave the data centre out for the tests that follow.
+  afterAll(async () => {
+    const before = await Promise.all(ENTRIES.map(readConfigVersion));
+    await fleet.publish({ servingVersion: "v1", outDataCentres: [] });
+    await waitUntil("the data centre is back", async () => {
+      const all = await Promise.all(
+        [...ENTRIES, ...leaving].map(readConfigVersion),
+      );
+      return all.every((version) => version > Math.max(...before));
+    });
+  }, 25_000);
+
+  async function readConfigVersion(name: string): Promise<number> {
+    return (await fleet.readStatus(name))?.config?.version ?? 0;
+  }
+
   // Guards against dispatches by a configuration from before a process pause.
   test("it gets no new requests, and requests in progress complete", async () => {
     const before = await countAllStarted(ENGINES);
@@ -187,8 +204,7 @@
     const version = await waitUntil(
       "the running entry has the new configuration",
       async () => {
-        const status = await fleet.readStatus(runningEntry);
-        const found = status?.config?.version ?? 0;
+        const found = await readConfigVersion(runningEntry);
         return found >= 2 && found;
       },
     );
@@ -221,25 +237,15 @@
     const loadResults = await Promise.all(load);
 
     expect(await countAllStarted(leaving)).toBe(atLimit);
-    expect(streamResults.map((r) => r.outcome + r.detail)).toEqual(
+    expect(streamResults.map(describeResult)).toEqual(
       streams.map(() => "answered_whole"),
     );
     const rest = [...resumedResults, ...loadResults, ...laterResults];
     expect(
       rest.filter((r) => !["answered_whole", "not_run"].includes(r.outcome)),
     ).toEqual([]);
-    expect(laterResults.some((r) => r.outcome === "answered_whole")).toBe(true);
-    const status = await fleet.readStatus(suspendedEntry);
-    expect(status?.config?.version).toBe(version);
-
-    await fleet.setPlatform("up");
-    await fleet.publish({ servingVersion: "v1", outDataCentres: [] });
-    await waitUntil("the data centre is back", async () => {
-      const all = await Promise.all(
-        [...ENTRIES, ...leaving].map((name) => fleet.readStatus(name)),
-      );
-      return all.every((s) => (s?.config?.version ?? 0) > version);
-    });
+    expect(laterResults.map(describeResult)).toContain("answered_whole");
+    expect(await readConfigVersion(suspendedEntry)).toBe(version);
   }, 25_000);
 });
 
