Repeat a read of a stand-in's counters that a crash cuts off

Traced to the fixture: an engine stand-in that crashes closes all its connections, also the one on which the test reads the counters at that moment. The read is repeated once; what is checked stays the same.

--- a/test/fleet_fixture.ts
+++ b/test/fleet_fixture.ts
@@ -247,7 +247,23 @@
   });
 }
 
+/**
+ * A stand-in that crashes also closes the connection of a read in progress, so
+ * a read that loses its connection is repeated once.
+ */
 export async function readJson<T>(url: string): Promise<T> {
+  return readJsonOnce<T>(url).catch((error: NodeJS.ErrnoException) => {
+    if (!CLOSED_CODES.has(error.code ?? "")) throw error;
+    return readJsonOnce<T>(url);
+  });
+}
+
+const CLOSED_CODES: ReadonlySet<string> = new Set([
+  "ECONNRESET",
+  "UND_ERR_SOCKET",
+]);
+
+async function readJsonOnce<T>(url: string): Promise<T> {
   const { body } = await request(url, {
     headersTimeout: 2_000,
     bodyTimeout: 2_000,
