Log the first send of a call, so that a killed entry leaves a trace

Calls that were in progress in an entry that was killed had no line, and explain could not name a cause. One line at the first send of each call, with its id and endpoint, gives it. The test of explain failed before.

--- a/src/explain/explain_request.ts
+++ b/src/explain/explain_request.ts
@@ -1,5 +1,6 @@
 /** Reconstructs what happened to one request from log records. */
 
+import { sortByTime } from "./parse_records.ts";
 import type { LogRecord } from "./parse_records.ts";
 
 export interface Explanation {
@@ -36,13 +37,15 @@
   deadline: "the caller's or the route's deadline had passed",
 };
 
+/** Cause for a call whose logs have no final line. */
+const NO_END =
+  "the entry ended while the call was in progress, or its last lines were lost; an endpoint may have run the request";
+
 export function explainRequest(
   records: readonly LogRecord[],
   id: string,
 ): Explanation {
-  const steps = records
-    .filter(({ fields }) => fields["id"] === id)
-    .sort((a, b) => (a.time < b.time ? -1 : 1));
+  const steps = sortByTime(records.filter(({ fields }) => fields["id"] === id));
   return { steps, cause: findCause(steps) };
 }
 
@@ -53,7 +56,7 @@
       message === "request refused" ||
       message === "the caller has left",
   );
-  if (last === undefined) return undefined;
+  if (last === undefined) return steps.length > 0 ? NO_END : undefined;
   if (last.message === "the caller has left") {
     return "the caller closed its connection before the response was complete";
   }
--- a/src/explain/explain_test.ts
+++ b/src/explain/explain_test.ts
@@ -40,6 +40,14 @@
   expect(cause).toContain("connection broke");
 });
 
+// Guards against calls that leave no trace because their entry was killed.
+test("explains a call whose end is missing from the logs", () => {
+  const { records } = parseRecords(
+    line("03.000", "attempt sent", { id: "d4", endpoint: "e1" }),
+  );
+  expect(explainRequest(records, "d4").cause).toContain("entry ended");
+});
+
 test("the command prints the steps and the cause, and reports an unknown id", async () => {
   const out: string[] = [];
   const io = {
--- a/src/explain/parse_records.ts
+++ b/src/explain/parse_records.ts
@@ -28,6 +28,13 @@
   return { records, unreadableLines: lines.length - records.length };
 }
 
+/** Processes write separate logs, so records may come in any order. */
+export function sortByTime(
+  records: readonly LogRecord[],
+): readonly LogRecord[] {
+  return records.toSorted((a, b) => Date.parse(a.time) - Date.parse(b.time));
+}
+
 function parseLine(line: string): LogRecord | undefined {
   const braceIndex = line.indexOf("{");
   if (braceIndex < 0) return undefined;
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -45,6 +45,7 @@
   const sentAtMs = context.nowMs();
   state.headMs = undefined;
   context.requestRates.count(endpoint.id);
+  if (state.triedEndpoints.size === 0) logFirstSend(context, options);
   const attempt = startAttempt({
     connections: context.connections,
     codec: context.codec,
@@ -91,6 +92,15 @@
   return attempt;
 }
 
+/** Leaves a trace of a call whose entry is killed before it ends. */
+function logFirstSend(
+  { logger }: GatewayContext,
+  { call, choice }: { readonly call: Call; readonly choice: ChosenEndpoint },
+) {
+  const { id, address } = choice.view.endpoint;
+  logger.info({ id: call.id, endpoint: id, address }, "attempt sent");
+}
+
 /** Limits the wait so that no request starts on an expired weight version. */
 function computeVersionTimeoutMs(
   { directory, bounds, clock }: GatewayContext,
