--- a/bench/burst_faults.ts
+++ b/bench/burst_faults.ts
@@ -63,12 +63,13 @@
   return hosts.filter((_, index) => index % 10 === 5);
 }
 
-/** Every fourth host; at least one if there are two hosts or more. */
+/** Every fourth host, beginning with the second; the only one of a single host. */
 export function listLateHosts(
   fault: Fault,
   hosts: readonly PlannedHost[],
 ): readonly PlannedHost[] {
   if (fault !== "late_joiners") return [];
+  if (hosts.length === 1) return hosts;
   return hosts.filter((_, index) => index % 4 === 1);
 }
 
--- a/bench/replica_times.ts
+++ b/bench/replica_times.ts
@@ -48,10 +48,14 @@
   return timesByHost;
 }
 
-/** `all` is the largest value, or NaN (null in JSON) if a host's is missing. */
+/**
+ * `all` is the largest value, or NaN (null in JSON) if there are no hosts or the
+ * value of one is missing.
+ */
 export function summariseTimes(values: readonly (number | undefined)[]) {
   const known = values.filter((value) => value !== undefined);
-  const all = known.length === values.length ? Math.max(...known) : NaN;
+  const isComplete = known.length > 0 && known.length === values.length;
+  const all = isComplete ? Math.max(...known) : NaN;
   const { p50, p95 } = computePercentiles(known);
   return { p50, p95, all, missing: values.length - known.length };
 }
--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -8,6 +8,7 @@
 import type { AddressInfo, Server } from "node:net";
 import { createAdmission } from "../admission/mod.ts";
 import { createEndpointClient, createEndpointMonitor } from "../engine/mod.ts";
+import { formatAddress, splitAddress } from "../http/mod.ts";
 import { createKeyFloor, createKeyTable } from "../idempotency/mod.ts";
 import type { Logger } from "../logging/mod.ts";
 import type { Registry } from "../metrics/mod.ts";
@@ -299,13 +300,9 @@
         isReady,
         readStatus: createAgentStatusReader(sources),
       });
-      const colonIndex = settings.httpAddress.lastIndexOf(":");
-      server = await listen(app.fetch, {
-        hostname: settings.httpAddress.slice(0, colonIndex),
-        port: Number(settings.httpAddress.slice(colonIndex + 1)),
-      });
-      const { address, port } = server.address() as AddressInfo;
-      httpAddress = `${address}:${port}`;
+      const { host, port } = splitAddress(settings.httpAddress);
+      server = await listen(app.fetch, { hostname: host, port });
+      httpAddress = formatAddress(server.address() as AddressInfo);
       view.onChange(() => rollout.triggerStep());
       weights.onComplete(() => rollout.triggerStep());
       monitor.onStatus(({ phase }, previous) => {
--- a/src/document/diff_documents_test.ts
+++ b/src/document/diff_documents_test.ts
@@ -101,6 +101,16 @@
     ]);
   });
 
+  // Guards against a non-repeatable call that runs twice because its service was
+  // removed and added again with other runners.
+  test("a service that is added with a past runner set is an issue", () => {
+    const without = read(["name: ledger", "name: ledger-before"]);
+    const { issues } = diffDocuments(without, read(), { nowMs: NOW_MS });
+    expect(issues.map(({ path }) => path.join("."))).toEqual([
+      "services.1.runner_sets.0.from",
+    ]);
+  });
+
   // Guards against a non-repeatable call that runs on two hosts because the
   // runner of its key was changed.
   test.each<readonly [string, EnvironmentDocument, string[]]>([
--- a/src/document/runner_changes.ts
+++ b/src/document/runner_changes.ts
@@ -20,9 +20,14 @@
 ): readonly Issue[] {
   return after.services.flatMap((service, index) => {
     const old = before.services.find(({ name }) => name === service.name);
+    const path = ["services", index, "runner_sets"];
+    // Keys may have run if a service of this name was removed before.
+    if (old === undefined && service.kind === "plain") {
+      const removed = { ...service, runnerSets: [] };
+      return compareRunnerSets([removed, service], { path, nowMs });
+    }
     // Without earlier runner sets no key has run yet.
     if (old?.kind !== "plain" || old.runnerSets.length === 0) return [];
-    const path = ["services", index, "runner_sets"];
     if (service.kind !== "plain") {
       return [
         createIssue(["services", index, "kind"], {
--- a/src/entry/create_app.ts
+++ b/src/entry/create_app.ts
@@ -152,20 +152,23 @@
     if (admitted.isErr()) return refuse(caller, admitted.error);
     const read = await readRequest(exchange, admitted.value);
     if (read.isOk()) bodyPool.release(read.value.request.body.length);
-    const service = read.andThen(({ request, admitted: { config } }) =>
-      findKeyedService(request, config.document.services),
+    const found = read.andThen(({ request, admitted: { config } }) =>
+      findKeyedService(request, config.document.services).map((service) => ({
+        service,
+        document: config.document,
+      })),
     );
-    if (service.isErr()) return refuse(caller, service.error);
-    const { document } = admitted.value.config;
-    const key = suggestKey(node, document, service.value);
+    if (found.isErr()) return refuse(caller, found.error);
+    const { service, document } = found.value;
+    const key = suggestKey(node, document, service);
     if (key === undefined) {
-      const message = `No runner of service ${service.value.name} can be reached`;
+      const message = `No runner of service ${service.name} can be reached`;
       return refuse(caller, createNotRunRefusal("no_endpoint", message));
     }
     metrics.requests.increment({ outcome: "answered" });
     caller.sendComplete(
       { status: 201, headers: { "content-type": "application/json" } },
-      Buffer.from(JSON.stringify({ key, service: service.value.name })),
+      Buffer.from(JSON.stringify({ key, service: service.name })),
     );
   }
 
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -93,9 +93,6 @@
   const { service } = call.request;
   history.triedHosts.add(host);
   history.attemptCount += 1;
-  if (continuation !== undefined) {
-    metrics.continuations.increment();
-  }
   const release = hints.addInFlight(peer);
   const attempt = runAttempt(call, {
     peer,
@@ -112,6 +109,7 @@
   const result = await attempt.finally(release);
   if (result.type !== "not_sent") {
     metrics.dispatches.increment({ service: service.name, dataCentre });
+    if (continuation !== undefined) metrics.continuations.increment();
   }
   switch (result.type) {
     case "answered":
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -5,6 +5,7 @@
 import { createAdaptorServer } from "@hono/node-server";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
+import { formatAddress, splitAddress } from "../http/mod.ts";
 import { createAccountLimits, createRetryBudget } from "../limits/mod.ts";
 import type { Logger } from "../logging/mod.ts";
 import type { Registry } from "../metrics/mod.ts";
@@ -182,16 +183,13 @@
 
   return {
     listen() {
-      const portSeparator = settings.httpAddress.lastIndexOf(":");
-      const host = settings.httpAddress.slice(0, portSeparator);
-      const port = Number(settings.httpAddress.slice(portSeparator + 1));
+      const { host, port } = splitAddress(settings.httpAddress);
       return new Promise((resolve) => {
         server.once("error", (error: NodeJS.ErrnoException) =>
           resolve(err(error.code ?? error.message)),
         );
         server.listen(port, host, () => {
-          const bound = server.address() as AddressInfo;
-          resolve(ok(`${bound.address}:${bound.port}`));
+          resolve(ok(formatAddress(server.address() as AddressInfo)));
         });
       });
     },
--- a/src/entry/event_stream.ts
+++ b/src/entry/event_stream.ts
@@ -4,6 +4,7 @@
  */
 
 export const DONE_EVENT = Buffer.from("data: [DONE]\n\n");
+const DONE_LINES = ["data: [DONE]", "data:[DONE]"] as const;
 const LF = 10;
 const CR = 13;
 const CLOSING_BRACKET = "]".charCodeAt(0);
@@ -29,11 +30,16 @@
   const last = bytes.length - 1;
   const bracketAt = bytes[last - 1] === CR ? last - 4 : last - 2;
   if (bytes[bracketAt] !== CLOSING_BRACKET) return 0;
-  const line = "data: [DONE]";
-  const start = bracketAt + 1 - line.length;
-  if (start < 0) return 0;
-  const isDone = bytes.toString("latin1", start, bracketAt + 1) === line;
-  return isDone ? bytes.length - start : 0;
+  // The space after the colon is optional.
+  const line = DONE_LINES.find((text) => isLineAt(bytes, bracketAt, text));
+  return line === undefined ? 0 : bytes.length - (bracketAt + 1 - line.length);
+}
+
+/** True if `bytes` has this line with its last character at `at`. */
+function isLineAt(bytes: Buffer, at: number, line: string): boolean {
+  const start = at + 1 - line.length;
+  if (start < 0 || (start > 0 && bytes[start - 1] !== LF)) return false;
+  return bytes.toString("latin1", start, at + 1) === line;
 }
 
 export interface StreamProgress {
--- a/src/entry/event_stream_test.ts
+++ b/src/entry/event_stream_test.ts
@@ -3,7 +3,11 @@
 import { createEventSink } from "./response_sink.ts";
 import type { Call } from "./call.ts";
 import { createEntryMetrics } from "./entry_metrics.ts";
-import { readStreamProgress, rewriteContinuedEvents } from "./event_stream.ts";
+import {
+  findDoneEventLength,
+  readStreamProgress,
+  rewriteContinuedEvents,
+} from "./event_stream.ts";
 import { createSentEvents } from "./sent_events.ts";
 import { createMemoryPool } from "./memory_pool.ts";
 import { createRegistry } from "../metrics/mod.ts";
@@ -71,6 +75,18 @@
     );
   });
 
+  // Guards against a [DONE] event that is forwarded as a token: the space after
+  // the colon is optional.
+  test("recognises the last event with and without the space", () => {
+    ["data: [DONE]\n\n", "data:[DONE]\n\n", "data:[DONE]\r\n\r\n"].forEach(
+      (done) => {
+        const bytes = Buffer.from(formatEvent("a") + done);
+        expect(findDoneEventLength(bytes)).toBe(done.length);
+      },
+    );
+    expect(findDoneEventLength(Buffer.from("mydata:[DONE]\n\n"))).toBe(0);
+  });
+
   // Guards against a second completion id, or a second opening event, in one
   // response.
   test("gives continued events the id of the first completion", () => {
--- a/src/entry/key_faults_test.ts
+++ b/src/entry/key_faults_test.ts
@@ -1,6 +1,8 @@
 import { describe, expect, test } from "@jest/globals";
+import { setTimeout as delay } from "node:timers/promises";
 import { createKey } from "../idempotency/mod.ts";
 import {
+  API_KEY,
   chooseFirst,
   createDocument,
   refuseWith,
@@ -42,6 +44,29 @@
     return ((await response.json()) as { key: string }).key;
   }
 
+  // Guards against a key of a runner that a configuration, which arrived with
+  // the body, has replaced.
+  test("is suggested a key by the configuration that names the service", async () => {
+    const fleet = await startFleet({ agents: createRunners(ANSWER_OK) });
+    const outdated = createDocument(["gone"]);
+    const current = createDocument(["a"]);
+    fleet.view.document = outdated;
+    const body = new ReadableStream<Uint8Array>({
+      async start(controller) {
+        await delay(50);
+        fleet.view.document = current;
+        controller.close();
+      },
+    });
+    const response = await fetch(`${fleet.url}/v1/idempotency-keys`, {
+      method: "POST",
+      headers: { authorization: `Bearer ${API_KEY}` },
+      body,
+      duplex: "half",
+    } as RequestInit);
+    expect(response.status).toBe(201);
+  });
+
   // Guards against a second run when entries are connected to different hosts.
   test("is sent to the same runner by entries with different views", async () => {
     const one = await startFleet({
--- a/src/entry/stream_faults_test.ts
+++ b/src/entry/stream_faults_test.ts
@@ -3,6 +3,7 @@
 import {
   answerJson,
   API_KEY,
+  chooseFirst,
   createDocument,
   createDeferred,
   DIGEST,
@@ -86,6 +87,23 @@
     expect(fleet.counter("cut_streams_total", labels)).toBe(1);
   });
 
+  // Guards against a count of continuations that includes attempts whose
+  // connection was closed before anything was sent.
+  test("counts only continuations that were sent", async () => {
+    const [first, second, third] = createAgents(
+      disconnectAfter(TOKEN_EVENTS.slice(0, 1)),
+      continueText,
+      continueText,
+    );
+    const fleet = await startFleet({
+      agents: [first!, { ...second!, refusesStreams: true }, third!],
+      choicePolicy: chooseFirst,
+    });
+    const text = await (await post(fleet)).text();
+    expect(readContent(text)).toBe("abc");
+    expect(fleet.counter("continued_streams_total")).toBe(1);
+  });
+
   // Guards against streams that are aborted because the entry was paused.
   test("continues after a pause of the entry", async () => {
     const fleet = await startFleet({
--- a/src/entry/testing/fake_fleet.ts
+++ b/src/entry/testing/fake_fleet.ts
@@ -4,6 +4,7 @@
  */
 
 import { createHash } from "node:crypto";
+import { err } from "neverthrow";
 import type { EnvironmentDocument } from "../../document/mod.ts";
 import type { Host } from "../../membership/mod.ts";
 import { createRegistry } from "../../metrics/mod.ts";
@@ -28,6 +29,7 @@
 export const DIGEST = `sha256:${"1".repeat(64)}`;
 export const OTHER_DIGEST = `sha256:${"2".repeat(64)}`;
 export const API_KEY = "key-of-a";
+const STREAM_LOST = { type: "stream_lost", reason: "socket_error" } as const;
 
 export interface Deferred<T> {
   readonly promise: Promise<T>;
@@ -125,6 +127,8 @@
   readonly dataCentre?: string;
   readonly service?: string;
   readonly behaviour: AgentBehaviour;
+  /** The connection closes whenever the entry opens a stream. */
+  readonly refusesStreams?: boolean;
 }
 
 export interface TestFleet {
@@ -347,7 +351,14 @@
     handlers: { onStream: () => undefined, onNotice },
   });
   await connected.promise;
-  return { agent, peer: dialled._unsafeUnwrap(), close: listener.close };
+  const peer = dialled._unsafeUnwrap();
+  return {
+    agent,
+    peer: options.refusesStreams
+      ? { ...peer, openStream: () => err(STREAM_LOST) }
+      : peer,
+    close: listener.close,
+  };
 }
 
 function createHello(options: FakeAgentOptions): Hello {
--- a/src/explain/report_period.ts
+++ b/src/explain/report_period.ts
@@ -3,6 +3,7 @@
  */
 
 import { describeCause } from "./explain_request.ts";
+import { sortByTime } from "./parse_records.ts";
 import type { LogRecord } from "./parse_records.ts";
 
 export interface OutcomeRow {
@@ -52,12 +53,12 @@
 ] as const;
 
 export function reportPeriod(records: readonly LogRecord[]): PeriodReport {
-  const times = records.map(({ time }) => time).sort();
+  const sorted = sortByTime(records);
   return {
-    from: times[0],
-    to: times.at(-1),
-    outcomes: countOutcomes(listCallOutcomes(records)),
-    losses: findLosses(records),
+    from: sorted[0]?.time,
+    to: sorted.at(-1)?.time,
+    outcomes: countOutcomes(listCallOutcomes(sorted)),
+    losses: findLosses(sorted),
   };
 }
 
@@ -91,6 +92,7 @@
     .sort((a, b) => b.calls - a.calls);
 }
 
+/** Expects records in chronological order. */
 function findLosses(records: readonly LogRecord[]): readonly DependencyLoss[] {
   return DEPENDENCIES.flatMap(({ name, lost, regained }) =>
     records.flatMap((record, index) => {
--- a/src/explain/report_test.ts
+++ b/src/explain/report_test.ts
@@ -44,6 +44,16 @@
   ]);
 });
 
+// Guards against a loss that is reported as not regained because the logs of
+// several processes are not in chronological order.
+test("pairs a loss with its recovery in whatever order the records come", () => {
+  const records = parseRecords(LOG).records.toReversed();
+  expect(reportPeriod(records).losses).toMatchObject([
+    { dependency: "platform's store", lostForMs: 4_000 },
+    { dependency: "peer entry-2", lostForMs: undefined },
+  ]);
+});
+
 // Guards against a plot that omits calls or hides failures.
 test("draws a bar for each outcome in each time interval", () => {
   const svg = plotPeriod(listCallOutcomes(parseRecords(LOG).records));
--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -9,6 +9,7 @@
 import type { RoutingConfig } from "../directory/mod.ts";
 import type { Call } from "./call.ts";
 import { createCallerResponse } from "./caller_response.ts";
+import { listenAt } from "../http/mod.ts";
 import { dispatchCall } from "./dispatch_call.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import { readLimitedBody } from "./read_limited_body.ts";
@@ -234,7 +235,7 @@
   }
 
   return {
-    listen: (address) => listen(server, address),
+    listen: (address) => listenAt(server, address),
     startClosing() {
       state = "closing";
       openResponses.forEach(setConnectionClose);
@@ -285,15 +286,3 @@
 function countHeaderBytes(rawHeaders: readonly string[]): number {
   return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
 }
-
-function listen(server: Server, address: string): Promise<void> {
-  const colonIndex = address.lastIndexOf(":");
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(
-      Number(address.slice(colonIndex + 1)),
-      address.slice(0, colonIndex),
-      resolve,
-    );
-  });
-}
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -11,6 +11,7 @@
   startDirectoryReader,
 } from "../directory/mod.ts";
 import type { MetadataStore } from "../directory/mod.ts";
+import { listenAt } from "../http/mod.ts";
 import { createRetryBudget } from "../limits/mod.ts";
 import type { RetryBudget } from "../limits/mod.ts";
 import type { Logger } from "../logging/mod.ts";
@@ -271,24 +272,17 @@
   };
 }
 
-function startReadinessServer(
+async function startReadinessServer(
   address: string,
   isReady: () => boolean,
 ): Promise<Server> {
-  const colonIndex = address.lastIndexOf(":");
   const server = createServer((request, response) => {
     request.resume();
     response.writeHead(isReady() ? 200 : 503, { "content-length": 0 });
     response.end();
   });
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(
-      Number(address.slice(colonIndex + 1)),
-      address.slice(0, colonIndex),
-      () => resolve(server),
-    );
-  });
+  await listenAt(server, address);
+  return server;
 }
 
 function wait(ms: number): Promise<void> {
--- a/src/wire/transport.ts
+++ b/src/wire/transport.ts
@@ -7,6 +7,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import { err } from "neverthrow";
 import type { Result } from "neverthrow";
+import { splitAddress } from "../http/mod.ts";
 import { createPeer } from "./peer.ts";
 import type { Peer, PeerOptions } from "./peer.ts";
 
@@ -23,7 +24,7 @@
   address: string,
   options: DialOptions,
 ): Promise<Result<Peer, string>> {
-  const [ip, port] = splitAddress(address);
+  const { host: ip, port } = splitAddress(address);
   if (!isPort(port)) return err("bad_address");
   const open = options.openSocket ?? openTcp;
   const socket = open(ip, port);
@@ -49,7 +50,7 @@
   address: string,
   options: ListenOptions,
 ): Promise<PeerListener> {
-  const [ip, port] = splitAddress(address);
+  const { host: ip, port } = splitAddress(address);
   const sockets = new Set<Socket>();
   const server = createServer((socket) => {
     sockets.add(socket);
@@ -99,11 +100,6 @@
   });
 }
 
-function splitAddress(address: string): [string, number] {
-  const at = address.lastIndexOf(":");
-  return [address.slice(0, at), Number(address.slice(at + 1))];
-}
-
 function isPort(port: number): boolean {
   return Number.isInteger(port) && port > 0 && port < 65_536;
 }
