Let the test's own load end before it checks that later requests are answered

They were sent while the test's own constant load, one request every 25 ms, was still queued at the two engines that were left. The later requests are sent once that load has been handled; what is checked stays the same.

--- a/test/process_faults_test.ts
+++ b/test/process_faults_test.ts
@@ -225,6 +225,8 @@
 
     fleet.signal(suspendedEntry, "SIGCONT");
     const resumedResults = await Promise.all(stalled);
+    // The remaining engines are full until the load has been handled.
+    const loadResults = await Promise.all(load);
     const laterResults = await Promise.all(
       Array.from({ length: 16 }, (_, index) =>
         sendStream(fleet, ENTRIES[index % 2]!, {
@@ -234,7 +236,6 @@
       ),
     );
     const streamResults = await Promise.all(streams);
-    const loadResults = await Promise.all(load);
 
     expect(await countAllStarted(leaving)).toBe(atLimit);
     expect(streamResults.map(describeResult)).toEqual(
