--- a/src/gateway/create_fleet_notice.ts
+++ b/src/gateway/create_fleet_notice.ts
@@ -1,8 +1,9 @@
 /** Creates the notice that tells agents the published services and weights. */
 
-import type { Directory } from "../directory/mod.ts";
-import type { AgeClock } from "../directory/mod.ts";
+import type { CallService, Directory } from "../directory/mod.ts";
 import type { FleetNotice, FleetWeights } from "../wire/mod.ts";
+import type { GatewayContext } from "./gateway_context.ts";
+import { readColdLimit } from "./list_endpoint_views.ts";
 
 /**
  * Upper bound of the published age, and the age of versions that were
@@ -10,10 +11,12 @@
  */
 const MAX_PUBLISHED_FOR_MS = 3_600_000;
 
-export function createFleetNotice(
-  directory: Directory,
-  clock: AgeClock,
-): FleetNotice | undefined {
+export function createFleetNotice({
+  directory,
+  clock,
+  bounds,
+}: Pick<GatewayContext, "directory" | "clock" | "bounds">):
+  FleetNotice | undefined {
   const config = directory.config();
   if (config === undefined) return undefined;
   const models = new Set(
@@ -26,13 +29,9 @@
     revision: directory.revision(),
     services: config.services
       .filter((service) => service.engine ?? service.originAddress)
-      .map(({ name, engine, originAddress, originMbitPerS }) => ({
-        name,
-        models: engine?.models.map((model) => model.name) ?? [],
-        chunkCount: engine?.chunkCount ?? 0,
-        chunkBytes: engine?.chunkBytes ?? 0,
-        ...(originAddress !== undefined && { originAddress }),
-        ...(originMbitPerS !== undefined && { originMbitPerS }),
+      .map((service) => ({
+        ...describeService(service),
+        ...createColdLimit(readColdLimit({ bounds }, service)),
       })),
     wantedWeights: [...models].flatMap((model) =>
       listWantedWeights(directory, { model, nowMs: clock.nowMs() }),
@@ -40,6 +39,26 @@
   };
 }
 
+function describeService({
+  name,
+  engine,
+  originAddress,
+  originMbitPerS,
+}: CallService) {
+  return {
+    name,
+    models: engine?.models.map((model) => model.name) ?? [],
+    chunkCount: engine?.chunkCount ?? 0,
+    chunkBytes: engine?.chunkBytes ?? 0,
+    ...(originAddress !== undefined && { originAddress }),
+    ...(originMbitPerS !== undefined && { originMbitPerS }),
+  };
+}
+
+function createColdLimit(coldLimitPerS: number) {
+  return Number.isFinite(coldLimitPerS) ? { coldLimitPerS } : {};
+}
+
 function listWantedWeights(
   directory: Directory,
   { model, nowMs }: { readonly model: string; readonly nowMs: number },
--- a/src/gateway/endpoint_loads.ts
+++ b/src/gateway/endpoint_loads.ts
@@ -35,6 +35,8 @@
 export interface EndpointLoads {
   onReport(notice: EndpointLoadNotice, sender?: ReportSender): void;
   read(address: string, usualPromptTokens: number): EndpointLoad;
+  /** True if the endpoint's agent has reported within the last seconds. */
+  isReported(address: string): boolean;
   /** Counts a request as in flight there until `end` is called. */
   trackRequest(address: string, promptTokens: number): TrackedRequest;
 }
@@ -122,6 +124,12 @@
         roundTripMs: (isRecent && record.sender?.roundTripMs?.()) || 0,
       };
     },
+    isReported(address) {
+      const record = records.get(address);
+      return (
+        record !== undefined && nowMs() - record.reportedAtMs < REPORT_VALID_MS
+      );
+    },
     trackRequest(address, promptTokens) {
       const record = findOrCreate(address);
       const request: RequestRecord = {
--- a/src/gateway/gateway_context.ts
+++ b/src/gateway/gateway_context.ts
@@ -9,10 +9,11 @@
 import type { CrashNotice } from "../wire/mod.ts";
 import type { Attempt } from "./attempt.ts";
 import type { HeaderCodec } from "./call.ts";
-import type { RateWindow } from "./cold_share.ts";
+import type { Candidates } from "./candidates.ts";
 import type { EndpointConnections } from "./endpoint_connections.ts";
 import type { EndpointLoads } from "./endpoint_loads.ts";
 import type { EndpointHealth } from "./endpoint_health.ts";
+import type { RateLimits } from "./rate_limits.ts";
 import type { RefusalTracker } from "./refusal_tracker.ts";
 
 /** Bounds from the platform's settings. */
@@ -34,7 +35,9 @@
   readonly clock: AgeClock;
   readonly loads: EndpointLoads;
   readonly health: EndpointHealth;
-  readonly requestRates: RateWindow;
+  readonly rateLimits: RateLimits;
+  /** Endpoints to weigh for a call. */
+  readonly candidates: Candidates;
   readonly connections: EndpointConnections;
   readonly codec: HeaderCodec;
   readonly bounds: GatewayBounds;
--- a/src/gateway/list_endpoint_views.ts
+++ b/src/gateway/list_endpoint_views.ts
@@ -2,10 +2,10 @@
 
 import type { CallService, ListedEndpoint } from "../directory/mod.ts";
 import type { Call } from "./call.ts";
-import { computeColdShare } from "./cold_share.ts";
 import type { EndpointView } from "./choose_endpoint.ts";
 import type { EndpointLoad } from "./endpoint_loads.ts";
 import type { GatewayContext } from "./gateway_context.ts";
+import { computeColdLimit } from "./rate_limits.ts";
 import { isVersionAllowed } from "./weight_versions.ts";
 
 export interface ViewOptions {
@@ -23,14 +23,9 @@
 ): readonly EndpointView[] {
   const { call, service } = options;
   const allowedRegions = listAllowedRegions(call);
-  const coldShare = computeColdShare({
-    requestsPerS: service.coldRequestsPerS,
-    overageFactor: context.bounds.coldOverage,
-    slack: context.bounds.coldSlack,
-    entries: context.countEntries(),
-  });
+  const coldLimitPerS = readColdLimit(context, service);
   const usualPromptTokens = service.engine?.usualPromptTokens ?? 0;
-  return context.directory.endpointsOf(service.name).map((endpoint) => {
+  return context.candidates.list(service).map((endpoint) => {
     const load = context.loads.read(endpoint.address, usualPromptTokens);
     const weightVersion =
       service.engine && findServedVersion(endpoint, load, call.headers.model);
@@ -47,10 +42,8 @@
       load,
       isAllowed,
       isInBackoff: context.health.isInBackoff(endpoint.id),
-      hasColdCapacity: context.requestRates.isBelowLimit(
-        endpoint.id,
-        coldShare,
-      ),
+      hasColdCapacity:
+        context.rateLimits.countFree(endpoint, coldLimitPerS) >= 1,
       failureRate: context.health.failureRate(endpoint.id),
       distance: classifyDistance(context, endpoint.dataCentre),
       weightVersion,
@@ -58,6 +51,18 @@
   });
 }
 
+/** Requests per second that all entries together may send to an endpoint. */
+export function readColdLimit(
+  { bounds }: Pick<GatewayContext, "bounds">,
+  { coldRequestsPerS }: CallService,
+): number {
+  return computeColdLimit({
+    coldRequestsPerS,
+    overageFactor: bounds.coldOverage,
+    slack: bounds.coldSlack,
+  });
+}
+
 /** Undefined when every region is allowed. */
 function listAllowedRegions(call: Call): ReadonlySet<string> | undefined {
   const byRoute = call.route.allowedRegions;
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -8,6 +8,7 @@
 import type { CallerResponse } from "./caller_response.ts";
 import type { EndpointView } from "./choose_endpoint.ts";
 import type { GatewayContext } from "./gateway_context.ts";
+import { readColdLimit } from "./list_endpoint_views.ts";
 import { computeStartTimeoutMs } from "./weight_versions.ts";
 
 /** An endpoint that takes longer to send the first event has stalled. */
@@ -24,7 +25,7 @@
     readonly choice: ChosenEndpoint;
   },
 ): Attempt {
-  const { call, state, response, choice } = options;
+  const { call, service, state, response, choice } = options;
   const { endpoint, weightVersion } = choice.view;
   const { route, headers } = call;
   const remainingMs = call.deadlineMs - context.nowMs();
@@ -44,7 +45,7 @@
   );
   const sentAtMs = context.nowMs();
   state.headMs = undefined;
-  context.requestRates.count(endpoint.id);
+  context.rateLimits.count(endpoint, readColdLimit(context, service));
   if (state.triedEndpoints.size === 0) logFirstSend(context, options);
   const attempt = startAttempt({
     connections: context.connections,
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -19,9 +19,15 @@
 import type { Registry } from "../metrics/mod.ts";
 import { createQuarantine } from "../quarantine/mod.ts";
 import { createTrafficCounters, startTrafficLog } from "../traffic/mod.ts";
-import type { CrashNotice, EndpointLoadNotice, Notice } from "../wire/mod.ts";
+import type {
+  CrashNotice,
+  EndpointLoadNotice,
+  Notice,
+  Peer,
+  RateGrantNotice,
+} from "../wire/mod.ts";
 import type { HeaderCodec } from "./call.ts";
-import { createRateWindow } from "./cold_share.ts";
+import { createCandidates } from "./candidates.ts";
 import { createFleetNotice } from "./create_fleet_notice.ts";
 import { startDirectoryExchange } from "./directory_exchange.ts";
 import { createEndpointConnections } from "./endpoint_connections.ts";
@@ -29,6 +35,8 @@
 import { createEndpointHealth } from "./endpoint_health.ts";
 import { createCallerServer, areApiKeysStale } from "./caller_server.ts";
 import type { GatewayBounds, GatewayContext } from "./gateway_context.ts";
+import { readColdLimit } from "./list_endpoint_views.ts";
+import { createRateLimits } from "./rate_limits.ts";
 import { createRefusalTracker } from "./refusal_tracker.ts";
 import type { RefusalTracker } from "./refusal_tracker.ts";
 
@@ -71,6 +79,8 @@
 const BUDGET_SHARE = 0.75;
 /** Three, because endpoints also lose connections for other reasons. */
 const CRASHES_TO_QUARANTINE = 3;
+/** Divides budgets until the list of members is known. */
+const UNKNOWN_ENTRY_COUNT = 100;
 /** Interval of the check for clock jumps and pauses of this process. */
 const PAUSE_CHECK_INTERVAL_MS = 100;
 const MIN_PAUSE_MS = 300;
@@ -100,8 +110,13 @@
     registry,
     logger,
   });
+  /** Before the list of members is known, as if there were many. */
   const countEntries = () =>
-    Math.max(mesh.countEntries(), settings.seeds.length);
+    Math.max(
+      mesh.countEntries(),
+      settings.seeds.length,
+      mesh.hasMemberList() ? 0 : UNKNOWN_ENTRY_COUNT,
+    );
   const retryBudgets = new Map<string, RetryBudget>();
 
   function getRetryBudget(service: string): RetryBudget {
@@ -131,19 +146,40 @@
     crashesToQuarantine: CRASHES_TO_QUARANTINE,
   });
 
-  function sendToEntries(notice: Notice) {
+  /** Entries pass crash notices on, as each is connected to some others only. */
+  function sendToEntries(notice: Notice, except?: Peer) {
     mesh
       .peers()
-      .filter((peer) => peer.hello.role === "entry")
+      .filter((peer) => peer.hello.role === "entry" && peer !== except)
       .forEach((peer) => peer.sendNotice(notice));
   }
 
+  const loads = createEndpointLoads(nowMs);
+  const rateLimits = createRateLimits({
+    nowMs,
+    ownHost: settings.host,
+    listEntryHosts: () =>
+      mesh.hasMemberList()
+        ? mesh.listEntries().map(({ name }) => name)
+        : undefined,
+  });
+  mesh.view.onChange(rateLimits.onEntriesChange);
+  const candidates = createCandidates({
+    nowMs,
+    random: Math.random,
+    dataCentre: settings.dataCentre,
+    listEndpoints: directory.endpointsOf,
+    isInContact: ({ address }) => loads.isReported(address),
+    isInReserve: (endpoint, service) =>
+      rateLimits.isReachable(endpoint, readColdLimit(settings, service)),
+  });
   const context: GatewayContext = {
     directory,
     clock,
-    loads: createEndpointLoads(nowMs),
+    loads,
     health: createEndpointHealth(nowMs),
-    requestRates: createRateWindow(nowMs),
+    rateLimits,
+    candidates,
     connections: createEndpointConnections(registry),
     codec,
     get bounds() {
@@ -181,7 +217,7 @@
   let isLeaving = false;
 
   function sendFleetToAgents() {
-    const notice = createFleetNotice(directory, clock);
+    const notice = createFleetNotice(context);
     if (notice === undefined) return;
     const { revision: _, ...content } = notice;
     const text = JSON.stringify({
@@ -190,27 +226,29 @@
     });
     if (text === lastSentFleet) return;
     lastSentFleet = text;
-    mesh
-      .peers()
-      .filter((peer) => peer.hello.role === "agent")
-      .forEach((peer) => peer.sendNotice(notice));
+    mesh.subscribers().forEach((agent) => agent.sendNotice(notice));
   }
 
   directory.onChange(sendFleetToAgents);
-  mesh.onPeer((peer) => {
-    const notice = createFleetNotice(directory, clock);
-    if (peer.hello.role === "agent" && notice) peer.sendNotice(notice);
+  mesh.onSubscribe((agent) => {
+    const notice = createFleetNotice(context);
+    if (notice !== undefined) agent.sendNotice(notice);
   });
   mesh.onPeer((peer) => {
     if (peer.hello.role !== "entry") return;
     quarantine.listNotices().forEach((notice) => peer.sendNotice(notice));
   });
-  mesh.onNotice("crash", (_, notice) => {
-    quarantine.applyNotice(notice as CrashNotice);
+  mesh.onNotice("crash", (peer, notice) => {
+    const isNew = quarantine.applyNotice(notice as CrashNotice);
+    if (isNew) sendToEntries(notice, peer);
   });
+  mesh.onMeshNotice("rate_grant", (_, notice) =>
+    rateLimits.onGrant(notice as RateGrantNotice),
+  );
   mesh.onMeshNotice("endpoint_load", (peer, notice) => {
     const load = notice as EndpointLoadNotice;
-    context.loads.onReport(load, peer);
+    loads.onReport(load, peer);
+    rateLimits.onShare(load.address, load.sharePerS, peer);
     if (load.phase !== "down") return;
     const lost = context.attemptsByAddress.get(load.address) ?? [];
     [...lost].forEach((attempt) => attempt.fail("endpoint_down"));
--- a/src/gateway/testing/mod.ts
+++ b/src/gateway/testing/mod.ts
@@ -23,12 +23,13 @@
 import { createQuarantine } from "../../quarantine/mod.ts";
 import { findFreePorts } from "../../../stand_ins/free_ports.ts";
 import type { HeaderCodec } from "../call.ts";
-import { createRateWindow } from "../cold_share.ts";
+import { createCandidates } from "../candidates.ts";
 import { createEndpointConnections } from "../endpoint_connections.ts";
 import { createEndpointLoads } from "../endpoint_loads.ts";
 import { createEndpointHealth } from "../endpoint_health.ts";
 import { createCallerServer } from "../caller_server.ts";
 import type { GatewayContext } from "../gateway_context.ts";
+import { createRateLimits } from "../rate_limits.ts";
 import { createRefusalTracker } from "../refusal_tracker.ts";
 
 type RequestHandler = (
@@ -134,12 +135,25 @@
   );
   directory.confirm(clock.nowMs());
   const refusalTracker = createRefusalTracker(nowMs);
+  const rateLimits = createRateLimits({
+    nowMs,
+    ownHost: "entry-1",
+    listEntryHosts: () => [],
+  });
   const context: GatewayContext = {
     directory,
     clock,
     loads: createEndpointLoads(nowMs),
     health: createEndpointHealth(nowMs),
-    requestRates: createRateWindow(nowMs),
+    rateLimits,
+    candidates: createCandidates({
+      nowMs,
+      random: () => 0,
+      dataCentre: "kol-a",
+      listEndpoints: directory.endpointsOf,
+      isInContact: () => true,
+      isInReserve: () => true,
+    }),
     connections: createEndpointConnections(registry),
     codec: TEST_CODEC,
     bounds: {
--- a/src/membership/choose_peers.ts
+++ b/src/membership/choose_peers.ts
@@ -21,16 +21,21 @@
   readonly dataCentre: string;
 }
 
-/** True if this process is one of its data centre's watchers. */
-export function isWatcher(self: LocalHost, hosts: readonly Host[]): boolean {
+/**
+ * Names of the hosts of this process's data centre that read the platform for
+ * the others, in order of preference.
+ */
+export function chooseWatchers(
+  self: LocalHost,
+  hosts: readonly Host[],
+  count = WATCHERS_PER_DATA_CENTRE,
+): readonly string[] {
   const names = hosts
     .filter((h) => h.dataCentre === self.dataCentre && h.state === "live")
     .map((h) => h.name);
   // The local host may not be in the list yet.
   const candidates = new Set([...names, self.host]);
-  return rankByHash(self.dataCentre, [...candidates])
-    .slice(0, WATCHERS_PER_DATA_CENTRE)
-    .includes(self.host);
+  return rankByHash(self.dataCentre, [...candidates]).slice(0, count);
 }
 
 /** The hosts that this process exchanges versions with. */
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -1,7 +1,12 @@
 /** This process's view of hosts and configuration. */
 
-export { chooseNeighbours, isWatcher } from "./choose_peers.ts";
+export { chooseNeighbours, chooseWatchers } from "./choose_peers.ts";
 export type { LocalHost } from "./choose_peers.ts";
+export {
+  choosePartnerEntries,
+  DEFAULT_PARTNER_LIMITS,
+} from "./choose_partners.ts";
+export type { PartnerHost, PartnerLimits } from "./choose_partners.ts";
 export { SYSTEM_CLOCK } from "./clock.ts";
 export type { Clock } from "./clock.ts";
 export type {
--- a/src/mesh/member_gossip.ts
+++ b/src/mesh/member_gossip.ts
@@ -1,8 +1,10 @@
 /**
  * Propagates membership between processes. A process sends its own record to
- * each new peer, entries forward new records to their peers, and full member
- * lists are sent on request only. If each process sent its list to all peers
- * on each change, the traffic would grow with the cube of the fleet's size.
+ * each new peer. Entries forward records that are new to them, once and in
+ * batches, to the entries that they are connected to and to the agents that
+ * subscribe at them; full member lists are sent on request only. If each
+ * process sent its list to all peers on each change, the traffic would grow
+ * with the cube of the fleet's size.
  */
 
 import type { Logger } from "../logging/mod.ts";
@@ -12,9 +14,15 @@
 
 /**
  * An entry delays the announcement of a new member by a random part of this
- * time, and drops it if another entry announces the member in the meantime.
+ * time, and skips the peers from which it hears of the member in the meantime.
  */
 const ANNOUNCE_JITTER_MS = 250;
+/**
+ * Number of entries that have announced a member after which this entry does
+ * not announce it to entries. Not one, as entries are connected to only a few
+ * others.
+ */
+const ENOUGH_ANNOUNCEMENTS = 3;
 /** Members that join within this time are announced in one batch. */
 const MIN_ANNOUNCE_DELAY_MS = 30;
 /**
@@ -22,6 +30,8 @@
  * peers that start at the same time know few members themselves.
  */
 const INITIAL_LIST_REQUESTS = 3;
+/** Without a list after this time, no other entry can be reached. */
+const ALONE_AFTER_MS = 3_000;
 const EXPIRY_CHECK_INTERVAL_MS = 5_000;
 /** Keeps processes that start together from sending requests in step. */
 const REFRESH_JITTER = 0.25;
@@ -33,6 +43,8 @@
 
 export interface MemberGossip {
   onPeer(peer: Peer): void;
+  /** True once an entry has sent its list, or none could be found. */
+  hasList(): boolean;
   close(): void;
 }
 
@@ -41,6 +53,8 @@
   readonly role: "entry" | "agent";
   readonly members: MemberList;
   readonly listPeers: () => readonly Peer[];
+  /** Agents that rely on this entry for news of members. */
+  readonly listSubscribers: () => readonly Peer[];
   readonly handlers: Handlers;
   /** Called when members have been added, changed address or expired. */
   readonly onChange: () => void;
@@ -51,10 +65,13 @@
 
 export function startMemberGossip(options: MemberGossipOptions): MemberGossip {
   const { selfHost, members, listPeers, handlers, onChange, logger } = options;
-  const unannounced = new Set<string>();
+  /** New members, and the peers from which this process heard of each. */
+  const unannounced = new Map<string, Set<string>>();
   let announceTimer: NodeJS.Timeout | undefined;
   let refreshTimer: NodeJS.Timeout | undefined;
   let listRequestCount = 0;
+  let hasList = false;
+  const aloneTimer = setTimeout(() => (hasList = true), ALONE_AFTER_MS);
 
   function markPeersAlive() {
     listPeers().forEach(({ hello }) => members.markAlive(hello.host));
@@ -83,31 +100,52 @@
     announceTimer ??= setTimeout(
       () => {
         announceTimer = undefined;
-        if (unannounced.size === 0) return;
-        const notices = createNotices(unannounced);
+        const announced = new Map(unannounced);
         unannounced.clear();
-        listPeers().forEach((peer) => notices.forEach(peer.sendNotice));
+        announce(announced);
       },
       MIN_ANNOUNCE_DELAY_MS + options.random() * ANNOUNCE_JITTER_MS,
     );
   }
 
+  function announce(announced: ReadonlyMap<string, ReadonlySet<string>>) {
+    const select = (isWanted: (heardFrom: ReadonlySet<string>) => boolean) =>
+      new Set(
+        [...announced]
+          .filter(([, heardFrom]) => isWanted(heardFrom))
+          .map(([host]) => host),
+      );
+    const all = createNotices(select(() => true));
+    options.listSubscribers().forEach((agent) => all.forEach(agent.sendNotice));
+    listPeers()
+      .filter(({ hello }) => hello.role === "entry")
+      .forEach((entry) => {
+        const hosts = select(
+          (heardFrom) =>
+            heardFrom.size < ENOUGH_ANNOUNCEMENTS &&
+            !heardFrom.has(entry.hello.host),
+        );
+        const notices =
+          hosts.size === announced.size ? all : createNotices(hosts);
+        notices.forEach(entry.sendNotice);
+      });
+  }
+
   function mergeMembers(peer: Peer, { members: records }: MembersNotice) {
     const added = members.merge(records);
     const { host: sender, role } = peer.hello;
-    // An entry that forwards a record sends it to this process's peers too.
-    const isIndirect = (host: string) => role === "entry" && host !== sender;
-    records
-      .filter(({ host }) => isIndirect(host))
-      .forEach(({ host }) => unannounced.delete(host));
-    if (added.length === 0) return;
-    logger.info({ peer: sender, added }, "learned of members");
+    // A new peer's own record is not a list.
+    hasList ||= role === "entry" && records.length > 1;
     if (options.role === "entry") {
-      added
-        .filter((host) => !isIndirect(host))
-        .forEach((host) => unannounced.add(host));
-      scheduleAnnouncement();
+      added.forEach((host) => unannounced.set(host, new Set()));
+      // An agent that sends its own record does not announce it to others.
+      if (role === "entry") {
+        records.forEach(({ host }) => unannounced.get(host)?.add(sender));
+      }
+      if (added.length > 0) scheduleAnnouncement();
     }
+    if (added.length === 0) return;
+    logger.info({ peer: sender, added }, "learned of members");
     onChange();
   }
 
@@ -141,11 +179,16 @@
     onPeer(peer) {
       createNotices(new Set([selfHost])).forEach(peer.sendNotice);
       const isListSource =
-        options.role === "entry" || peer.hello.role === "entry";
+        options.role === "entry" ||
+        peer.hello.role === "entry" ||
+        // Without an entry, other agents are the only ones that can tell.
+        !listPeers().some(({ hello }) => hello.role === "entry");
       if (isListSource && listRequestCount < INITIAL_LIST_REQUESTS)
         requestList(peer);
     },
+    hasList: () => hasList,
     close() {
+      clearTimeout(aloneTimer);
       clearTimeout(announceTimer);
       clearTimeout(refreshTimer);
       clearInterval(expiryTimer);
--- a/src/mesh/start_mesh.ts
+++ b/src/mesh/start_mesh.ts
@@ -1,11 +1,12 @@
 /**
  * Connects this process to the others on platforms that publish no host list:
- * entries to each other, agents to entries and to the agents that they exchange
- * weights with.
+ * entries to some other entries, agents to the entries that use their endpoint
+ * and to the agents that they exchange weights with. The number of connections
+ * of a process is bounded, whatever the size of the fleet.
  */
 
-import { rankByHash } from "../hashing/mod.ts";
 import type { Logger } from "../logging/mod.ts";
+import { chooseNeighbours, choosePartnerEntries } from "../membership/mod.ts";
 import type { FleetView, Host } from "../membership/mod.ts";
 import type { AcceptedConfig } from "../membership/mod.ts";
 import type { Registry } from "../metrics/mod.ts";
@@ -22,19 +23,37 @@
   listenForPeers,
   PROTOCOL_VERSION,
 } from "../wire/mod.ts";
+import type { Peer } from "../wire/mod.ts";
 import { startMemberGossip } from "./member_gossip.ts";
 import { createMemberList } from "./members.ts";
 import type { MemberIdentity } from "./members.ts";
+import { createSubscribers, createSubscriptions } from "./subscriptions.ts";
 
-/**
- * An agent sends load notices to at most this many entries. The other entries
- * of a larger fleet learn its load from responses only.
- */
-const ENTRIES_PER_AGENT = 32;
+/** Up to this number, all entries are connected to each other. */
+const MAX_FULL_MESH_ENTRIES = 16;
+/** Connections to seeds that are not needed any more are closed after this. */
+const UNWANTED_CLOSE_DELAY_MS = 5_000;
+
+/** A connected entry that uses the endpoint of this agent. */
+export interface PartnerPeer {
+  readonly peer: Peer;
+  readonly isLocal: boolean;
+}
 
 export interface Mesh extends WeightDistributorNode {
   /** Like `onNotice`, but also accepts topics that only the mesh carries. */
   readonly onMeshNotice: Handlers["onNotice"];
+  /** Connected entries that use this agent's endpoint; none for an entry. */
+  partners(): readonly PartnerPeer[];
+  /** Number of entries that use this agent's endpoint, connected or not. */
+  countPartners(): number;
+  /** Agents that rely on this entry for news of the published state. */
+  subscribers(): readonly Peer[];
+  onSubscribe(handler: (peer: Peer) => void): void;
+  /** True once the list of members is known to be more than a first part. */
+  hasMemberList(): boolean;
+  /** Other entries that are known. */
+  listEntries(): readonly Host[];
   /** Number of known entries, including this process if it is one. */
   countEntries(): number;
   /** Replaces the addresses used to discover the fleet. */
@@ -82,11 +101,12 @@
   const connections = createConnections({ identity, logger });
   const peerChoosers: ((view: FleetView) => readonly Host[])[] = [];
   const changeHandlers: (() => void)[] = [];
+  let chosenEntries: readonly Host[] = [];
 
   const view: FleetView = {
     config: options.readConfig,
     configConfirmedAtMs: () => 0,
-    hosts: () => ({ sequence: 1, hosts: listAgents() }),
+    hosts: () => ({ sequence: 1, hosts: [...listEntries(), ...listAgents()] }),
     onChange: (handler) => void changeHandlers.push(handler),
     isRecoveringFromPause: () => false,
   };
@@ -94,49 +114,39 @@
   function listAgents(): readonly Host[] {
     return [self, ...members.list()]
       .filter(({ role }) => role === "agent")
-      .map((member) => ({
-        name: member.host,
-        role: "endpoint",
-        ...(member.service !== undefined && { service: member.service }),
-        dataCentre: member.dataCentre,
-        peerAddress: member.peerAddress,
-        state: "live",
-      }));
+      .map(createHost);
   }
 
-  function listEntries(): readonly MemberIdentity[] {
-    return members.list().filter(({ role }) => role === "entry");
+  function listEntries(): readonly Host[] {
+    return members
+      .list()
+      .filter(({ role }) => role === "entry")
+      .map(createHost);
   }
 
-  function chooseEntries(): readonly MemberIdentity[] {
+  function chooseEntries(): readonly Host[] {
     const entries = listEntries();
-    if (options.role === "entry" || entries.length <= ENTRIES_PER_AGENT) {
-      return entries;
+    if (options.role === "agent") {
+      return choosePartnerEntries(createHost(self), entries);
     }
-    const chosenHosts = new Set(
-      rankByHash(
-        self.host,
-        entries.map(({ host }) => host),
-      ).slice(0, ENTRIES_PER_AGENT),
-    );
-    return entries.filter(({ host }) => chosenHosts.has(host));
+    if (entries.length < MAX_FULL_MESH_ENTRIES) return entries;
+    return chooseNeighbours(self, entries);
   }
 
   function updateDialTargets() {
+    chosenEntries = chooseEntries();
     const chosen = peerChoosers.flatMap((choose) => choose(view));
-    const wantedTargets: DialTarget[] = [
-      ...chooseEntries().map(({ host, peerAddress }) => ({
-        host,
-        address: peerAddress,
-      })),
-      ...chosen.map(({ name, peerAddress }) => ({
-        host: name,
-        address: peerAddress,
-      })),
-    ];
+    const wantedTargets: DialTarget[] = [...chosenEntries, ...chosen].map(
+      ({ name, peerAddress }) => ({ host: name, address: peerAddress }),
+    );
+    // A seed that is a known member is dialled only if it is chosen, or if no
+    // other process can be reached.
     const knownAddresses = new Set([
       self.peerAddress,
       ...wantedTargets.map(({ address }) => address),
+      ...(connections.peers().length === 0
+        ? []
+        : members.list().map(({ peerAddress }) => peerAddress)),
     ]);
     const seedTargets = seeds
       .filter((address) => !knownAddresses.has(address))
@@ -146,6 +156,7 @@
 
   function notifyViewChange() {
     updateDialTargets();
+    subscriptions?.update();
     changeHandlers.forEach((handle) => handlers.run("view_change", handle));
   }
 
@@ -169,13 +180,24 @@
     connections,
     dial: (address) => connectPeer(address, transport),
     registry,
+    unwantedCloseDelayMs: UNWANTED_CLOSE_DELAY_MS,
   });
+  const subscribers = createSubscribers(handlers);
+  const subscriptions =
+    options.role === "entry"
+      ? undefined
+      : createSubscriptions({
+          dataCentre: self.dataCentre,
+          listPartners: () => chosenEntries,
+          findPeer: connections.find,
+        });
 
   const gossip = startMemberGossip({
     selfHost: self.host,
     role: options.role,
     members,
     listPeers: connections.peers,
+    listSubscribers: subscribers.list,
     handlers,
     onChange: notifyViewChange,
     logger,
@@ -185,9 +207,12 @@
     const { host, incarnation } = peer.hello;
     logger.info({ peer: host, incarnation }, "connected to a peer");
     gossip.onPeer(peer);
-    void peer.closed.then((reason) =>
-      logger.info({ peer: host, reason }, "lost the connection to a peer"),
-    );
+    subscriptions?.update();
+    void peer.closed.then((reason) => {
+      logger.info({ peer: host, reason }, "lost the connection to a peer");
+      subscriptions?.update();
+      if (connections.peers().length === 0) updateDialTargets();
+    });
   });
   const listener = await listenForPeers(self.peerAddress, {
     ...transport,
@@ -210,6 +235,20 @@
     onStream: handlers.onStream,
     onNotice: handlers.onNotice,
     onMeshNotice: handlers.onNotice,
+    partners: () =>
+      subscriptions === undefined
+        ? []
+        : chosenEntries.flatMap(({ name, dataCentre }) => {
+            const peer = connections.find(name);
+            const isLocal = dataCentre === self.dataCentre;
+            return peer === undefined ? [] : [{ peer, isLocal }];
+          }),
+    countPartners: () =>
+      subscriptions === undefined ? 0 : chosenEntries.length,
+    subscribers: subscribers.list,
+    onSubscribe: subscribers.onSubscribe,
+    hasMemberList: gossip.hasList,
+    listEntries,
     countEntries: () =>
       listEntries().length + (options.role === "entry" ? 1 : 0),
     setSeeds(next) {
@@ -225,3 +264,14 @@
     },
   };
 }
+
+function createHost(member: MemberIdentity): Host {
+  return {
+    name: member.host,
+    role: member.role === "entry" ? "entry" : "endpoint",
+    ...(member.service !== undefined && { service: member.service }),
+    dataCentre: member.dataCentre,
+    peerAddress: member.peerAddress,
+    state: "live",
+  };
+}
--- a/src/node/dialler.ts
+++ b/src/node/dialler.ts
@@ -13,7 +13,7 @@
 /** Hosts have to reconnect well within 5 s after a partition heals. */
 const MAX_BACKOFF_MS = 2_000;
 /** Delay before a connection that is no longer wanted is closed. */
-const UNWANTED_CLOSE_DELAY_MS = 60_000;
+const DEFAULT_UNWANTED_CLOSE_DELAY_MS = 60_000;
 
 export interface DialTarget {
   readonly address: string;
@@ -31,10 +31,16 @@
   readonly connections: Connections;
   readonly dial: (address: string) => Promise<Result<Peer, string>>;
   readonly registry: Registry;
+  readonly unwantedCloseDelayMs?: number;
 }
 
 export function createDialler(options: DiallerOptions): Dialler {
-  const { connections, dial, registry } = options;
+  const {
+    connections,
+    dial,
+    registry,
+    unwantedCloseDelayMs = DEFAULT_UNWANTED_CLOSE_DELAY_MS,
+  } = options;
   const tasks = new Map<string, AbortController>();
   const failures = registry.counter(
     "peer_dial_failures_total",
@@ -91,7 +97,7 @@
     const timer = setTimeout(() => {
       if (!wantedHosts.has(host) && !isClosed)
         connections.drain(peer, "not_wanted");
-    }, UNWANTED_CLOSE_DELAY_MS);
+    }, unwantedCloseDelayMs);
     timer.unref();
     void peer.closed.then(() => clearTimeout(timer));
   }
--- a/src/node/start_node.ts
+++ b/src/node/start_node.ts
@@ -10,7 +10,7 @@
 import type { Logger } from "../logging/mod.ts";
 import {
   chooseNeighbours,
-  isWatcher,
+  chooseWatchers,
   parseHosts,
   SYSTEM_CLOCK,
 } from "../membership/mod.ts";
@@ -251,7 +251,9 @@
     hostList = { sequence: snapshot.version, hosts: snapshot.value };
     neighbours = chooseNeighbours(identity, hostList.hosts);
     neighbourNames = new Set(neighbours.map(({ name }) => name));
-    isWatching = isWatcher(identity, hostList.hosts);
+    isWatching = chooseWatchers(identity, hostList.hosts).includes(
+      identity.host,
+    );
     readers.forEach((reader) => reader.update());
     startupVersionCheck.update();
     updateWantedTargets();
--- a/src/sidecar/load_reporter.ts
+++ b/src/sidecar/load_reporter.ts
@@ -1,6 +1,8 @@
 /**
  * Reads the endpoint's report at short intervals, which costs no network
- * traffic between hosts, and sends changes to the connected entries.
+ * traffic between hosts, and sends changes to the entries that use the
+ * endpoint: at once to those of the same data centre, which send it most of its
+ * requests, and at longer intervals to the others, for which it is a spare.
  */
 
 import type { Logger } from "../logging/mod.ts";
@@ -13,9 +15,19 @@
  * An unchanged report is repeated, so that the age of the last one is bounded.
  */
 const REPEAT_INTERVAL_MS = 1_000;
+/** Interval of the reports to other data centres while only the load changes. */
+const REMOTE_INTERVAL_MS = 600;
 /** A single lost response must not mark the endpoint as down. */
 const FAILURES_UNTIL_DOWN = 2;
 
+interface SentReport {
+  readonly text: string;
+  readonly atMs: number;
+  readonly phase: Phase;
+}
+
+const NEVER_SENT: SentReport = { text: "", atMs: -Infinity, phase: "unknown" };
+
 export interface LoadReporter {
   /** Last report; undefined while the endpoint does not respond. */
   report(): EndpointReport | undefined;
@@ -31,6 +43,8 @@
   readonly endpoint: EndpointApi;
   readonly address: string;
   readonly mesh: Mesh;
+  /** Share of an entry in the endpoint's request rate, if it is known. */
+  readonly readSharePerS: () => number | undefined;
   readonly logger: Logger;
 }
 
@@ -40,8 +54,8 @@
   let phase: Phase = "unknown";
   let isSwitching = false;
   let failures = 0;
-  let lastSentText = "";
-  let lastSentAtMs = -Infinity;
+  /** The last report sent to entries of the same and of other data centres. */
+  const lastSent = { local: NEVER_SENT, remote: NEVER_SENT };
   let isClosed = false;
 
   function determinePhase(): Phase {
@@ -53,6 +67,7 @@
   }
 
   function createNotice(): EndpointLoadNotice {
+    const sharePerS = options.readSharePerS();
     return {
       topic: "endpoint_load",
       address,
@@ -63,6 +78,7 @@
       memoryUsedTokens: report?.memoryUsedTokens ?? 0,
       memoryTotalTokens: report?.memoryTotalTokens ?? 0,
       slowdown: report?.slowdown ?? 1,
+      ...(sharePerS !== undefined && { sharePerS }),
     };
   }
 
@@ -77,14 +93,27 @@
     }
     const notice = createNotice();
     const text = JSON.stringify(notice);
-    const isRepeatDue = performance.now() - lastSentAtMs > REPEAT_INTERVAL_MS;
-    if (text === lastSentText && !isRepeatDue) return;
-    lastSentText = text;
-    lastSentAtMs = performance.now();
+    sendIfDue("local", notice, text);
+    sendIfDue("remote", notice, text);
+  }
+
+  function sendIfDue(
+    place: "local" | "remote",
+    notice: EndpointLoadNotice,
+    text: string,
+  ) {
+    const last = lastSent[place];
+    const ageMs = performance.now() - last.atMs;
+    const isRepeatDue = ageMs > REPEAT_INTERVAL_MS;
+    if (text === last.text && !isRepeatDue) return;
+    const isOnlyLoad = notice.phase === last.phase;
+    if (place === "remote" && isOnlyLoad && ageMs < REMOTE_INTERVAL_MS) return;
+    const atMs = performance.now();
+    lastSent[place] = { text, atMs, phase: notice.phase };
     mesh
-      .peers()
-      .filter((peer) => peer.hello.role === "entry")
-      .forEach((peer) => peer.sendNotice(notice));
+      .partners()
+      .filter(({ isLocal }) => isLocal === (place === "local"))
+      .forEach(({ peer }) => peer.sendNotice(notice));
   }
 
   async function readOnce() {
@@ -107,7 +136,8 @@
   }
 
   mesh.onPeer((peer) => {
-    if (peer.hello.role === "entry") peer.sendNotice(createNotice());
+    const isPartner = mesh.partners().some((partner) => partner.peer === peer);
+    if (isPartner) peer.sendNotice(createNotice());
   });
   void run();
   return {
--- a/src/sidecar/mod.ts
+++ b/src/sidecar/mod.ts
@@ -13,3 +13,5 @@
 export { readValidChunks, stageChunks } from "./staging.ts";
 export { startSidecar } from "./start_sidecar.ts";
 export type { Sidecar, SidecarSettings } from "./start_sidecar.ts";
+export { createRateLoans } from "./rate_loans.ts";
+export type { RateLoans } from "./rate_loans.ts";
--- a/src/sidecar/start_sidecar.ts
+++ b/src/sidecar/start_sidecar.ts
@@ -9,12 +9,13 @@
 import { createWeightDistributor } from "../weights/mod.ts";
 import type { TransferTimeouts } from "../weights/mod.ts";
 import { startTrafficLog } from "../traffic/mod.ts";
-import type { FleetNotice } from "../wire/mod.ts";
+import type { FleetNotice, RateAskNotice } from "../wire/mod.ts";
 import { createManifestSource } from "./manifest_source.ts";
 import type { EndpointApi, WeightOrigin } from "./endpoint_api.ts";
 import { createFleetDocument } from "./fleet_document.ts";
 import { createFleetState } from "./fleet_state.ts";
 import { startLoadReporter } from "./load_reporter.ts";
+import { createRateLoans } from "./rate_loans.ts";
 import { createOriginStore } from "./origin_store.ts";
 import { startVersionUpdater } from "./version_updater.ts";
 
@@ -100,10 +101,16 @@
     registry,
     logger,
   });
+  const rateLoans = createRateLoans({
+    nowMs,
+    readLimitPerS: () => fleetState.ownService()?.coldLimitPerS,
+    countPartners: mesh.countPartners,
+  });
   const reporter = startLoadReporter({
     endpoint,
     address: settings.endpointAddress,
     mesh,
+    readSharePerS: rateLoans.sharePerS,
     logger,
   });
   const versionUpdater = startVersionUpdater({
@@ -131,6 +138,16 @@
   mesh.onMeshNotice("fleet", (_, notice) => {
     fleetState.update(notice as FleetNotice);
   });
+  mesh.onMeshNotice("rate_ask", (peer, notice) => {
+    const { askId, ratePerS: wantedPerS } = notice as RateAskNotice;
+    const ratePerS = rateLoans.lend(peer.hello.host, wantedPerS);
+    const address = settings.endpointAddress;
+    logger.info(
+      { peer: peer.hello.host, wantedPerS, ratePerS },
+      "lent request rate to an entry",
+    );
+    peer.sendNotice({ topic: "rate_grant", askId, address, ratePerS });
+  });
   return {
     reload: (next) => mesh.setSeeds(next.seeds),
     async close() {
--- a/src/weights/assignments.ts
+++ b/src/weights/assignments.ts
@@ -5,7 +5,7 @@
  * host reassigns few chunks.
  */
 
-import { createHash } from "node:crypto";
+import { computeSeed, scorePair } from "../hashing/mod.ts";
 import type { Member } from "./members.ts";
 
 export type TopologyLevel = "fleet" | "region" | "data_centre";
@@ -39,7 +39,7 @@
   const { relays, ownHostName, manifestDigest, chunkCount } = options;
   const fleet: readonly SeededMember[] = relays.map((member) => ({
     member,
-    seed: computeSeed(manifestDigest, member.host.name),
+    seed: computeSeed(`${manifestDigest}/${member.host.name}`),
   }));
   const own = fleet.find(
     (candidate) => candidate.member.host.name === ownHostName,
@@ -149,20 +149,6 @@
   });
 }
 
-function computeSeed(manifestDigest: string, host: string): number {
-  return createHash("sha256")
-    .update(`${manifestDigest}/${host}`)
-    .digest()
-    .readUInt32BE(0);
-}
-
-/**
- * Mixes a host's SHA-256 seed with a chunk index by the MurmurHash3 finalizer.
- * One SHA-256 for each pair would take seconds for thousands of chunks.
- */
 function computeScore(candidate: SeededMember, index: number): number {
-  let h = candidate.seed ^ Math.imul(index + 1, 0x9e3779b1);
-  h = Math.imul(h ^ (h >>> 16), 0x85ebca6b);
-  h = Math.imul(h ^ (h >>> 13), 0xc2b2ae35);
-  return (h ^ (h >>> 16)) >>> 0;
+  return scorePair(candidate.seed, index + 1);
 }
--- a/src/wire/fleet_notices.ts
+++ b/src/wire/fleet_notices.ts
@@ -30,6 +30,16 @@
   readonly topic: "members_ask";
 }
 
+/**
+ * Sent by an agent to the few entries that are to tell it about new members and
+ * changes of the published state.
+ */
+export interface SubscribeNotice {
+  readonly topic: "subscribe";
+  /** False if the agent relies on other entries now. */
+  readonly isWanted: boolean;
+}
+
 /** Load of an agent's endpoint, as reported by the endpoint. */
 export interface EndpointLoadNotice {
   readonly topic: "endpoint_load";
@@ -49,6 +59,28 @@
    * everything takes twice as long.
    */
   readonly slowdown: number;
+  /**
+   * Requests per second that each entry may send, whether the endpoint is cold
+   * or not; absent while the agent does not know the endpoint's limit.
+   */
+  readonly sharePerS?: number | undefined;
+}
+
+/** Asks an agent to lend a higher request rate than this entry's share. */
+export interface RateAskNotice {
+  readonly topic: "rate_ask";
+  readonly askId: number;
+  /** The whole rate that the entry needs. */
+  readonly ratePerS: number;
+}
+
+export interface RateGrantNotice {
+  readonly topic: "rate_grant";
+  readonly askId: number;
+  /** "IP:port" of the endpoint. */
+  readonly address: string;
+  /** In addition to the share, for two seconds from the time of the ask. */
+  readonly ratePerS: number;
 }
 
 /** The part of the published state that agents need, sent by entries. */
@@ -64,6 +96,11 @@
   readonly models: readonly string[];
   readonly chunkCount: number;
   readonly chunkBytes: number;
+  /**
+   * Requests per second that all entries together may send to an endpoint of
+   * the service; absent if there is no limit.
+   */
+  readonly coldLimitPerS?: number | undefined;
   readonly originAddress?: string | undefined;
   readonly originMbitPerS?: number | undefined;
 }
@@ -116,6 +153,11 @@
   topic: z.literal("members_ask"),
 });
 
+export const subscribeNoticeSchema = z.object({
+  topic: z.literal("subscribe"),
+  isWanted: z.boolean(),
+});
+
 export const endpointLoadNoticeSchema = z.object({
   topic: z.literal("endpoint_load"),
   address: z.string(),
@@ -126,6 +168,20 @@
   memoryUsedTokens: z.number(),
   memoryTotalTokens: z.number(),
   slowdown: z.number().positive(),
+  sharePerS: z.number().nonnegative().optional(),
+});
+
+export const rateAskNoticeSchema = z.object({
+  topic: z.literal("rate_ask"),
+  askId: z.number().int(),
+  ratePerS: z.number().nonnegative(),
+});
+
+export const rateGrantNoticeSchema = z.object({
+  topic: z.literal("rate_grant"),
+  askId: z.number().int(),
+  address: z.string(),
+  ratePerS: z.number().nonnegative(),
 });
 
 const fleetWeightsSchema = z.object({
@@ -143,6 +199,7 @@
       models: z.array(z.string()),
       chunkCount: z.number().int().nonnegative(),
       chunkBytes: z.number().int().nonnegative(),
+      coldLimitPerS: z.number().nonnegative().optional(),
       originAddress: z.string().optional(),
       originMbitPerS: z.number().optional(),
     }),
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -11,6 +11,9 @@
   fleetNoticeSchema,
   membersAskNoticeSchema,
   membersNoticeSchema,
+  rateAskNoticeSchema,
+  rateGrantNoticeSchema,
+  subscribeNoticeSchema,
 } from "./fleet_notices.ts";
 import type {
   DirectoryAskNotice,
@@ -19,6 +22,9 @@
   FleetNotice,
   MembersAskNotice,
   MembersNotice,
+  RateAskNotice,
+  RateGrantNotice,
+  SubscribeNotice,
 } from "./fleet_notices.ts";
 import { phaseSchema } from "./phase.ts";
 import type { Phase } from "./phase.ts";
@@ -237,7 +243,10 @@
   replacedNoticeSchema,
   membersNoticeSchema,
   membersAskNoticeSchema,
+  subscribeNoticeSchema,
   endpointLoadNoticeSchema,
+  rateAskNoticeSchema,
+  rateGrantNoticeSchema,
   fleetNoticeSchema,
   directoryAskNoticeSchema,
   directoryReplyNoticeSchema,
@@ -250,7 +259,10 @@
   | ReplacedNotice
   | MembersNotice
   | MembersAskNotice
+  | SubscribeNotice
   | EndpointLoadNotice
+  | RateAskNotice
+  | RateGrantNotice
   | FleetNotice
   | DirectoryAskNotice
   | DirectoryReplyNotice;
--- a/src/wire/mod.ts
+++ b/src/wire/mod.ts
@@ -15,6 +15,9 @@
   MemberRecord,
   MembersAskNotice,
   MembersNotice,
+  RateAskNotice,
+  RateGrantNotice,
+  SubscribeNotice,
 } from "./fleet_notices.ts";
 export * from "./messages.ts";
 export type { Phase } from "./phase.ts";
