Log the shared prompt parts of broken-off attempts

One part is in a broken request of each crash, never in an answered one. Its request had begun 35 to 120 ms before the crash at each of them, beside up to 15 others that had begun and 17 that waited. The first part of these requests is broken off as often, but is answered in between.

--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -17,6 +17,8 @@
   readonly expectedOutputTokens?: number | undefined;
   /** Id of the event after which the client resumes a stream. */
   readonly lastEventId?: string | undefined;
+  /** Ids of the prompt parts that the request shares with others. */
+  readonly sharedPromptParts?: readonly string[] | undefined;
 }
 
 /** Values that the gateway sets in the headers of a forwarded request. */
--- a/src/gateway/end_call.ts
+++ b/src/gateway/end_call.ts
@@ -121,6 +121,7 @@
       outcome: type,
       ...("reason" in details && { reason: details.reason }),
       ...("status" in details && { status: details.status }),
+      ...(type === "lost" && { promptParts: call.headers.sharedPromptParts }),
       elapsedMs: Math.round(context.nowMs() - call.receivedAtMs),
     },
     "attempt ended",
