Quarantine prompt parts that crash endpoints

Cause: crashing requests are recognised by the digest of the whole request, and no two of these are alike. Class of fault: a cause is looked for in a whole request instead of in what its failures have in common.

Change: entries record which requests a crash broke off before they had streamed for half a second, and which requests survived. The part that is in most crashes and in no surviving request is refused at all entries; requests with it that wait at endpoints are ended and none is retried.

Result: crashing_prompt_part_test.ts failed on the code before ("Expected: 503, Received: 200").

--- a/src/gateway/call_state.ts
+++ b/src/gateway/call_state.ts
@@ -17,6 +17,8 @@
   readonly triedEndpoints: Set<string>;
   lastEventId: string | undefined;
   weightVersion: number | undefined;
+  /** True once the last attempt has shown that the request crashes nothing. */
+  hasSurvived: boolean;
   /** From sending the last attempt to its response head. */
   headMs: number | undefined;
   /** A server error of an endpoint, passed on if no later attempt succeeds. */
@@ -50,6 +52,7 @@
     triedEndpoints: new Set(),
     lastEventId: call.headers.lastEventId,
     weightVersion: undefined,
+    hasSurvived: false,
     headMs: undefined,
     failedResponse: undefined,
   };
--- a/src/gateway/dispatch_call.ts
+++ b/src/gateway/dispatch_call.ts
@@ -22,7 +22,7 @@
 } from "./end_call.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import { sendAttempt, trackAttempt } from "./send_attempt.ts";
-import { handleOutcome } from "./handle_outcome.ts";
+import { handleOutcome, QUARANTINED_REASON } from "./handle_outcome.ts";
 import { listEndpointViews } from "./list_endpoint_views.ts";
 
 /**
@@ -31,6 +31,9 @@
  */
 const UNKNOWN_SERVICE_RETRY_MS = 1_000;
 
+/** Enough of a fingerprint to tell the requests of some minutes apart. */
+const REQUEST_KEY_LENGTH = 16;
+
 export interface Dispatch {
   /** The caller has closed its connection. */
   cancel(): void;
@@ -62,6 +65,8 @@
     body: call.body,
   });
 
+  const promptParts = call.headers.sharedPromptParts ?? [];
+
   async function run() {
     const service = findService(context, call.service);
     if (service === undefined) {
@@ -72,12 +77,14 @@
         retryAfterMs: UNKNOWN_SERVICE_RETRY_MS,
       });
     }
-    const quarantinedMs = context.quarantine.remainingMs(fingerprint);
+    const quarantinedMs =
+      context.quarantine.remainingMs(fingerprint) ||
+      (context.promptParts.checkRequest(promptParts)?.remainingMs ?? 0);
     if (quarantinedMs > 0) {
       return refuseCall(context, {
         call,
         response,
-        reason: "crashes_endpoints",
+        reason: QUARANTINED_REASON,
         retryAfterMs: quarantinedMs,
       });
     }
@@ -98,13 +105,24 @@
         response,
         choice,
       });
+      const watch = context.promptParts.watch(promptParts, () => {
+        if (!state.hasSurvived) attempt?.fail(QUARANTINED_REASON);
+      });
       const outcome = await trackAttempt(context, attempt, choice.view);
+      watch.close();
       logAttempt(context, { call, state, choice, outcome });
       if (isLikelyCrash(outcome)) {
-        const { address } = choice.view.endpoint;
+        const { id, address, startedAtMs } = choice.view.endpoint;
         context.sendCrashNotice(
           context.quarantine.recordLikelyCrash(fingerprint, address),
         );
+        if (!state.hasSurvived) {
+          context.promptParts.recordCrash({
+            endpoint: `${id} ${startedAtMs ?? ""}`,
+            request: fingerprint.slice(0, REQUEST_KEY_LENGTH),
+            parts: promptParts,
+          });
+        }
       }
       if (endCause === "cancelled") return;
       if (endCause === "expired") {
--- a/src/gateway/gateway_context.ts
+++ b/src/gateway/gateway_context.ts
@@ -4,7 +4,7 @@
 import type { Logger } from "../logging/mod.ts";
 import type { RetryBudget } from "../limits/mod.ts";
 import type { Registry } from "../metrics/mod.ts";
-import type { Quarantine } from "../quarantine/mod.ts";
+import type { PromptPartQuarantine, Quarantine } from "../quarantine/mod.ts";
 import type { TrafficCounters } from "../traffic/mod.ts";
 import type { CrashNotice } from "../wire/mod.ts";
 import type { Attempt } from "./attempt.ts";
@@ -47,6 +47,8 @@
   /** Requests that may have crashed the endpoints that ran them. */
   readonly quarantine: Quarantine;
   readonly sendCrashNotice: (notice: CrashNotice) => void;
+  /** Prompt parts that crash the endpoints which answer requests with them. */
+  readonly promptParts: PromptPartQuarantine;
   /** Refusals of a service. */
   readonly getRefusalTracker: (service: string) => RefusalTracker;
   readonly getRetryBudget: (service: string) => RetryBudget;
--- a/src/gateway/handle_outcome.ts
+++ b/src/gateway/handle_outcome.ts
@@ -14,6 +14,8 @@
 /** With less time left than this an endpoint cannot complete a request. */
 const MIN_REMAINING_MS = 20;
 const MIN_SERVER_ERROR_STATUS = 500;
+/** This entry has ended the attempt, because it could crash the endpoint. */
+export const QUARANTINED_REASON = "crashes_endpoints";
 /**
  * Reasons that suggest that the endpoint is gone. Other reasons can concern a
  * single response only.
@@ -32,16 +34,24 @@
   const { call, state, response, outcome, choice } = options;
   const { id } = choice.view.endpoint;
   state.triedEndpoints.add(id);
+  const mayCrashEndpoints = context.promptParts.isQuarantined(
+    call.headers.sharedPromptParts ?? [],
+  );
   switch (outcome.type) {
     case "not_sent":
-      context.health.onUnreachable(id);
+      if (outcome.reason !== QUARANTINED_REASON) {
+        context.health.onUnreachable(id);
+      }
       state.unsentAttempts += 1;
-      if (state.unsentAttempts <= MAX_UNSENT_ATTEMPTS) return "retry";
+      if (state.unsentAttempts <= MAX_UNSENT_ATTEMPTS && !mayCrashEndpoints) {
+        return "retry";
+      }
       break;
     case "not_run":
       state.notRunAttempts += 1;
       if (
         state.notRunAttempts <= MAX_NOT_RUN_ATTEMPTS &&
+        !mayCrashEndpoints &&
         takeRetry(context, call)
       ) {
         return "retry";
@@ -50,9 +60,11 @@
     case "lost":
       if (UNREACHABLE_REASONS.has(outcome.reason)) {
         context.health.onUnreachable(id);
-      } else context.health.onFailure(id);
+      } else if (outcome.reason !== QUARANTINED_REASON) {
+        context.health.onFailure(id);
+      }
       state.runs += 1;
-      if (mayRetry(context, options)) return "retry";
+      if (!mayCrashEndpoints && mayRetry(context, options)) return "retry";
       break;
     case "answered":
       state.runs += 1;
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -15,6 +15,12 @@
 const FIRST_EVENT_TIMEOUT_MS = 1_200;
 /** Pauses of a healthy engine stay well below this. */
 const EVENT_GAP_TIMEOUT_MS = 1_000;
+/**
+ * A request that crashes its endpoint does so with its first tokens. One that
+ * streams this long, over this many reads, has survived.
+ */
+const SURVIVAL_MS = 500;
+const SURVIVAL_READS = 4;
 /** A plain request is retried after this many times its latency objective. */
 const PLAIN_TIMEOUT_FACTOR = 3;
 
@@ -45,6 +51,16 @@
   );
   const sentAtMs = context.nowMs();
   state.headMs = undefined;
+  state.hasSurvived = false;
+  let headAtMs = Infinity;
+  let reads = 0;
+
+  function recordSurvival() {
+    if (state.hasSurvived) return;
+    state.hasSurvived = true;
+    context.promptParts.recordSurvival(headers.sharedPromptParts ?? []);
+  }
+
   context.rateLimits.count(endpoint, readColdLimit(context, service));
   if (state.triedEndpoints.size === 0) logFirstSend(context, options);
   const attempt = startAttempt({
@@ -71,20 +87,26 @@
     isStream,
     onHead() {
       trackedRequest.markStarted();
+      headAtMs = context.nowMs();
       state.headMs = Math.round(context.nowMs() - sentAtMs);
     },
     onEvents(events, head) {
       state.lastEventId = events.lastId ?? state.lastEventId;
       state.weightVersion ??= weightVersion;
       response.sendEvents(head.status, head.headers, events.bytes);
+      reads += 1;
+      const hasLasted = context.nowMs() - headAtMs >= SURVIVAL_MS;
+      if (hasLasted && reads >= SURVIVAL_READS) recordSurvival();
     },
   });
   context.traffic.bytesSent.increment(
     { purpose: "call", to: endpoint.dataCentre },
     call.body.length,
   );
-  void attempt.outcome.then(() => {
+  void attempt.outcome.then((outcome) => {
     trackedRequest.end();
+    const isSuccess = outcome.type === "answered" && outcome.status < 400;
+    if (isSuccess) recordSurvival();
     context.traffic.bytesReceived.increment(
       { purpose: "answer", from: endpoint.dataCentre },
       attempt.receivedBytes(),
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -11,19 +11,25 @@
   startDirectoryReader,
 } from "../directory/mod.ts";
 import type { MetadataStore } from "../directory/mod.ts";
+import { rankByHash } from "../hashing/mod.ts";
 import { listenAt } from "../http/mod.ts";
 import { createRetryBudget } from "../limits/mod.ts";
 import type { RetryBudget } from "../limits/mod.ts";
 import type { Logger } from "../logging/mod.ts";
 import { startMesh } from "../mesh/mod.ts";
 import type { Registry } from "../metrics/mod.ts";
-import { createQuarantine } from "../quarantine/mod.ts";
+import {
+  createPromptPartQuarantine,
+  createQuarantine,
+} from "../quarantine/mod.ts";
 import { createTrafficCounters, startTrafficLog } from "../traffic/mod.ts";
+import { PROMPT_PART_TOPICS } from "../wire/mod.ts";
 import type {
   CrashNotice,
   EndpointLoadNotice,
   Notice,
   Peer,
+  PromptPartNotice,
   RateGrantNotice,
 } from "../wire/mod.ts";
 import type { HeaderCodec } from "./call.ts";
@@ -154,6 +160,17 @@
       .forEach((peer) => peer.sendNotice(notice));
   }
 
+  const promptParts = createPromptPartQuarantine({
+    nowMs,
+    send: (notice) => sendToEntries(notice),
+    rankForTrial(part) {
+      const others = mesh.listEntries().map(({ name }) => name);
+      return rankByHash(part, [settings.host, ...others]).indexOf(
+        settings.host,
+      );
+    },
+    logger,
+  });
   const loads = createEndpointLoads(nowMs);
   const rateLimits = createRateLimits({
     nowMs,
@@ -189,6 +206,7 @@
     regions: settings.regions,
     quarantine,
     sendCrashNotice: (notice) => sendToEntries(notice),
+    promptParts,
     getRefusalTracker,
     getRetryBudget,
     countEntries,
@@ -236,12 +254,20 @@
   });
   mesh.onPeer((peer) => {
     if (peer.hello.role !== "entry") return;
-    quarantine.listNotices().forEach((notice) => peer.sendNotice(notice));
+    [...quarantine.listNotices(), ...promptParts.listNotices()].forEach(
+      (notice) => peer.sendNotice(notice),
+    );
   });
   mesh.onNotice("crash", (peer, notice) => {
     const isNew = quarantine.applyNotice(notice as CrashNotice);
     if (isNew) sendToEntries(notice, peer);
   });
+  PROMPT_PART_TOPICS.forEach((topic) =>
+    mesh.onMeshNotice(topic, (peer, notice) => {
+      const isNew = promptParts.applyNotice(notice as PromptPartNotice);
+      if (isNew) sendToEntries(notice, peer);
+    }),
+  );
   mesh.onMeshNotice("rate_grant", (_, notice) =>
     rateLimits.onGrant(notice as RateGrantNotice),
   );
--- a/src/gateway/testing/mod.ts
+++ b/src/gateway/testing/mod.ts
@@ -20,7 +20,10 @@
 import { createRetryBudget } from "../../limits/mod.ts";
 import { createRegistry } from "../../metrics/mod.ts";
 import { createTrafficCounters } from "../../traffic/mod.ts";
-import { createQuarantine } from "../../quarantine/mod.ts";
+import {
+  createPromptPartQuarantine,
+  createQuarantine,
+} from "../../quarantine/mod.ts";
 import { findFreePorts } from "../../../stand_ins/free_ports.ts";
 import type { HeaderCodec } from "../call.ts";
 import { createCandidates } from "../candidates.ts";
@@ -77,6 +80,7 @@
     lastEventId: text(headers["x-last"]),
     remainingMs: headers["x-left"] ? Number(headers["x-left"]) : undefined,
     promptTokens: 100,
+    sharedPromptParts: text(headers["x-parts"])?.split(","),
     model: text(headers["x-model"]),
   }),
   writeForwardHeaders: (_, options) => [
@@ -171,6 +175,12 @@
     regions: { "kol-a": "kolkata", "sil-a": "siliguri" },
     quarantine: createQuarantine({ wallMs: Date.now, crashesToQuarantine: 3 }),
     sendCrashNotice: () => undefined,
+    promptParts: createPromptPartQuarantine({
+      nowMs,
+      send: () => undefined,
+      rankForTrial: () => 0,
+      logger: SILENT_LOGGER,
+    }),
     getRefusalTracker: () => refusalTracker,
     getRetryBudget: () =>
       createRetryBudget(nowMs, { getMinimum: () => options.retries ?? 10 }),
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -28,6 +28,8 @@
 } from "./fleet_notices.ts";
 import { phaseSchema } from "./phase.ts";
 import type { Phase } from "./phase.ts";
+import { promptPartNoticeSchemas } from "./prompt_part_notices.ts";
+import type { PromptPartNotice } from "./prompt_part_notices.ts";
 
 export const PROTOCOL_VERSION = 1;
 
@@ -250,6 +252,7 @@
   fleetNoticeSchema,
   directoryAskNoticeSchema,
   directoryReplyNoticeSchema,
+  ...promptPartNoticeSchemas,
 ]);
 export type Notice =
   | LoadNotice
@@ -265,7 +268,8 @@
   | RateGrantNotice
   | FleetNotice
   | DirectoryAskNotice
-  | DirectoryReplyNotice;
+  | DirectoryReplyNotice
+  | PromptPartNotice;
 
 export function parseHello(value: unknown): Hello | undefined {
   const parsed = helloSchema.safeParse(value);
--- a/src/wire/mod.ts
+++ b/src/wire/mod.ts
@@ -22,6 +22,12 @@
 export * from "./messages.ts";
 export type { Phase } from "./phase.ts";
 export type { Peer, PeerHandlers } from "./peer.ts";
+export { PROMPT_PART_TOPICS } from "./prompt_part_notices.ts";
+export type {
+  PartCrashNotice,
+  PartQuarantinedNotice,
+  PromptPartNotice,
+} from "./prompt_part_notices.ts";
 export { INITIAL_CREDIT_BYTES } from "./stream.ts";
 export type { Stream, StreamEvent, StreamLost } from "./stream.ts";
 export { connectPeer, listenForPeers } from "./transport.ts";
