Tell prompt parts apart that explain the same crashes

Causes, all in the quarantine of prompt parts: a verdict fell before all entries had reported what a crash broke off, so that a part beside the guilty one could be in more of the known crashes; parts in the same crashes waited for the same trial; a trial was spent on a request that was then refused for want of room; verdicts that were withdrawn stayed at other entries; and a survival older than a crash was new to every entry each time it came round.

Change: verdicts wait 60 ms, retries do not. A request with only one of several equal suspects is tried after a second. A trial starts when its request is sent. Withdrawn verdicts are announced. A survival is news if it is a second newer.

Result: the new tests in prompt_part_quarantine_test.ts name each case; the ones on evidence that is not complete and on withdrawn verdicts need the new schedule and were not run on the former code.

--- a/src/gateway/crashing_prompt_part_test.ts
+++ b/src/gateway/crashing_prompt_part_test.ts
@@ -10,6 +10,8 @@
 
 /** Longer than crashes that count as one. */
 const CRASH_DELAY_MS = 60;
+/** Longer than an entry waits for the evidence of others. */
+const VERDICT_MS = 100;
 
 /** A request with the deadly part ends with its first event. */
 const crashOnDeadlyPart: RequestHandler = (request, response, body) => {
@@ -50,6 +52,7 @@
     await call(["usual", "deadly"], 2),
   ];
   expect(crashed.every(({ isComplete }) => !isComplete)).toBe(true);
+  await wait(VERDICT_MS);
   const before = countRequests();
   const refused = await call(["usual", "deadly"], 3);
   expect(refused.status).toBe(503);
--- a/src/gateway/dispatch_call.ts
+++ b/src/gateway/dispatch_call.ts
@@ -98,6 +98,9 @@
         return endWithoutEndpoint(context, { call, response, state, choice });
       }
       refusalTracker.countAdmitted();
+      if (state.triedEndpoints.size === 0) {
+        context.promptParts.recordSend(promptParts);
+      }
       attempt = sendAttempt(context, {
         call,
         service,
@@ -128,7 +131,15 @@
       if (endCause === "expired") {
         return endExpired(context, { call, response, state, outcome });
       }
-      const finishedAttempt = { call, state, response, outcome, choice };
+      const isSuspected = context.promptParts.isSuspected(promptParts);
+      const finishedAttempt = {
+        call,
+        state,
+        response,
+        outcome,
+        choice,
+        isSuspected,
+      };
       const next = handleOutcome(context, finishedAttempt);
       if (next === "end") return;
     }
--- a/src/gateway/handle_outcome.ts
+++ b/src/gateway/handle_outcome.ts
@@ -29,21 +29,21 @@
 /** Responds to the caller, or returns "retry" for another attempt. */
 export function handleOutcome(
   context: GatewayContext,
-  options: FinishedAttempt,
+  options: FinishedAttempt & {
+    /** True if the request is suspected of crashing its endpoints. */
+    readonly isSuspected: boolean;
+  },
 ): "end" | "retry" {
-  const { call, state, response, outcome, choice } = options;
+  const { call, state, response, outcome, choice, isSuspected } = options;
   const { id } = choice.view.endpoint;
   state.triedEndpoints.add(id);
-  const mayCrashEndpoints = context.promptParts.isQuarantined(
-    call.headers.sharedPromptParts ?? [],
-  );
   switch (outcome.type) {
     case "not_sent":
       if (outcome.reason !== QUARANTINED_REASON) {
         context.health.onUnreachable(id);
       }
       state.unsentAttempts += 1;
-      if (state.unsentAttempts <= MAX_UNSENT_ATTEMPTS && !mayCrashEndpoints) {
+      if (state.unsentAttempts <= MAX_UNSENT_ATTEMPTS && !isSuspected) {
         return "retry";
       }
       break;
@@ -51,7 +51,7 @@
       state.notRunAttempts += 1;
       if (
         state.notRunAttempts <= MAX_NOT_RUN_ATTEMPTS &&
-        !mayCrashEndpoints &&
+        !isSuspected &&
         takeRetry(context, call)
       ) {
         return "retry";
@@ -64,7 +64,7 @@
         context.health.onFailure(id);
       }
       state.runs += 1;
-      if (!mayCrashEndpoints && mayRetry(context, options)) return "retry";
+      if (!isSuspected && mayRetry(context, options)) return "retry";
       break;
     case "answered":
       state.runs += 1;
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -169,6 +169,7 @@
         settings.host,
       );
     },
+    schedule: (handle, delayMs) => void setTimeout(handle, delayMs),
     logger,
   });
   const loads = createEndpointLoads(nowMs);
--- a/src/gateway/testing/mod.ts
+++ b/src/gateway/testing/mod.ts
@@ -179,6 +179,7 @@
       nowMs,
       send: () => undefined,
       rankForTrial: () => 0,
+      schedule: (handle, delayMs) => void setTimeout(handle, delayMs),
       logger: SILENT_LOGGER,
     }),
     getRefusalTracker: () => refusalTracker,
--- a/src/quarantine/crash_incidents.ts
+++ b/src/quarantine/crash_incidents.ts
@@ -20,6 +20,8 @@
   record(broken: BrokenRequest, atMs: number): boolean;
   /** True if a crash later than `sinceMs` has broken off the part. */
   isSuspect(part: string, sinceMs: number): boolean;
+  /** True if the crash of the endpoint broke off one of the parts. */
+  hasPart(endpoint: string, parts: readonly string[]): boolean;
   list(): readonly CrashIncident[];
   /** Oldest crash first. */
   listRequests(): readonly (BrokenRequest & { readonly atMs: number })[];
@@ -77,6 +79,10 @@
         ({ atMs, requestsByPart }) =>
           atMs > sinceMs && requestsByPart.has(part),
       ),
+    hasPart(endpoint, parts) {
+      const found = incidents.get(endpoint);
+      return parts.some((part) => found?.requestsByPart.has(part) ?? false);
+    },
     list: () => [...incidents.values()],
     listRequests: () =>
       [...incidents.values()].flatMap(({ endpoint, atMs, partsByRequest }) =>
--- a/src/quarantine/find_crash_causes.ts
+++ b/src/quarantine/find_crash_causes.ts
@@ -27,6 +27,11 @@
   readonly requests: number;
 }
 
+export interface CrashCause extends PartEvidence {
+  /** Other parts that explain the same crashes as well. */
+  readonly rivals: readonly string[];
+}
+
 export interface CauseOptions {
   /** Crashes before this time do not count; -Infinity if none survived. */
   readonly lastSurvivedAtMs: (part: string) => number;
@@ -39,7 +44,7 @@
 export function findCrashCauses(
   incidents: readonly CrashIncident[],
   options: CauseOptions,
-): readonly PartEvidence[] {
+): readonly CrashCause[] {
   const { lastSurvivedAtMs, minCrashes, known } = options;
   const unexplained = incidents
     .filter(({ requestsByPart }) => !known.some((p) => requestsByPart.has(p)))
@@ -61,7 +66,10 @@
   );
   const explained = [...known, ...causes.map(({ part }) => part)];
   return [
-    ...causes,
+    ...causes.map((cause) => ({
+      ...cause,
+      rivals: causes.filter((c) => c !== cause).map(({ part }) => part),
+    })),
     ...findCrashCauses(unexplained, { ...options, known: explained }),
   ];
 }
--- a/src/quarantine/prompt_part_quarantine.ts
+++ b/src/quarantine/prompt_part_quarantine.ts
@@ -12,7 +12,7 @@
 import { createCrashIncidents } from "./crash_incidents.ts";
 import type { BrokenRequest } from "./crash_incidents.ts";
 import { findCrashCauses } from "./find_crash_causes.ts";
-import type { PartEvidence } from "./find_crash_causes.ts";
+import type { CrashCause } from "./find_crash_causes.ts";
 import { createSurvivedParts } from "./survived_parts.ts";
 
 /** A single crash can have any cause. */
@@ -24,15 +24,32 @@
 const CRASHES_OF_SURVIVED_PART = 5;
 /** Until then an entry cannot tell which parts are unknown. */
 const MIN_SURVIVED_REQUESTS = 50;
+/**
+ * All entries have reported what a crash broke off by then. Before, a part that
+ * only ran beside the guilty one can be in more of the known crashes.
+ */
+const VERDICT_DELAY_MS = 60;
 const INITIAL_PERIOD_MS = 15_000;
 const PERIOD_FACTOR = 4;
 const MAX_PERIOD_MS = 10 * 60 * 1_000;
-/** Time for the outcome of a trial, before another entry may start one. */
-const TRIAL_MS = 5_000;
+/**
+ * Delay before a request that tells two parts apart is tried. Requests with
+ * the guilty one that are in progress have ended by then.
+ */
+const DISTINCTION_DELAY_MS = 1_000;
+/** Time for the outcome of a trial. */
+const TRIAL_MS = 3_000;
+/** Longer than a notice of a trial takes to reach all entries. */
+const TRIAL_STAGGER_MS = 250;
 const MAX_TRIAL_RANK = 12;
 /** A part that nobody has requested for this long is forgotten. */
 const IDLE_TTL_MS = 10 * 60 * 1_000;
 const MAX_QUARANTINED = 256;
+/**
+ * A survival that is newer by less is not news: the time that notices take on
+ * their way adds to their age.
+ */
+const MIN_SURVIVAL_STEP_MS = 1_000;
 
 export interface PartRefusal {
   readonly part: string;
@@ -45,11 +62,17 @@
   /** A request with these parts has run without a crash. */
   recordSurvival(parts: readonly string[]): void;
   /**
-   * Returns why a new request with these parts is refused. If it is not
-   * refused although one of them is quarantined, the request is its trial.
+   * Returns why a new request with these parts is refused. A request that is
+   * not refused although one of them is quarantined is its trial.
    */
   checkRequest(parts: readonly string[]): PartRefusal | undefined;
-  isQuarantined(parts: readonly string[]): boolean;
+  /** A new request with these parts is sent to an endpoint. */
+  recordSend(parts: readonly string[]): void;
+  /**
+   * True if one of the parts is quarantined or would be by what is known now,
+   * so that no retry is spent on the request.
+   */
+  isSuspected(parts: readonly string[]): boolean;
   /** Calls `handle` once a part becomes quarantined, until it is removed. */
   watch(parts: readonly string[], handle: () => void): { close(): void };
   /** Returns true if the notice was new and should be forwarded. */
@@ -64,14 +87,18 @@
   readonly send: (notice: PromptPartNotice) => void;
   /** Place of this entry among all entries in the order of trials. */
   readonly rankForTrial: (part: string) => number;
+  readonly schedule: (handle: () => void, delayMs: number) => void;
   readonly logger: Logger;
 }
 
 interface QuarantinedPart {
   readonly part: string;
+  readonly rivals: readonly string[];
   periodMs: number;
+  /** Time of the verdict or of the last crash since. */
   sinceMs: number;
   dueAtMs: number;
+  trialEndMs: number;
   /** True while it follows from the crashes that this entry knows of. */
   isOwn: boolean;
   isOnTrial: boolean;
@@ -85,11 +112,12 @@
 export function createPromptPartQuarantine(
   options: PromptPartQuarantineOptions,
 ): PromptPartQuarantine {
-  const { nowMs, send, rankForTrial, logger } = options;
+  const { nowMs, send, rankForTrial, schedule, logger } = options;
   const incidents = createCrashIncidents(nowMs);
   const survived = createSurvivedParts(nowMs);
   const quarantined = new Map<string, QuarantinedPart>();
   const watchers = new Set<Watcher>();
+  let isVerdictDue = false;
 
   function findQuarantined(parts: readonly string[]) {
     return parts.flatMap((part) => quarantined.get(part) ?? []);
@@ -109,8 +137,12 @@
     });
   }
 
-  function quarantine(found: QuarantinedPart, evidence?: PartEvidence) {
-    const { part } = found;
+  function quarantine(
+    verdict: Omit<QuarantinedPart, "isOnTrial" | "trialEndMs">,
+    evidence?: CrashCause,
+  ) {
+    const { part, rivals } = verdict;
+    const found = { ...verdict, isOnTrial: false, trialEndMs: -Infinity };
     quarantined.set(part, found);
     [...quarantined.keys()]
       .slice(0, Math.max(0, quarantined.size - MAX_QUARANTINED))
@@ -120,7 +152,8 @@
         part,
         crashes: evidence?.crashes,
         requests: evidence?.requests,
-        remainingMs: Math.round(found.dueAtMs - nowMs()),
+        rivals,
+        remainingMs: Math.round(verdict.dueAtMs - nowMs()),
         survivedRequests: survived.countRequests(),
       },
       "prompt part quarantined",
@@ -135,50 +168,69 @@
     logger.warn({ part, reason }, "prompt part released");
   }
 
-  function extend(found: QuarantinedPart, crashedAtMs: number) {
-    const { part, isOnTrial } = found;
-    if (isOnTrial) {
+  function extend(found: QuarantinedPart, endpoint: string, atMs: number) {
+    const { part } = found;
+    const others = [...quarantined.keys()].filter((other) => other !== part);
+    // A crash that another quarantined part explains decides no trial.
+    const isDecided = found.isOnTrial && !incidents.hasPart(endpoint, others);
+    if (isDecided) {
       found.isOnTrial = false;
       found.isOwn = false;
       found.periodMs = Math.min(MAX_PERIOD_MS, found.periodMs * PERIOD_FACTOR);
     }
-    found.sinceMs = Math.max(found.sinceMs, crashedAtMs);
-    found.dueAtMs = Math.max(found.dueAtMs, crashedAtMs + found.periodMs);
-    if (!isOnTrial) return;
+    found.sinceMs = Math.max(found.sinceMs, atMs);
+    found.dueAtMs = Math.max(found.dueAtMs, atMs + found.periodMs);
+    if (!isDecided) return;
     logger.warn({ part, periodMs: found.periodMs }, "trial ended in a crash");
   }
 
-  function judge({ parts }: BrokenRequest, atMs: number) {
-    findQuarantined(parts).forEach((found) => extend(found, atMs));
+  function judge({ parts, endpoint }: BrokenRequest, atMs: number) {
+    findQuarantined(parts).forEach((found) => extend(found, endpoint, atMs));
+    if (isVerdictDue) return;
+    isVerdictDue = true;
+    schedule(decide, VERDICT_DELAY_MS);
+  }
+
+  function decide() {
+    isVerdictDue = false;
     const causes = findCauses();
     causes
       .filter(({ part }) => !quarantined.has(part))
       .forEach((evidence) => {
-        const { part } = evidence;
-        const found = {
-          part,
+        const verdict = {
+          part: evidence.part,
+          rivals: evidence.rivals,
           periodMs: INITIAL_PERIOD_MS,
           sinceMs: nowMs(),
           dueAtMs: nowMs() + INITIAL_PERIOD_MS,
           isOwn: true,
-          isOnTrial: false,
         };
-        quarantine(found, evidence);
-        send(createQuarantinedNotice(found));
+        quarantine(verdict, evidence);
+        send(createQuarantinedNotice(verdict));
       });
     [...quarantined.values()]
       .filter(({ isOwn, isOnTrial }) => isOwn && !isOnTrial)
       .filter(({ part }) => incidents.isSuspect(part, -Infinity))
       .filter(({ part }) => !causes.some((cause) => cause.part === part))
-      .forEach(({ part }) => release(part, "other_cause"));
+      .forEach(({ part }) => {
+        release(part, "other_cause");
+        send({ topic: "part_released", part });
+      });
   }
 
-  function createQuarantinedNotice(
-    found: QuarantinedPart,
-  ): PartQuarantinedNotice {
-    const { part, periodMs, dueAtMs } = found;
-    const remainingMs = Math.max(0, dueAtMs - nowMs());
-    return { topic: "part_quarantined", part, periodMs, remainingMs };
+  function createQuarantinedNotice({
+    part,
+    periodMs,
+    dueAtMs,
+    rivals,
+  }: Omit<QuarantinedPart, "isOnTrial" | "trialEndMs">): PartQuarantinedNotice {
+    return {
+      topic: "part_quarantined",
+      part,
+      periodMs,
+      remainingMs: Math.max(0, dueAtMs - nowMs()),
+      rivals: [...rivals],
+    };
   }
 
   function adopt(notice: PartQuarantinedNotice): boolean {
@@ -196,28 +248,28 @@
     }
     quarantine({
       part,
+      rivals: notice.rivals,
       periodMs,
       sinceMs,
       dueAtMs: nowMs() + remainingMs,
       isOwn: false,
-      isOnTrial: false,
     });
     return true;
   }
 
-  /** Returns the parts that were suspected or quarantined. */
-  function applySurvival(
-    parts: readonly string[],
-    atMs: number,
-  ): readonly string[] {
-    const cleared = parts.filter(
+  /** Returns the parts that other entries may suspect. */
+  function findDoubted(parts: readonly string[]): readonly string[] {
+    return parts.filter(
       (part) =>
         quarantined.has(part) ||
         incidents.isSuspect(part, survived.lastAtMs(part)),
     );
-    survived.record(parts, atMs);
-    const found = findQuarantined(cleared);
-    if (found.length === 0) return cleared;
+  }
+
+  /** To be called once the survival is recorded. */
+  function releaseSurvived(parts: readonly string[], atMs: number) {
+    const found = findQuarantined(parts);
+    if (found.length === 0) return;
     const causes = findCauses();
     found
       .filter(
@@ -227,7 +279,15 @@
             !causes.some((cause) => cause.part === part)),
       )
       .forEach(({ part }) => release(part, "survived"));
-    return cleared;
+  }
+
+  function applySurvival(parts: readonly string[], atMs: number): boolean {
+    const isNew = findDoubted(parts).some(
+      (part) => atMs - survived.lastAtMs(part) > MIN_SURVIVAL_STEP_MS,
+    );
+    survived.record(parts, atMs);
+    releaseSurvived(parts, atMs);
+    return isNew;
   }
 
   function createSurvivedNotice(
@@ -238,13 +298,27 @@
     return { topic: "part_survived", parts: [...parts], ageMs };
   }
 
-  function computeDueAtMs({ part, dueAtMs }: QuarantinedPart): number {
-    return dueAtMs + Math.min(rankForTrial(part), MAX_TRIAL_RANK) * TRIAL_MS;
+  /**
+   * Time from which this entry may try one of the `found` parts. A request with
+   * only one of several parts that explain the same crashes tells them apart.
+   */
+  function computeDueAtMs(
+    { part, rivals, sinceMs, dueAtMs, trialEndMs }: QuarantinedPart,
+    found: readonly QuarantinedPart[],
+  ): number {
+    const isDistinctive = found.length === 1 && rivals.some(isInQuarantine);
+    const startMs = isDistinctive ? sinceMs + DISTINCTION_DELAY_MS : dueAtMs;
+    const rank = Math.min(rankForTrial(part), MAX_TRIAL_RANK);
+    return Math.max(startMs, trialEndMs) + rank * TRIAL_STAGGER_MS;
+  }
+
+  function isInQuarantine(part: string): boolean {
+    return quarantined.has(part);
   }
 
   function startTrial(found: QuarantinedPart) {
     found.isOnTrial = true;
-    found.dueAtMs = nowMs() + TRIAL_MS;
+    found.trialEndMs = nowMs() + TRIAL_MS;
   }
 
   function removeIdle() {
@@ -264,29 +338,38 @@
     },
     recordSurvival(parts) {
       if (parts.length === 0) return;
-      const cleared = applySurvival(parts, nowMs());
-      if (cleared.length === 0) return;
-      send(createSurvivedNotice(cleared, nowMs()));
+      const doubted = findDoubted(parts);
+      survived.recordRequest(parts);
+      if (doubted.length === 0) return;
+      releaseSurvived(doubted, nowMs());
+      send(createSurvivedNotice(doubted, nowMs()));
     },
     checkRequest(parts) {
       if (quarantined.size === 0) return undefined;
       removeIdle();
       const found = findQuarantined(parts);
       const waiting = found
-        .map((item) => ({ item, remainingMs: computeDueAtMs(item) - nowMs() }))
-        .find(({ remainingMs }) => remainingMs > 0);
-      if (waiting !== undefined) {
-        return { part: waiting.item.part, remainingMs: waiting.remainingMs };
-      }
-      found.forEach((item) => {
+        .map((item) => ({
+          part: item.part,
+          remainingMs: computeDueAtMs(item, found) - nowMs(),
+        }))
+        .sort((a, b) => b.remainingMs - a.remainingMs)[0];
+      return waiting !== undefined && waiting.remainingMs > 0
+        ? waiting
+        : undefined;
+    },
+    recordSend(parts) {
+      findQuarantined(parts).forEach((item) => {
         const { part } = item;
         startTrial(item);
         logger.info({ part }, "trial of a quarantined prompt part");
         send({ topic: "part_trial", part });
       });
-      return undefined;
     },
-    isQuarantined: (parts) => findQuarantined(parts).length > 0,
+    isSuspected: (parts) =>
+      findQuarantined(parts).length > 0 ||
+      (parts.some((part) => incidents.isSuspect(part, -Infinity)) &&
+        findCauses().some(({ part }) => parts.includes(part))),
     watch(parts, handle) {
       const watcher = { parts, handle };
       if (parts.length > 0) watchers.add(watcher);
@@ -302,11 +385,21 @@
         }
         case "part_quarantined":
           return adopt(notice);
+        case "part_released": {
+          const found = quarantined.get(notice.part);
+          // A verdict of this entry follows from what it knows itself.
+          const isKept =
+            found?.isOwn || (found?.periodMs ?? 0) > INITIAL_PERIOD_MS;
+          if (found === undefined || isKept) return false;
+          release(notice.part, "other_cause");
+          return true;
+        }
         case "part_survived":
-          return applySurvival(notice.parts, nowMs() - notice.ageMs).length > 0;
+          return applySurvival(notice.parts, nowMs() - notice.ageMs);
         case "part_trial": {
           const found = quarantined.get(notice.part);
-          if (found === undefined || found.isOnTrial) return false;
+          const isKnown = found?.isOnTrial && nowMs() < found.trialEndMs;
+          if (found === undefined || isKnown) return false;
           startTrial(found);
           return true;
         }
--- a/src/quarantine/prompt_part_quarantine_test.ts
+++ b/src/quarantine/prompt_part_quarantine_test.ts
@@ -7,6 +7,7 @@
 /** Entries whose notices reach the entries that are connected, at once. */
 function createEntries(count: number) {
   let nowMs = 1_000_000;
+  let timers: { readonly atMs: number; readonly handle: () => void }[] = [];
   const isConnected = Array.from({ length: count }, () => true);
   const entries = Array.from({ length: count }, (_, rank) => {
     const sent: PromptPartNotice[] = [];
@@ -17,6 +18,8 @@
         if (isConnected[rank]) deliver(rank, notice);
       },
       rankForTrial: () => rank,
+      schedule: (handle, delayMs) =>
+        void timers.push({ atMs: nowMs + delayMs, handle }),
       logger: SILENT_LOGGER,
     });
     return { quarantine, sent };
@@ -31,7 +34,12 @@
   return {
     quarantines: entries.map(({ quarantine }) => quarantine),
     sent: entries.map(({ sent }) => sent),
-    advance: (ms: number) => void (nowMs += ms),
+    advance(ms: number) {
+      nowMs += ms;
+      const due = timers.filter(({ atMs }) => atMs <= nowMs);
+      timers = timers.filter(({ atMs }) => atMs > nowMs);
+      due.forEach(({ handle }) => handle());
+    },
     disconnect: (index: number) => void (isConnected[index] = false),
     reconnect(index: number) {
       isConnected[index] = true;
@@ -77,7 +85,7 @@
         part: "deadly",
       });
       expect(quarantine.checkRequest(["usual"])).toBeUndefined();
-      expect(quarantine.isQuarantined(["other", "usual"])).toBe(false);
+      expect(quarantine.isSuspected(["other", "usual"])).toBe(false);
     });
   });
 
@@ -117,7 +125,8 @@
     entries.advance(1_000);
     expect(third!.checkRequest(["deadly"])).toBeDefined();
     expect(first!.checkRequest(["deadly"])).toBeUndefined();
-    expect(first!.isQuarantined(["deadly"])).toBe(true);
+    first!.recordSend(["deadly"]);
+    expect(first!.isSuspected(["deadly"])).toBe(true);
     expect(first!.checkRequest(["deadly"])).toBeDefined();
     expect(second!.checkRequest(["deadly"])).toBeDefined();
     first!.recordCrash({ endpoint: "c", request: "c", parts: ["deadly"] });
@@ -127,6 +136,35 @@
     });
   });
 
+  // Guards against a rare sound part that stays refused for as long as the
+  // deadly one, because so far it came with that one only.
+  test("is told apart from a part that came with it by a request with the latter alone", () => {
+    const entries = createInformedEntries(3);
+    const [first, second, third] = entries.quarantines;
+    ["a", "b"].forEach((name, index) => {
+      entries.quarantines[index]!.recordCrash({
+        endpoint: `endpoint-${name}`,
+        request: `request-${name}`,
+        parts: ["rare", "deadly"],
+      });
+      entries.advance(100);
+    });
+    expect(second!.checkRequest(["rare"])).toMatchObject({ part: "rare" });
+    entries.advance(1_000);
+    expect(first!.checkRequest(["rare", "deadly"])).toBeDefined();
+    expect(first!.checkRequest(["rare"])).toBeUndefined();
+    first!.recordSend(["rare"]);
+    expect(first!.checkRequest(["rare"])).toBeDefined();
+    expect(second!.checkRequest(["rare"])).toBeDefined();
+    first!.recordSurvival(["rare"]);
+    [first, second, third].forEach((quarantine) => {
+      expect(quarantine!.checkRequest(["rare"])).toBeUndefined();
+      expect(quarantine!.checkRequest(["rare", "deadly"])).toMatchObject({
+        part: "deadly",
+      });
+    });
+  });
+
   test("is released everywhere by a request that survives", () => {
     const entries = createInformedEntries(3);
     crashTwice(entries);
@@ -148,9 +186,9 @@
       entries.advance(200);
     };
     [1, 2, 3, 4].forEach(crash);
-    expect(entries.quarantines[0]!.isQuarantined(["usual"])).toBe(false);
+    expect(entries.quarantines[0]!.isSuspected(["usual"])).toBe(false);
     crash(5);
-    expect(entries.quarantines[0]!.isQuarantined(["usual"])).toBe(true);
+    expect(entries.quarantines[0]!.isSuspected(["usual"])).toBe(true);
   });
 });
 
@@ -164,7 +202,7 @@
       quarantine!.recordCrash({ endpoint, request: "same", parts: ["rare"] });
       entries.advance(500);
     });
-    expect(quarantine!.isQuarantined(["rare"])).toBe(false);
+    expect(quarantine!.isSuspected(["rare"])).toBe(false);
   });
 
   // Guards against blaming what ran in a data centre that lost power.
@@ -178,9 +216,7 @@
       });
       entries.advance(2);
     });
-    expect(entries.quarantines[0]!.isQuarantined(["usual", "rare"])).toBe(
-      false,
-    );
+    expect(entries.quarantines[0]!.isSuspected(["usual", "rare"])).toBe(false);
   });
 
   // Guards against blaming a part for an endpoint that resets connections.
@@ -195,7 +231,7 @@
       });
       entries.advance(100);
     });
-    expect(quarantine!.isQuarantined(["usual", "rare"])).toBe(false);
+    expect(quarantine!.isSuspected(["usual", "rare"])).toBe(false);
   });
 
   // Guards against notices that circulate without end.
@@ -208,6 +244,73 @@
     expect(quarantines[1]!.applyNotice(survival!)).toBe(false);
   });
 
+  // Guards against a flood: a survival that is older than a crash leaves the
+  // part suspected, and ages differ by the time that a notice takes.
+  test("and a survival is new only once, although its age differs", () => {
+    const { quarantines, advance } = createInformedEntries(1);
+    const [quarantine] = quarantines;
+    const survival = { topic: "part_survived" as const, parts: ["p"] };
+    quarantine!.recordCrash({ endpoint: "a", request: "a", parts: ["p"] });
+    advance(100);
+    expect(quarantine!.applyNotice({ ...survival, ageMs: 500 })).toBe(true);
+    advance(20);
+    expect(quarantine!.applyNotice({ ...survival, ageMs: 500 })).toBe(false);
+    expect(quarantine!.applyNotice({ ...survival, ageMs: 900 })).toBe(false);
+  });
+
+  // Guards against a verdict on a part that only ran beside the guilty one,
+  // while the entry that sent the guilty request has not reported yet.
+  test("while the evidence of a crash is not complete", () => {
+    const entries = createInformedEntries(2);
+    const [quarantine] = entries.quarantines;
+    const crash = (name: string, parts: readonly (readonly string[])[]) =>
+      parts.forEach((of, index) =>
+        quarantine!.recordCrash({
+          endpoint: name,
+          request: `${name}-${index}`,
+          parts: of,
+        }),
+      );
+    crash("a", [["rare"], ["deadly"]]);
+    entries.advance(200);
+    crash("b", [["deadly"]]);
+    entries.advance(100);
+    crash("c", [["rare"]]);
+    entries.advance(30);
+    crash("c", [["rare"], ["deadly"]]);
+    entries.advance(100);
+    expect(quarantine!.checkRequest(["deadly"])).toBeDefined();
+    expect(quarantine!.checkRequest(["rare"])).toBeUndefined();
+  });
+
+  // Guards against a verdict that other entries keep, and give back, after the
+  // crashes have turned out to have another cause.
+  test("once later crashes show another cause, at any entry", () => {
+    const entries = createInformedEntries(3);
+    const [first] = entries.quarantines;
+    const crash = (name: string, parts: readonly string[]) => {
+      parts.forEach((part) =>
+        first!.recordCrash({
+          endpoint: name,
+          request: `${name}-${part}`,
+          parts: [part],
+        }),
+      );
+      entries.advance(100);
+    };
+    entries.disconnect(2);
+    crash("a", ["rare"]);
+    crash("b", ["rare", "deadly"]);
+    entries.reconnect(2);
+    expect(entries.quarantines[2]!.checkRequest(["rare"])).toBeDefined();
+    crash("c", ["deadly"]);
+    crash("d", ["deadly"]);
+    entries.quarantines.forEach((quarantine) => {
+      expect(quarantine.checkRequest(["deadly"])).toBeDefined();
+      expect(quarantine.checkRequest(["rare"])).toBeUndefined();
+    });
+  });
+
   // Load: each crash breaks off one request with the deadly part and fifteen
   // others, whose parts are drawn by popularity; few requests survive between
   // two crashes, because most endpoints are restarting.
@@ -250,7 +353,7 @@
     Array.from({ length: 3 }, () => drawEntry().recordSurvival([drawPart()]));
   }
   const refused = SOUND_PARTS.filter((part) =>
-    entries.quarantines.some((quarantine) => quarantine.isQuarantined([part])),
+    entries.quarantines.some((quarantine) => quarantine.isSuspected([part])),
   );
   return { crashes, refused };
 }
--- a/src/quarantine/survived_parts.ts
+++ b/src/quarantine/survived_parts.ts
@@ -4,10 +4,13 @@
 const SURVIVED_TTL_MS = 10 * 60 * 1_000;
 
 export interface SurvivedParts {
+  /** Records a request of this entry. */
+  recordRequest(parts: readonly string[]): void;
+  /** Records what another entry has seen. */
   record(parts: readonly string[], atMs: number): void;
   /** -Infinity if no request with the part is known to have survived. */
   lastAtMs(part: string): number;
-  /** Number of surviving requests recorded so far. */
+  /** Number of surviving requests of this entry so far. */
   countRequests(): number;
 }
 
@@ -22,16 +25,21 @@
       .forEach((part) => lastAtMs.delete(part));
   }
 
+  function record(parts: readonly string[], atMs: number) {
+    parts.forEach((part) => {
+      const latestMs = Math.max(atMs, lastAtMs.get(part) ?? -Infinity);
+      lastAtMs.delete(part);
+      lastAtMs.set(part, latestMs);
+    });
+    if (lastAtMs.size > MAX_PARTS) removeOldest();
+  }
+
   return {
-    record(parts, atMs) {
+    recordRequest(parts) {
       requests += 1;
-      parts.forEach((part) => {
-        const latestMs = Math.max(atMs, lastAtMs.get(part) ?? -Infinity);
-        lastAtMs.delete(part);
-        lastAtMs.set(part, latestMs);
-      });
-      if (lastAtMs.size > MAX_PARTS) removeOldest();
+      record(parts, nowMs());
     },
+    record,
     lastAtMs(part) {
       const found = lastAtMs.get(part) ?? -Infinity;
       return nowMs() - found > SURVIVED_TTL_MS ? -Infinity : found;
--- a/src/wire/prompt_part_notices.ts
+++ b/src/wire/prompt_part_notices.ts
@@ -29,11 +29,22 @@
   /** Time until the first entry may try the part again. */
   remainingMs: durationSchema,
   periodMs: durationSchema,
+  /** Other parts that explain the same crashes as well. */
+  rivals: z.array(partSchema).max(MAX_PARTS),
 });
 export type PartQuarantinedNotice = Readonly<
   z.infer<typeof partQuarantinedNoticeSchema>
 >;
 
+/** Later crashes have shown that they have another cause. */
+export const partReleasedNoticeSchema = z.object({
+  topic: z.literal("part_released"),
+  part: partSchema,
+});
+export type PartReleasedNotice = Readonly<
+  z.infer<typeof partReleasedNoticeSchema>
+>;
+
 /** The sender lets one request with the part run. */
 export const partTrialNoticeSchema = z.object({
   topic: z.literal("part_trial"),
@@ -54,18 +65,21 @@
 export const promptPartNoticeSchemas = [
   partCrashNoticeSchema,
   partQuarantinedNoticeSchema,
+  partReleasedNoticeSchema,
   partTrialNoticeSchema,
   partSurvivedNoticeSchema,
 ] as const;
 export type PromptPartNotice =
   | PartCrashNotice
   | PartQuarantinedNotice
+  | PartReleasedNotice
   | PartTrialNotice
   | PartSurvivedNotice;
 
 export const PROMPT_PART_TOPICS = [
   "part_crash",
   "part_quarantined",
+  "part_released",
   "part_trial",
   "part_survived",
 ] as const satisfies readonly PromptPartNotice["topic"][];
