--- a/src/gateway/handle_outcome.ts
+++ b/src/gateway/handle_outcome.ts
@@ -14,6 +14,8 @@
 /** With less time left than this an endpoint cannot complete a request. */
 const MIN_REMAINING_MS = 20;
 const MIN_SERVER_ERROR_STATUS = 500;
+/** This entry has ended the attempt, because it could crash the endpoint. */
+export const QUARANTINED_REASON = "crashes_endpoints";
 /**
  * Reasons that suggest that the endpoint is gone. Other reasons can concern a
  * single response only.
@@ -27,21 +29,29 @@
 /** Responds to the caller, or returns "retry" for another attempt. */
 export function handleOutcome(
   context: GatewayContext,
-  options: FinishedAttempt,
+  options: FinishedAttempt & {
+    /** True if the request is suspected of crashing its endpoints. */
+    readonly isSuspected: boolean;
+  },
 ): "end" | "retry" {
-  const { call, state, response, outcome, choice } = options;
+  const { call, state, response, outcome, choice, isSuspected } = options;
   const { id } = choice.view.endpoint;
   state.triedEndpoints.add(id);
   switch (outcome.type) {
     case "not_sent":
-      context.health.onUnreachable(id);
+      if (outcome.reason !== QUARANTINED_REASON) {
+        context.health.onUnreachable(id);
+      }
       state.unsentAttempts += 1;
-      if (state.unsentAttempts <= MAX_UNSENT_ATTEMPTS) return "retry";
+      if (state.unsentAttempts <= MAX_UNSENT_ATTEMPTS && !isSuspected) {
+        return "retry";
+      }
       break;
     case "not_run":
       state.notRunAttempts += 1;
       if (
         state.notRunAttempts <= MAX_NOT_RUN_ATTEMPTS &&
+        !isSuspected &&
         takeRetry(context, call)
       ) {
         return "retry";
@@ -50,9 +60,11 @@
     case "lost":
       if (UNREACHABLE_REASONS.has(outcome.reason)) {
         context.health.onUnreachable(id);
-      } else context.health.onFailure(id);
+      } else if (outcome.reason !== QUARANTINED_REASON) {
+        context.health.onFailure(id);
+      }
       state.runs += 1;
-      if (mayRetry(context, options)) return "retry";
+      if (!isSuspected && mayRetry(context, options)) return "retry";
       break;
     case "answered":
       state.runs += 1;
