Count each response that ends before it is complete, with its reason

An entry that broke a response off logged "the caller has left" for it, because both close the connection, and a request behind such a response on the same connection left no trace at all. So the logs could not tell apart the hypotheses for requests without an answer.

The new counter unanswered_requests_total and a log line with the id name the reason. No decision changes, but for one: a second request on a connection is cancelled at its endpoint when the connection closes; it ran on before.

--- a/src/gateway/caller_response.ts
+++ b/src/gateway/caller_response.ts
@@ -22,14 +22,20 @@
   endStream(status: number, headers: HttpHeaders): void;
   refuse(refusal: Refusal): void;
   /** Closes the connection so that the response is seen to be incomplete. */
-  abort(): void;
+  abort(reason: string): void;
   isOpen(): boolean;
 }
 
-export function createCallerResponse(
-  response: ServerResponse,
-  codec: HeaderCodec,
-): CallerResponse {
+export function createCallerResponse({
+  response,
+  codec,
+  onAbort,
+}: {
+  readonly response: ServerResponse;
+  readonly codec: HeaderCodec;
+  /** Called before the connection is closed. */
+  readonly onAbort: (reason: string) => void;
+}): CallerResponse {
   let hasStarted = false;
   let isCloseDelimited = false;
   const method = response.req.method ?? "GET";
@@ -42,7 +48,8 @@
     response.writeHead(status, codec.writeResponseHeaders(headers));
   }
 
-  function abort() {
+  function abort(reason: string) {
+    onAbort(reason);
     // Without framing, a clean close would mark the response as complete.
     if (isCloseDelimited) response.socket?.resetAndDestroy();
     else response.socket?.destroy();
@@ -85,7 +92,9 @@
         status,
         headers,
       });
-      if (isSourceCloseDelimited && !isCloseDelimited) return abort();
+      if (isSourceCloseDelimited && !isCloseDelimited) {
+        return abort("framing_changed");
+      }
       response.end();
     },
     refuse: (refusal) => sendRefusal(response, refusal),
--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -11,8 +11,10 @@
 import { createCallerResponse } from "./caller_response.ts";
 import { listenAt } from "../http/mod.ts";
 import { dispatchCall } from "./dispatch_call.ts";
+import type { Dispatch } from "./dispatch_call.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import { readLimitedBody } from "./read_limited_body.ts";
+import { createResponseMonitor } from "./response_monitor.ts";
 import { sendRefusal, STATUS_NOT_RUN } from "./refusal.ts";
 import type { Refusal } from "./refusal.ts";
 import {
@@ -68,6 +70,7 @@
     "refused_requests_total",
     "Requests refused before dispatch, by reason",
   );
+  const monitor = createResponseMonitor(context);
   let routeTable: RouteTable | undefined;
   let state: "open" | "closing" | "draining" = "open";
   let idleTimer: NodeJS.Timeout | undefined;
@@ -173,10 +176,24 @@
     openResponses.add(response);
     response.sendDate = false;
     if (state !== "open") setConnectionClose(response);
+    const { readCallHeaders } = context.codec;
+    const readId = () => readCallHeaders(request.headers).attemptId;
+    let dispatch: Dispatch | undefined;
+    monitor.watch({
+      request,
+      response,
+      readId,
+      onUnfinished: () => dispatch?.cancel(),
+    });
     try {
-      await processRequest(request, response);
+      dispatch = await acceptCall(request, response);
+      await dispatch?.done;
     } catch (error) {
-      context.logger.error({ err: error }, "failed to handle a request");
+      context.logger.error(
+        { id: readId(), err: error },
+        "failed to handle a request",
+      );
+      monitor.noteClose(request, "failed");
       response.socket?.destroy();
     } finally {
       openResponses.delete(response);
@@ -184,33 +201,29 @@
     }
   }
 
-  async function processRequest(
+  /** Returns undefined if the request is refused or was not sent completely. */
+  async function acceptCall(
     request: IncomingMessage,
     response: ServerResponse,
-  ) {
+  ): Promise<Dispatch | undefined> {
     const resolved = resolveCall(request);
-    if ("status" in resolved) return refuse(request, response, resolved);
+    if ("status" in resolved) {
+      refuse(request, response, resolved);
+      return undefined;
+    }
     const maxBytes = routeTable!.config.limits.maxBodyBytes;
     const body = await readLimitedBody(request, maxBytes);
     if (body === "too_large") {
-      return refuse(request, response, {
-        status: 413,
-        reason: "body_too_large",
-      });
+      refuse(request, response, { status: 413, reason: "body_too_large" });
+      return undefined;
     }
-    if (body === "incomplete") return;
-    const callerResponse = createCallerResponse(response, context.codec);
-    const dispatch = dispatchCall(
-      context,
-      { ...resolved, body },
-      callerResponse,
-    );
-    response.once("close", () => {
-      if (response.writableFinished) return;
-      context.logger.info({ id: resolved.id }, "the caller has left");
-      dispatch.cancel();
+    if (body === "incomplete") return undefined;
+    const callerResponse = createCallerResponse({
+      response,
+      codec: context.codec,
+      onAbort: (reason) => monitor.noteClose(request, reason),
     });
-    await dispatch.done;
+    return dispatchCall(context, { ...resolved, body }, callerResponse);
   }
 
   function refuse(
@@ -254,6 +267,7 @@
     countCalls: () => openResponses.size,
     close() {
       clearInterval(idleTimer);
+      openResponses.forEach(({ req }) => monitor.noteClose(req, "shutdown"));
       server.close();
       server.closeAllConnections();
     },
--- a/src/gateway/end_call.ts
+++ b/src/gateway/end_call.ts
@@ -32,7 +32,7 @@
 ) {
   const { call, state, response, reason, choice } = options;
   if (response.hasStarted()) {
-    response.abort();
+    response.abort(reason);
     return logCallEnd(context, call, { outcome: "broken_off", reason });
   }
   if (state.failedResponse?.body !== undefined) {
@@ -84,7 +84,7 @@
 ) {
   const { call, state, response, outcome } = options;
   if (response.hasStarted()) {
-    response.abort();
+    response.abort("deadline");
     return logCallEnd(context, call, {
       outcome: "broken_off",
       reason: "deadline",
--- a/src/gateway/handle_outcome.ts
+++ b/src/gateway/handle_outcome.ts
@@ -84,7 +84,7 @@
     state.failedResponse = outcome;
     if (mayRetry(context, options)) return "retry";
   }
-  if (response.hasStarted()) response.abort();
+  if (response.hasStarted()) response.abort("failed_response");
   else response.sendComplete(status, headers, body);
   logCallEnd(context, call, { outcome: "answered", status });
   return "end";
