End a silent attempt only when another endpoint takes the call over

Callers saw streams closed in the middle, and 502 for plain requests, although their endpoint was only silent for a second and would have gone on.

An attempt ended after 1 to 1.2 s without a byte (plain requests: three times the objective), before it was known whether a retry could follow. Without a retry in the budget or an endpoint with room, the call ended there.

Now the entry chooses the next endpoint and takes the retry from the budget first, and ends the silent attempt in the same step. Otherwise it waits, asks again every 100 ms, and keeps new calls away from the endpoint. The bound on older weight versions still ends attempts that have not started.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -51,7 +51,13 @@
   readonly needsNewConnection: boolean;
   /** The attempt fails if no byte of the response arrives in this time. */
   readonly firstByteTimeoutMs: number;
-  readonly inactivityTimeoutMs: number;
+  /** Time without any byte after which `onSilence` is called. */
+  readonly silence: {
+    readonly beforeFirstByteMs: number;
+    readonly betweenBytesMs: number;
+  };
+  /** Called again while the silence lasts. "end" ends the attempt. */
+  readonly onSilence: () => "end" | "wait";
   readonly isStream: boolean;
   /** Called with the complete events of a stream, after `onHead`. */
   readonly onEvents: (events: CompleteEvents, head: StreamHead) => void;
@@ -73,6 +79,7 @@
 }
 
 const STATUS_MISDIRECTED = 421;
+const SILENCE_CHECK_INTERVAL_MS = 100;
 
 export function startAttempt(options: AttemptOptions): Attempt {
   const { connections, codec, address } = options;
@@ -91,12 +98,14 @@
   const bodyChunks: Buffer[] = [];
   const splitter = createEventSplitter();
   const firstByteTimer = setTimeout(onTimeout, options.firstByteTimeoutMs);
+  let silenceTimer = setTimeout(onSilence, options.silence.beforeFirstByteMs);
   let inactivityTimer: NodeJS.Timeout | undefined;
 
   function finish(result: AttemptOutcome, isReusable: boolean) {
     if (isFinished) return;
     isFinished = true;
     clearTimeout(firstByteTimer);
+    clearTimeout(silenceTimer);
     clearTimeout(inactivityTimer);
     if (isReusable) connections.release(address, connection);
     else void client.destroy();
@@ -109,10 +118,19 @@
     finish({ type: "lost", reason }, false);
   }
 
+  function onSilence() {
+    // Opening a connection has a timeout of its own.
+    if (isSent && options.onSilence() === "end") return onTimeout();
+    silenceTimer = setTimeout(onSilence, SILENCE_CHECK_INTERVAL_MS);
+  }
+
   function onActivity() {
     clearTimeout(firstByteTimer);
+    clearTimeout(silenceTimer);
     if (inactivityTimer !== undefined) inactivityTimer.refresh();
-    else inactivityTimer = setTimeout(onTimeout, options.inactivityTimeoutMs);
+    else {
+      inactivityTimer = setTimeout(onSilence, options.silence.betweenBytesMs);
+    }
   }
 
   function onHeaders(status: number, headers: HttpHeaders) {
--- a/src/gateway/call_state.ts
+++ b/src/gateway/call_state.ts
@@ -19,6 +19,11 @@
   weightVersion: number | undefined;
   /** From sending the last attempt to its response head. */
   headMs: number | undefined;
+  /**
+   * Endpoint of the next attempt, which is already taken from the retry budget;
+   * set when a silent attempt is ended.
+   */
+  reservedRetry: ChosenEndpoint | undefined;
   /** A server error of an endpoint, passed on if no later attempt succeeds. */
   failedResponse: Extract<AttemptOutcome, { type: "answered" }> | undefined;
 }
@@ -51,6 +56,7 @@
     lastEventId: call.headers.lastEventId,
     weightVersion: undefined,
     headMs: undefined,
+    reservedRetry: undefined,
     failedResponse: undefined,
   };
 }
--- a/src/gateway/dispatch_call.ts
+++ b/src/gateway/dispatch_call.ts
@@ -24,6 +24,7 @@
 import { sendAttempt, trackAttempt } from "./send_attempt.ts";
 import { handleOutcome } from "./handle_outcome.ts";
 import { listEndpointViews } from "./list_endpoint_views.ts";
+import { reserveRetry } from "./reserve_retry.ts";
 
 /**
  * A route can be published before its service. The next configuration version
@@ -85,7 +86,9 @@
     const refusalTracker = context.getRefusalTracker(service.name);
     const state = createCallState(call);
     for (;;) {
-      const choice = choose(context, { call, service, state });
+      const choice =
+        state.reservedRetry ?? choose(context, { call, service, state });
+      state.reservedRetry = undefined;
       if (choice.type === "none") {
         refusalTracker.countRefused();
         return endWithoutEndpoint(context, { call, response, state, choice });
@@ -97,6 +100,14 @@
         state,
         response,
         choice,
+        reserveRetry: () =>
+          reserveRetry(context, {
+            call,
+            state,
+            response,
+            choice,
+            choose: (next) => choose(context, { call, service, state: next }),
+          }),
       });
       const outcome = await trackAttempt(context, attempt, choice.view);
       logAttempt(context, { call, state, choice, outcome });
--- a/src/gateway/handle_outcome.ts
+++ b/src/gateway/handle_outcome.ts
@@ -3,7 +3,7 @@
 import type { AttemptOutcome } from "./attempt.ts";
 import type { Call } from "./call.ts";
 import { isRetryable } from "./call_state.ts";
-import type { FinishedAttempt } from "./call_state.ts";
+import type { ActiveCall, FinishedAttempt } from "./call_state.ts";
 import { endWithFailure, logCallEnd } from "./end_call.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 
@@ -52,6 +52,7 @@
         context.health.onUnreachable(id);
       } else context.health.onFailure(id);
       state.runs += 1;
+      if (state.reservedRetry !== undefined) return "retry";
       if (mayRetry(context, options)) return "retry";
       break;
     case "answered":
@@ -90,9 +91,10 @@
   return "end";
 }
 
-function mayRetry(
+/** Takes the retry from the budget if it returns true. */
+export function mayRetry(
   context: GatewayContext,
-  { call, state, response }: FinishedAttempt,
+  { call, state, response }: ActiveCall,
 ): boolean {
   if (!isRetryable(call) || state.runs >= call.route.maxAttempts) return false;
   if (!response.isOpen()) return false;
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -1,7 +1,11 @@
-/** Sends a call to the chosen endpoint, with timeouts that suit the call. */
+/**
+ * Sends a call to the chosen endpoint. While it is silent for longer than suits
+ * the call, the call goes to another endpoint as soon as one can take over;
+ * until then, up to its deadline, the attempt goes on.
+ */
 
 import { startAttempt } from "./attempt.ts";
-import type { Attempt, AttemptOutcome } from "./attempt.ts";
+import type { Attempt, AttemptOptions, AttemptOutcome } from "./attempt.ts";
 import type { Call } from "./call.ts";
 import { isRetryable } from "./call_state.ts";
 import type { ChosenEndpoint, PendingCall } from "./call_state.ts";
@@ -11,18 +15,22 @@
 import { readColdLimit } from "./list_endpoint_views.ts";
 import { computeStartTimeoutMs } from "./weight_versions.ts";
 
-/** An endpoint that takes longer to send the first event has stalled. */
-const FIRST_EVENT_TIMEOUT_MS = 1_200;
-/** Pauses of a healthy engine stay well below this. */
-const EVENT_GAP_TIMEOUT_MS = 1_000;
+/** An endpoint that takes longer to send the first event may have stalled. */
+const FIRST_EVENT_SILENCE_MS = 1_200;
+/** Most pauses of a healthy engine stay well below this. */
+const EVENT_GAP_SILENCE_MS = 1_000;
 /** A plain request is retried after this many times its latency objective. */
-const PLAIN_TIMEOUT_FACTOR = 3;
+const PLAIN_SILENCE_FACTOR = 3;
+/** Beyond the deadline, at which the call ends. */
+const AFTER_DEADLINE_MS = 1_000;
 
 export function sendAttempt(
   context: GatewayContext,
   options: PendingCall & {
     readonly response: CallerResponse;
     readonly choice: ChosenEndpoint;
+    /** Returns true if another endpoint is certain to get the call now. */
+    readonly reserveRetry: () => boolean;
   },
 ): Attempt {
   const { call, service, state, response, choice } = options;
@@ -31,14 +39,8 @@
   const remainingMs = call.deadlineMs - context.nowMs();
   const isStream = route.kind === "stream";
   const canRetry = isRetryable(call) && state.runs + 1 < route.maxAttempts;
-  const timeouts = canRetry
-    ? isStream
-      ? {
-          firstByteMs: FIRST_EVENT_TIMEOUT_MS,
-          inactivityMs: EVENT_GAP_TIMEOUT_MS,
-        }
-      : createPlainTimeouts(route.objectiveMs)
-    : { firstByteMs: remainingMs + 1_000, inactivityMs: remainingMs + 1_000 };
+  const unlimitedMs = remainingMs + AFTER_DEADLINE_MS;
+  let isSilent = false;
   const trackedRequest = context.loads.trackRequest(
     endpoint.address,
     headers.promptTokens ?? 0,
@@ -64,11 +66,20 @@
     body: call.body,
     needsNewConnection: route.kind === "non_idempotent",
     firstByteTimeoutMs: Math.min(
-      timeouts.firstByteMs,
+      unlimitedMs,
       computeVersionTimeoutMs(context, call, choice.view),
     ),
-    inactivityTimeoutMs: timeouts.inactivityMs,
+    silence: canRetry
+      ? findSilenceLimits(call)
+      : { beforeFirstByteMs: unlimitedMs, betweenBytesMs: unlimitedMs },
     isStream,
+    onSilence() {
+      if (!canRetry) return "wait";
+      if (options.reserveRetry()) return "end";
+      if (!isSilent) noteSilence(context, options);
+      isSilent = true;
+      return "wait";
+    },
     onHead() {
       trackedRequest.markStarted();
       state.headMs = Math.round(context.nowMs() - sentAtMs);
@@ -122,9 +133,28 @@
   );
 }
 
-function createPlainTimeouts(objectiveMs: number) {
-  const timeoutMs = objectiveMs * PLAIN_TIMEOUT_FACTOR;
-  return { firstByteMs: timeoutMs, inactivityMs: timeoutMs };
+function findSilenceLimits({ route }: Call): AttemptOptions["silence"] {
+  if (route.kind === "stream") {
+    return {
+      beforeFirstByteMs: FIRST_EVENT_SILENCE_MS,
+      betweenBytesMs: EVENT_GAP_SILENCE_MS,
+    };
+  }
+  const silenceMs = route.objectiveMs * PLAIN_SILENCE_FACTOR;
+  return { beforeFirstByteMs: silenceMs, betweenBytesMs: silenceMs };
+}
+
+/** Directs new calls elsewhere while an endpoint is silent. */
+function noteSilence(
+  { health, logger }: GatewayContext,
+  { call, choice }: { readonly call: Call; readonly choice: ChosenEndpoint },
+) {
+  const { id, address } = choice.view.endpoint;
+  health.onUnreachable(id);
+  logger.info(
+    { id: call.id, endpoint: id, address },
+    "endpoint is silent and no other one can take over; waiting",
+  );
 }
 
 /** Registers the attempt while in flight, so that a lost endpoint ends it. */
