Report an endpoint as down only when its process has started again

Callers saw streams closed in the middle, and 502 for requests that may run once only, although their endpoint was sound and went on.

Two reads of the endpoint's report that failed, 0.8 s in all, gave the phase "down", and entries end all attempts at such an endpoint. A read also fails while the endpoint is silent for a second, and when it resets connections beyond its limit.

Failed reads give the phase "unknown", so that nothing new is sent there. Only another start time gives "down", once: requests at the former process cannot be answered. A process that ends closes its connections, which entries see by themselves.

--- a/src/sidecar/load_reporter.ts
+++ b/src/sidecar/load_reporter.ts
@@ -17,8 +17,8 @@
 const REPEAT_INTERVAL_MS = 1_000;
 /** Interval of the reports to other data centres while only the load changes. */
 const REMOTE_INTERVAL_MS = 600;
-/** A single lost response must not mark the endpoint as down. */
-const FAILURES_UNTIL_DOWN = 2;
+/** A single lost response must not keep new requests away. */
+const FAILURES_UNTIL_UNKNOWN = 2;
 
 interface SentReport {
   readonly text: string;
@@ -54,12 +54,19 @@
   let phase: Phase = "unknown";
   let isSwitching = false;
   let failures = 0;
+  let startedAtMs: number | undefined;
+  let hasRestarted = false;
   /** The last report sent to entries of the same and of other data centres. */
   const lastSent = { local: NEVER_SENT, remote: NEVER_SENT };
   let isClosed = false;
 
+  /**
+   * Entries send nothing new to an endpoint of phase `unknown`. They also end
+   * all attempts at one that is `down`, so only another start time shows that:
+   * an endpoint that does not answer may go on with its requests.
+   */
   function determinePhase(): Phase {
-    if (failures >= FAILURES_UNTIL_DOWN) return "down";
+    if (hasRestarted) return "down";
     if (report === undefined) return "unknown";
     if (isSwitching) return "loading";
     if (report.models.length === 0) return report.isBusy ? "loading" : "empty";
@@ -121,9 +128,12 @@
     if (result.isOk()) {
       failures = 0;
       report = result.value;
+      const former = startedAtMs;
+      startedAtMs = report.startedAtMs ?? former;
+      hasRestarted = former !== undefined && startedAtMs !== former;
     } else {
       failures += 1;
-      if (failures >= FAILURES_UNTIL_DOWN) report = undefined;
+      if (failures >= FAILURES_UNTIL_UNKNOWN) report = undefined;
     }
     publish();
   }
--- a/test/users_platform/platform_fleet_test.ts
+++ b/test/users_platform/platform_fleet_test.ts
@@ -149,3 +149,21 @@
   const bodies = (await Promise.all(answers)).map(({ body }) => body);
   expect(bodies).toEqual(Array.from({ length: 5 }, () => COMPLETE_ANSWER));
 }, 30_000);
+
+// Guards against streams that are ended because the endpoint's reports time
+// out for a second, although the stream goes on.
+test("a stream is completed at an endpoint whose reports fail for a second", async () => {
+  fleet = await startPlatformFleet({
+    gateways: 1,
+    workers: [1],
+    worker: { eventIntervalMs: 600 },
+  });
+  await waitUntilServing(fleet);
+  const { faults, startedAttemptIds } = fleet.workers[0]!;
+  const answer = call(fleet.gateways[0]!.callerUrl, { id: "silent" });
+  await waitUntil(() => startedAttemptIds.includes("silent"));
+  faults.isHung = true;
+  await new Promise((resolve) => setTimeout(resolve, 1_200));
+  faults.isHung = false;
+  expect(await answer).toMatchObject({ isWhole: true, body: COMPLETE_ANSWER });
+}, 30_000);
