Send a request to an endpoint only after the responses ahead of it

A second whole request on a caller's connection got neither an answer nor a refusal, although an endpoint had run it.

The server reads the next request while the first one is answered, and it was dispatched at once. The first response can end the connection: it is broken off, its endpoint gives it no length, or the entry leaves.

Requests of a connection now wait for the responses ahead of them, and are not sent anywhere if the connection ends first. An entry that leaves sends "connection: close" with the last response of a connection.

--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -9,6 +9,7 @@
 import type { RoutingConfig } from "../directory/mod.ts";
 import type { Call } from "./call.ts";
 import { createCallerResponse } from "./caller_response.ts";
+import { createConnectionOrder } from "./connection_order.ts";
 import { listenAt } from "../http/mod.ts";
 import { dispatchCall } from "./dispatch_call.ts";
 import type { Dispatch } from "./dispatch_call.ts";
@@ -71,6 +72,7 @@
     "Requests refused before dispatch, by reason",
   );
   const monitor = createResponseMonitor(context);
+  const order = createConnectionOrder();
   let routeTable: RouteTable | undefined;
   let state: "open" | "closing" | "draining" = "open";
   let idleTimer: NodeJS.Timeout | undefined;
@@ -179,14 +181,15 @@
     const { readCallHeaders } = context.codec;
     const readId = () => readCallHeaders(request.headers).attemptId;
     let dispatch: Dispatch | undefined;
-    monitor.watch({
+    const ended = monitor.watch({
       request,
       response,
       readId,
       onUnfinished: () => dispatch?.cancel(),
     });
+    const turn = order.enter({ request, response, ended });
     try {
-      dispatch = await acceptCall(request, response);
+      dispatch = await acceptCall({ request, response, turn });
       await dispatch?.done;
     } catch (error) {
       context.logger.error(
@@ -201,11 +204,19 @@
     }
   }
 
-  /** Returns undefined if the request is refused or was not sent completely. */
-  async function acceptCall(
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<Dispatch | undefined> {
+  /**
+   * Returns undefined if the request is refused, or its connection closed
+   * before its turn.
+   */
+  async function acceptCall({
+    request,
+    response,
+    turn,
+  }: {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly turn: Promise<void>;
+  }): Promise<Dispatch | undefined> {
     const resolved = resolveCall(request);
     if ("status" in resolved) {
       refuse(request, response, resolved);
@@ -218,6 +229,8 @@
       return undefined;
     }
     if (body === "incomplete") return undefined;
+    await turn;
+    if (!request.socket.writable) return undefined;
     const callerResponse = createCallerResponse({
       response,
       codec: context.codec,
@@ -251,7 +264,7 @@
     listen: (address) => listenAt(server, address),
     startClosing() {
       state = "closing";
-      openResponses.forEach(setConnectionClose);
+      [...openResponses].filter(order.isLast).forEach(setConnectionClose);
     },
     drain() {
       state = "draining";
--- a/src/gateway/response_monitor.ts
+++ b/src/gateway/response_monitor.ts
@@ -10,8 +10,12 @@
 import type { Registry } from "../metrics/mod.ts";
 
 export interface ResponseMonitor {
-  /** Calls `onUnfinished` if the response ends before it is complete. */
-  watch(options: WatchOptions): void;
+  /**
+   * Calls `onUnfinished` if the connection closes before the response is
+   * complete. Resolves when the response has been sent or its connection is
+   * closed.
+   */
+  watch(options: WatchOptions): Promise<void>;
   /** Notes why this entry is about to close the response's connection. */
   noteClose(request: IncomingMessage, reason: string): void;
 }
@@ -42,29 +46,39 @@
     return closeReasons.get(request.socket) ?? "caller_left";
   }
 
+  function handleUnfinished(options: WatchOptions) {
+    const { request, response, onUnfinished } = options;
+    const reason = findReason(options);
+    const id = options.readId();
+    unanswered.increment({ reason });
+    if (reason === "caller_left") logger.info({ id }, "the caller has left");
+    else {
+      const isRequestRead = request.complete;
+      const hasStarted = response.headersSent;
+      logger.warn(
+        { id, reason, isRequestRead, hasStarted },
+        "connection closed before the response was complete",
+      );
+    }
+    onUnfinished();
+  }
+
   return {
     watch(options) {
       const { request, response } = options;
       const { socket } = request;
-      // The response emits no event when it waits behind another one.
-      function onClose() {
-        const reason = findReason(options);
-        const id = options.readId();
-        unanswered.increment({ reason });
-        if (reason === "caller_left")
-          logger.info({ id }, "the caller has left");
-        else {
-          const isRequestRead = request.complete;
-          const hasStarted = response.headersSent;
-          logger.warn(
-            { id, reason, isRequestRead, hasStarted },
-            "connection closed before the response was complete",
-          );
+      return new Promise((resolve) => {
+        // A response that waits behind another one has no events of its own.
+        function onClose() {
+          handleUnfinished(options);
+          resolve();
         }
-        options.onUnfinished();
-      }
-      socket.once("close", onClose);
-      response.once("finish", () => socket.off("close", onClose));
+        socket.once("close", onClose);
+        response.once("finish", () => {
+          socket.off("close", onClose);
+          resolve();
+        });
+      });
     },
     noteClose: (request, reason) =>
       void closeReasons.set(request.socket, reason),
