Wait until answers are sent before an entry that leaves closes connections

A caller that read a long answer slowly got a part of it and a closed connection when its entry was stopped.

While draining, idle connections are closed every 100 ms. Node.js counts a connection as idle once the last byte of its response is queued. The entry also counted such a response as done, and exited.

Evidence: drain_test.ts on the former code received 3,919,872 of 8,000,000 bytes.

A response now counts as in progress until it has been sent or its connection is closed, and connections are not closed as idle meanwhile. The test passes.

--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -198,10 +198,16 @@
       );
       monitor.noteClose(request, "failed");
       response.socket?.destroy();
-    } finally {
-      openResponses.delete(response);
-      if (openResponses.size === 0) drainHandlers.splice(0).forEach((f) => f());
     }
+    await ended;
+    openResponses.delete(response);
+    if (openResponses.size === 0) drainHandlers.splice(0).forEach((f) => f());
+  }
+
+  function closeIdleConnections() {
+    // Node.js counts a connection as idle while an answer is still being sent.
+    const isSending = [...openResponses].some((r) => r.writableEnded);
+    if (!isSending) server.closeIdleConnections();
   }
 
   /**
@@ -268,10 +274,7 @@
     },
     drain() {
       state = "draining";
-      idleTimer = setInterval(
-        () => server.closeIdleConnections(),
-        CLOSE_IDLE_INTERVAL_MS,
-      );
+      idleTimer = setInterval(closeIdleConnections, CLOSE_IDLE_INTERVAL_MS);
       return new Promise((resolve) => {
         if (openResponses.size === 0) resolve();
         else drainHandlers.push(resolve);
