Answer a request whose handling fails instead of closing its connection

A request whose handling threw an exception got a closed connection, which promises nothing and says nothing.

The caller now gets 503 if the request was not sent anywhere, and 502 otherwise. A stream counts as started only once its head has been sent, and an event as passed on only after it was written, so that nothing is skipped when writing fails.

--- a/src/gateway/caller_response.ts
+++ b/src/gateway/caller_response.ts
@@ -42,10 +42,10 @@
 
   function start(status: number, headers: HttpHeaders) {
     if (hasStarted) return;
-    hasStarted = true;
     isCloseDelimited = hasCloseDelimitedBody({ method, status, headers });
     if (isCloseDelimited) response.useChunkedEncodingByDefault = false;
     response.writeHead(status, codec.writeResponseHeaders(headers));
+    hasStarted = true;
   }
 
   function abort(reason: string) {
--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -16,7 +16,11 @@
 import type { GatewayContext } from "./gateway_context.ts";
 import { readLimitedBody } from "./read_limited_body.ts";
 import { createResponseMonitor } from "./response_monitor.ts";
-import { sendRefusal, STATUS_NOT_RUN } from "./refusal.ts";
+import {
+  sendRefusal,
+  STATUS_NOT_RUN,
+  STATUS_OUTCOME_UNKNOWN,
+} from "./refusal.ts";
 import type { Refusal } from "./refusal.ts";
 import {
   chooseService,
@@ -45,6 +49,8 @@
   reason: "stale_configuration",
   retryAfterMs: STALE_CONFIG_RETRY_MS,
 };
+/** Another entry may not have the fault. */
+const FAILED_RETRY_MS = 300;
 /** Short, because another entry can accept the call at once. */
 const LEAVING_RETRY_MS = 50;
 /** While draining, idle connections are closed at this interval. */
@@ -196,14 +202,33 @@
         { id: readId(), err: error },
         "failed to handle a request",
       );
-      monitor.noteClose(request, "failed");
-      response.socket?.destroy();
+      endFailed({ request, response, mayHaveRun: dispatch !== undefined });
     }
     await ended;
     openResponses.delete(response);
     if (openResponses.size === 0) drainHandlers.splice(0).forEach((f) => f());
   }
 
+  function endFailed({
+    request,
+    response,
+    mayHaveRun,
+  }: {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly mayHaveRun: boolean;
+  }) {
+    if (response.headersSent) {
+      monitor.noteClose(request, "failed");
+      response.socket?.destroy();
+      return;
+    }
+    const refusal = mayHaveRun
+      ? { status: STATUS_OUTCOME_UNKNOWN }
+      : { status: STATUS_NOT_RUN, retryAfterMs: FAILED_RETRY_MS };
+    refuse(request, response, { ...refusal, reason: "failed" });
+  }
+
   function closeIdleConnections() {
     // Node.js counts a connection as idle while an answer is still being sent.
     const isSending = [...openResponses].some((r) => r.writableEnded);
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -85,9 +85,9 @@
       state.headMs = Math.round(context.nowMs() - sentAtMs);
     },
     onEvents(events, head) {
+      response.sendEvents(head.status, head.headers, events.bytes);
       state.lastEventId = events.lastId ?? state.lastEventId;
       state.weightVersion ??= weightVersion;
-      response.sendEvents(head.status, head.headers, events.bytes);
     },
   });
   context.traffic.bytesSent.increment(
