Keep a caller's connection open for the idle timeout that was announced

A caller could send a request on a connection that the entry was just closing, beside a change of the idle timeout.

The limits of a new configuration were applied with the next request, whose response had been given the former timeout. And Node.js starts the idle timer with the timeout in force when a response is complete, not with the one that the response announced at its start.

Evidence: idle_timeout_test.ts on the former code: the first response announced timeout=15 instead of timeout=3, and with the first of the two mended, a connection announced for 2 s was closed 1.2 s after the change.

The limits are applied when the configuration arrives, and the timer is set to the announced time where that is longer. Both tests pass. A request on such a connection has not been read, so this does not explain answers that are lost.

--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -57,6 +57,8 @@
 const CLOSE_IDLE_INTERVAL_MS = 100;
 /** Until the first configuration sets it. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
+/** As in Node.js: a request may be on its way when the timeout ends. */
+const IDLE_TIMEOUT_MARGIN_MS = 1_000;
 
 export interface CallerServer {
   listen(address: string): Promise<void>;
@@ -95,6 +97,8 @@
   );
   // The deadline of the call limits slow bodies instead.
   server.requestTimeout = 0;
+  // Before the next request, whose response announces the idle timeout.
+  directory.onChange(() => void getRouteTable());
 
   function getRouteTable(): RouteTable | undefined {
     const config = directory.config();
@@ -186,6 +190,7 @@
     if (state !== "open") setConnectionClose(response);
     const { readCallHeaders } = context.codec;
     const readId = () => readCallHeaders(request.headers).attemptId;
+    const announcedIdleMs = server.keepAliveTimeout;
     let dispatch: Dispatch | undefined;
     const ended = monitor.watch({
       request,
@@ -205,10 +210,21 @@
       endFailed({ request, response, mayHaveRun: dispatch !== undefined });
     }
     await ended;
+    keepAnnounced(response, announcedIdleMs);
     openResponses.delete(response);
     if (openResponses.size === 0) drainHandlers.splice(0).forEach((f) => f());
   }
 
+  /**
+   * Node.js sets the idle timeout in force when the response is complete, which
+   * can be shorter than the one that the response announced.
+   */
+  function keepAnnounced(response: ServerResponse, idleMs: number) {
+    if (order.isLast(response) && idleMs > server.keepAliveTimeout) {
+      response.req.socket.setTimeout(idleMs + IDLE_TIMEOUT_MARGIN_MS);
+    }
+  }
+
   function endFailed({
     request,
     response,
