--- a/src/gateway/call_state.ts
+++ b/src/gateway/call_state.ts
@@ -21,6 +21,11 @@
   hasSurvived: boolean;
   /** From sending the last attempt to its response head. */
   headMs: number | undefined;
+  /**
+   * Endpoint of the next attempt, which is already taken from the retry budget;
+   * set when a silent attempt is ended.
+   */
+  reservedRetry: ChosenEndpoint | undefined;
   /** A server error of an endpoint, passed on if no later attempt succeeds. */
   failedResponse: Extract<AttemptOutcome, { type: "answered" }> | undefined;
 }
@@ -54,6 +59,7 @@
     weightVersion: undefined,
     hasSurvived: false,
     headMs: undefined,
+    reservedRetry: undefined,
     failedResponse: undefined,
   };
 }
--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -9,11 +9,18 @@
 import type { RoutingConfig } from "../directory/mod.ts";
 import type { Call } from "./call.ts";
 import { createCallerResponse } from "./caller_response.ts";
+import { createConnectionOrder } from "./connection_order.ts";
 import { listenAt } from "../http/mod.ts";
 import { dispatchCall } from "./dispatch_call.ts";
+import type { Dispatch } from "./dispatch_call.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import { readLimitedBody } from "./read_limited_body.ts";
-import { sendRefusal, STATUS_NOT_RUN } from "./refusal.ts";
+import { createResponseMonitor } from "./response_monitor.ts";
+import {
+  sendRefusal,
+  STATUS_NOT_RUN,
+  STATUS_OUTCOME_UNKNOWN,
+} from "./refusal.ts";
 import type { Refusal } from "./refusal.ts";
 import {
   chooseService,
@@ -42,12 +49,16 @@
   reason: "stale_configuration",
   retryAfterMs: STALE_CONFIG_RETRY_MS,
 };
+/** Another entry may not have the fault. */
+const FAILED_RETRY_MS = 300;
 /** Short, because another entry can accept the call at once. */
 const LEAVING_RETRY_MS = 50;
 /** While draining, idle connections are closed at this interval. */
 const CLOSE_IDLE_INTERVAL_MS = 100;
 /** Until the first configuration sets it. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
+/** As in Node.js: a request may be on its way when the timeout ends. */
+const IDLE_TIMEOUT_MARGIN_MS = 1_000;
 
 export interface CallerServer {
   listen(address: string): Promise<void>;
@@ -68,6 +79,8 @@
     "refused_requests_total",
     "Requests refused before dispatch, by reason",
   );
+  const monitor = createResponseMonitor(context);
+  const order = createConnectionOrder();
   let routeTable: RouteTable | undefined;
   let state: "open" | "closing" | "draining" = "open";
   let idleTimer: NodeJS.Timeout | undefined;
@@ -84,6 +97,8 @@
   );
   // The deadline of the call limits slow bodies instead.
   server.requestTimeout = 0;
+  // Before the next request, whose response announces the idle timeout.
+  directory.onChange(() => void getRouteTable());
 
   function getRouteTable(): RouteTable | undefined {
     const config = directory.config();
@@ -173,44 +188,102 @@
     openResponses.add(response);
     response.sendDate = false;
     if (state !== "open") setConnectionClose(response);
+    const { readCallHeaders } = context.codec;
+    const readId = () => readCallHeaders(request.headers).attemptId;
+    const announcedIdleMs = server.keepAliveTimeout;
+    let dispatch: Dispatch | undefined;
+    const ended = monitor.watch({
+      request,
+      response,
+      readId,
+      onUnfinished: () => dispatch?.cancel(),
+    });
+    const turn = order.enter({ request, response, ended });
     try {
-      await processRequest(request, response);
+      dispatch = await acceptCall({ request, response, turn });
+      await dispatch?.done;
     } catch (error) {
-      context.logger.error({ err: error }, "failed to handle a request");
+      context.logger.error(
+        { id: readId(), err: error },
+        "failed to handle a request",
+      );
+      endFailed({ request, response, mayHaveRun: dispatch !== undefined });
+    }
+    await ended;
+    keepAnnounced(response, announcedIdleMs);
+    openResponses.delete(response);
+    if (openResponses.size === 0) drainHandlers.splice(0).forEach((f) => f());
+  }
+
+  /**
+   * Node.js sets the idle timeout in force when the response is complete, which
+   * can be shorter than the one that the response announced.
+   */
+  function keepAnnounced(response: ServerResponse, idleMs: number) {
+    if (order.isLast(response) && idleMs > server.keepAliveTimeout) {
+      response.req.socket.setTimeout(idleMs + IDLE_TIMEOUT_MARGIN_MS);
+    }
+  }
+
+  function endFailed({
+    request,
+    response,
+    mayHaveRun,
+  }: {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly mayHaveRun: boolean;
+  }) {
+    if (response.headersSent) {
+      monitor.noteClose(request, "failed");
       response.socket?.destroy();
-    } finally {
-      openResponses.delete(response);
-      if (openResponses.size === 0) drainHandlers.splice(0).forEach((f) => f());
+      return;
     }
+    const refusal = mayHaveRun
+      ? { status: STATUS_OUTCOME_UNKNOWN }
+      : { status: STATUS_NOT_RUN, retryAfterMs: FAILED_RETRY_MS };
+    refuse(request, response, { ...refusal, reason: "failed" });
   }
 
-  async function processRequest(
-    request: IncomingMessage,
-    response: ServerResponse,
-  ) {
+  function closeIdleConnections() {
+    // Node.js counts a connection as idle while an answer is still being sent.
+    const isSending = [...openResponses].some((r) => r.writableEnded);
+    if (!isSending) server.closeIdleConnections();
+  }
+
+  /**
+   * Returns undefined if the request is refused, or its connection closed
+   * before its turn.
+   */
+  async function acceptCall({
+    request,
+    response,
+    turn,
+  }: {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly turn: Promise<void>;
+  }): Promise<Dispatch | undefined> {
     const resolved = resolveCall(request);
-    if ("status" in resolved) return refuse(request, response, resolved);
+    if ("status" in resolved) {
+      refuse(request, response, resolved);
+      return undefined;
+    }
     const maxBytes = routeTable!.config.limits.maxBodyBytes;
     const body = await readLimitedBody(request, maxBytes);
     if (body === "too_large") {
-      return refuse(request, response, {
-        status: 413,
-        reason: "body_too_large",
-      });
+      refuse(request, response, { status: 413, reason: "body_too_large" });
+      return undefined;
     }
-    if (body === "incomplete") return;
-    const callerResponse = createCallerResponse(response, context.codec);
-    const dispatch = dispatchCall(
-      context,
-      { ...resolved, body },
-      callerResponse,
-    );
-    response.once("close", () => {
-      if (response.writableFinished) return;
-      context.logger.info({ id: resolved.id }, "the caller has left");
-      dispatch.cancel();
+    if (body === "incomplete") return undefined;
+    await turn;
+    if (!request.socket.writable) return undefined;
+    const callerResponse = createCallerResponse({
+      response,
+      codec: context.codec,
+      onAbort: (reason) => monitor.noteClose(request, reason),
     });
-    await dispatch.done;
+    return dispatchCall(context, { ...resolved, body }, callerResponse);
   }
 
   function refuse(
@@ -238,14 +311,11 @@
     listen: (address) => listenAt(server, address),
     startClosing() {
       state = "closing";
-      openResponses.forEach(setConnectionClose);
+      [...openResponses].filter(order.isLast).forEach(setConnectionClose);
     },
     drain() {
       state = "draining";
-      idleTimer = setInterval(
-        () => server.closeIdleConnections(),
-        CLOSE_IDLE_INTERVAL_MS,
-      );
+      idleTimer = setInterval(closeIdleConnections, CLOSE_IDLE_INTERVAL_MS);
       return new Promise((resolve) => {
         if (openResponses.size === 0) resolve();
         else drainHandlers.push(resolve);
@@ -254,6 +324,7 @@
     countCalls: () => openResponses.size,
     close() {
       clearInterval(idleTimer);
+      openResponses.forEach(({ req }) => monitor.noteClose(req, "shutdown"));
       server.close();
       server.closeAllConnections();
     },
--- a/src/gateway/dispatch_call.ts
+++ b/src/gateway/dispatch_call.ts
@@ -24,6 +24,7 @@
 import { sendAttempt, trackAttempt } from "./send_attempt.ts";
 import { handleOutcome, QUARANTINED_REASON } from "./handle_outcome.ts";
 import { listEndpointViews } from "./list_endpoint_views.ts";
+import { reserveRetry } from "./reserve_retry.ts";
 
 /**
  * A route can be published before its service. The next configuration version
@@ -92,7 +93,9 @@
     const refusalTracker = context.getRefusalTracker(service.name);
     const state = createCallState(call);
     for (;;) {
-      const choice = choose(context, { call, service, state });
+      const choice =
+        state.reservedRetry ?? choose(context, { call, service, state });
+      state.reservedRetry = undefined;
       if (choice.type === "none") {
         refusalTracker.countRefused();
         return endWithoutEndpoint(context, { call, response, state, choice });
@@ -107,6 +110,14 @@
         state,
         response,
         choice,
+        reserveRetry: () =>
+          reserveRetry(context, {
+            call,
+            state,
+            response,
+            choice,
+            choose: (next) => choose(context, { call, service, state: next }),
+          }),
       });
       const watch = context.promptParts.watch(promptParts, () => {
         if (!state.hasSurvived) attempt?.fail(QUARANTINED_REASON);
@@ -131,15 +142,7 @@
       if (endCause === "expired") {
         return endExpired(context, { call, response, state, outcome });
       }
-      const isSuspected = context.promptParts.isSuspected(promptParts);
-      const finishedAttempt = {
-        call,
-        state,
-        response,
-        outcome,
-        choice,
-        isSuspected,
-      };
+      const finishedAttempt = { call, state, response, outcome, choice };
       const next = handleOutcome(context, finishedAttempt);
       if (next === "end") return;
     }
--- a/src/gateway/handle_outcome.ts
+++ b/src/gateway/handle_outcome.ts
@@ -3,7 +3,7 @@
 import type { AttemptOutcome } from "./attempt.ts";
 import type { Call } from "./call.ts";
 import { isRetryable } from "./call_state.ts";
-import type { FinishedAttempt } from "./call_state.ts";
+import type { ActiveCall, FinishedAttempt } from "./call_state.ts";
 import { endWithFailure, logCallEnd } from "./end_call.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 
@@ -29,12 +29,9 @@
 /** Responds to the caller, or returns "retry" for another attempt. */
 export function handleOutcome(
   context: GatewayContext,
-  options: FinishedAttempt & {
-    /** True if the request is suspected of crashing its endpoints. */
-    readonly isSuspected: boolean;
-  },
+  options: FinishedAttempt,
 ): "end" | "retry" {
-  const { call, state, response, outcome, choice, isSuspected } = options;
+  const { call, state, response, outcome, choice } = options;
   const { id } = choice.view.endpoint;
   state.triedEndpoints.add(id);
   switch (outcome.type) {
@@ -43,7 +40,10 @@
         context.health.onUnreachable(id);
       }
       state.unsentAttempts += 1;
-      if (state.unsentAttempts <= MAX_UNSENT_ATTEMPTS && !isSuspected) {
+      if (
+        state.unsentAttempts <= MAX_UNSENT_ATTEMPTS &&
+        !isSuspected(context, call)
+      ) {
         return "retry";
       }
       break;
@@ -51,7 +51,7 @@
       state.notRunAttempts += 1;
       if (
         state.notRunAttempts <= MAX_NOT_RUN_ATTEMPTS &&
-        !isSuspected &&
+        !isSuspected(context, call) &&
         takeRetry(context, call)
       ) {
         return "retry";
@@ -64,7 +64,8 @@
         context.health.onFailure(id);
       }
       state.runs += 1;
-      if (!isSuspected && mayRetry(context, options)) return "retry";
+      if (state.reservedRetry !== undefined) return "retry";
+      if (mayRetry(context, options)) return "retry";
       break;
     case "answered":
       state.runs += 1;
@@ -96,22 +97,29 @@
     state.failedResponse = outcome;
     if (mayRetry(context, options)) return "retry";
   }
-  if (response.hasStarted()) response.abort();
+  if (response.hasStarted()) response.abort("failed_response");
   else response.sendComplete(status, headers, body);
   logCallEnd(context, call, { outcome: "answered", status });
   return "end";
 }
 
-function mayRetry(
+/** Takes the retry from the budget if it returns true. */
+export function mayRetry(
   context: GatewayContext,
-  { call, state, response }: FinishedAttempt,
+  { call, state, response }: ActiveCall,
 ): boolean {
   if (!isRetryable(call) || state.runs >= call.route.maxAttempts) return false;
+  if (isSuspected(context, call)) return false;
   if (!response.isOpen()) return false;
   const remainingMs = call.deadlineMs - context.nowMs();
   return remainingMs > MIN_REMAINING_MS && takeRetry(context, call);
 }
 
+/** True if the request may crash the next endpoint as well. */
+function isSuspected({ promptParts }: GatewayContext, call: Call): boolean {
+  return promptParts.isSuspected(call.headers.sharedPromptParts ?? []);
+}
+
 function takeRetry(context: GatewayContext, call: Call): boolean {
   return context.getRetryBudget(call.service).takeRetry();
 }
