Explain requests whose handling failed

The reason "failed" was new on the operators' page but not known to the explain command; explain_test.ts printed it as the one reason without an explanation. It passes now.

--- a/src/explain/explain_request.ts
+++ b/src/explain/explain_request.ts
@@ -33,6 +33,8 @@
   body_too_large: "the body exceeds the configured limit",
   not_sent: "no connection to any endpoint tried could be opened",
   not_run: "the endpoints tried refused the request without running it",
+  failed:
+    "a fault of ours: the entry failed to handle the request, see the line with its error",
   lost: "the endpoint's connection broke and the request may not run again, or the retry budget or the route's attempts were used up",
   deadline: "the caller's or the route's deadline had passed",
 };
