Send a request without an attempt id over a new connection

An endpoint that writes an earlier response once more on a kept connection could answer a later request with it. Only the attempt id tells the two apart, and a request that bears none was compared with a response that bears none.

What callers saw: a stream that must not run twice was taken as refused and ran at a second endpoint; other calls got the events of an earlier response.

Evidence: of the 97 cases of repeated_response_test.ts, 5 failed before, all of requests without an id. For a repeated 503 or 421 and a stream that cannot be resumed: "Expected: 1, Received: 2" requests at endpoints. For a repeated 200: the body "id: 9, data: x" instead of "id: 1, data: t1". The other 92 passed before: a response with another id is not believed, bytes after a complete response or on an idle connection close it, and a connection that carried a refusal is not used again.

All 97 cases pass now. Requests that bear an id use kept connections as before.

--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -62,7 +62,10 @@
       lastEventId: state.lastEventId,
     }),
     body: call.body,
-    needsNewConnection: route.kind === "non_idempotent",
+    // Only the id tells a late response to an earlier request on the connection
+    // from the response to this one.
+    needsNewConnection:
+      route.kind === "non_idempotent" || headers.attemptId === undefined,
     firstByteTimeoutMs: Math.min(
       timeouts.firstByteMs,
       computeVersionTimeoutMs(context, call, choice.view),
