Treat a body in a transfer coding other than chunked as undelimited

What callers saw: an endpoint that answers with "transfer-encoding: identity", or any coding but chunked, and is cut off within the body gave a 200 with a short or empty body and a content-length that marked it as whole.

Cause: such a body ends with its connection (RFC 9112, 6.3), but the presence of a transfer-encoding header was taken for chunked framing, so neither a reset nor the missing end was noticed. The agent's endpoint client had its own copy of this test with the same fault; both now use the one in src/http.

Evidence: truncated_response_test.ts cuts responses at every byte, the head included, in five framings, by FIN and by reset, for four kinds of routes. 12 of its 60 cases failed, all of another transfer coding: "cut at 96: 200, length 0, body ''" and 32 more for an idempotent request. 4 of the 16 cases of endpoint_client_test.ts failed likewise and listed every prefix of the body as complete. All pass now. The other cases passed before: a head that is cut anywhere is never taken as a response.

The test client now recognises a reset that arrives with the last bytes, which the event loop reports as their end.

--- a/src/engine/endpoint_client.ts
+++ b/src/engine/endpoint_client.ts
@@ -9,7 +9,7 @@
 import { Pool } from "undici";
 import type { Dispatcher } from "undici";
 import { dispatchRequest } from "./dispatch_request.ts";
-import { HOP_BY_HOP_HEADERS } from "../http/mod.ts";
+import { HOP_BY_HOP_HEADERS, hasCloseDelimitedBody } from "../http/mod.ts";
 import { parseEngineState } from "./engine_state.ts";
 import type { EngineState, Fencing } from "./engine_state.ts";
 
@@ -120,11 +120,11 @@
         return ok({
           status: response.statusCode,
           headers: removeHopHeaders(responseHeaders),
-          isDelimited: isDelimited(
+          isDelimited: !hasCloseDelimitedBody({
             method,
-            response.statusCode,
-            responseHeaders,
-          ),
+            status: response.statusCode,
+            headers: responseHeaders,
+          }),
           body: response.body,
         });
       } catch (error) {
@@ -226,18 +226,6 @@
   );
 }
 
-function isDelimited(
-  method: string,
-  status: number,
-  headers: Readonly<Record<string, string>>,
-): boolean {
-  if (method === "HEAD" || status === 204 || status === 304) return true;
-  return (
-    headers["content-length"] !== undefined ||
-    headers["transfer-encoding"] !== undefined
-  );
-}
-
 function readErrorCode(error: unknown): string {
   const { code, name, cause } = error as NodeJS.ErrnoException & {
     cause?: NodeJS.ErrnoException;
--- a/src/gateway/testing/caller.ts
+++ b/src/gateway/testing/caller.ts
@@ -50,6 +50,12 @@
         );
       },
     );
+    // A reset that arrives with the last bytes is reported as their end.
+    request.on("socket", (socket) =>
+      socket.once("end", () => {
+        if (socket.remoteAddress === undefined) hasFailed = true;
+      }),
+    );
     // After the response has started, its "close" event gives the outcome.
     request.on("error", (error) => {
       hasFailed = true;
--- a/src/http/framing.ts
+++ b/src/http/framing.ts
@@ -26,11 +26,19 @@
   );
 }
 
-/** True if the body is delimited only by the close of the connection. */
+/**
+ * True if the body is delimited only by the close of the connection. A transfer
+ * coding other than chunked does not delimit it.
+ */
 export function hasCloseDelimitedBody(head: ResponseHead): boolean {
   return (
     hasBody(head) &&
     head.headers["content-length"] === undefined &&
-    head.headers["transfer-encoding"] === undefined
+    !isChunked(head.headers)
   );
 }
+
+function isChunked({ "transfer-encoding": value }: HttpHeaders): boolean {
+  const codings = [value ?? ""].flat().join(",").split(",");
+  return codings.at(-1)!.trim().toLowerCase() === "chunked";
+}
