Do not take a stream that closes right after its head for a complete one

What callers saw: an endpoint that sent the head of a stream with neither a length nor chunks and then closed its connection cleanly, as at a crash, gave a 200 with an empty body that ended like a complete stream.

Cause: any clean close outside an event completed such a stream, also before its first event.

Evidence: "cut at 67: 200, length undefined, body ''" for a stream and for a resumable stream, 4 of the 60 cases of truncated_response_test.ts with the second framing of this kind.

Result: the attempt counts as cut off: a resumable stream is sent to another endpoint, other streams get a 502. All 60 cases pass.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -155,8 +155,12 @@
   function onEnd() {
     if (head === undefined) return;
     // A reset also ends a response without length, but does not complete it.
-    const isReset = isCloseDelimited && !connection.hasClosedCleanly();
-    if (isReset || splitter.remainder().length > 0) {
+    // Nor does a clean close right after the head of a stream, as at a crash.
+    const isBroken =
+      isCloseDelimited &&
+      (!connection.hasClosedCleanly() ||
+        (isEventStream && receivedBytes === 0));
+    if (isBroken || splitter.remainder().length > 0) {
       return finish({ type: "lost", reason: "cut_off" }, false);
     }
     const { status, headers } = head;
--- a/src/gateway/testing/caller.ts
+++ b/src/gateway/testing/caller.ts
@@ -50,9 +50,10 @@
         );
       },
     );
-    // A reset that arrives with the last bytes is reported as their end.
+    // A reset that arrives with the last bytes is reported as their end. The
+    // client's own listener closes the socket, which then has no peer either.
     request.on("socket", (socket) =>
-      socket.once("end", () => {
+      socket.prependOnceListener("end", () => {
         if (socket.remoteAddress === undefined) hasFailed = true;
       }),
     );
