Do not join a body of another type to a stream that broke off

What callers saw: a resumable stream had begun and broke off, and the next endpoint answered 200 with another content type, such as JSON. If its body contained a blank line it was joined to the stream, which then ended as if it were complete. On a stream that had not begun, such a body was taken for a broken stream unless it ended with a blank line.

Cause: on a stream route each response with status 200 was taken for events.

The others passed before: an error of any status, with events or without, and bytes that are no response leave the stream visibly broken, without a byte of theirs.

Result: a response whose content type is another one is no event stream. One without a content type still is.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -127,7 +127,8 @@
       return finish({ type: "not_run", status }, false);
     }
     head = { status, headers };
-    isEventStream = options.isStream && status === 200;
+    isEventStream =
+      options.isStream && status === 200 && mayBeEventStream(headers);
     isCloseDelimited = hasCloseDelimitedBody({
       method: options.method,
       status,
@@ -202,3 +203,8 @@
       finish({ type: isSent ? "lost" : "not_sent", reason }, false),
   };
 }
+
+/** Other bodies on a stream route, such as an error's, contain no events. */
+function mayBeEventStream({ "content-type": type }: HttpHeaders): boolean {
+  return type === undefined || /^text\/event-stream\b/i.test(String(type));
+}
