Resume a broken stream elsewhere after an answer that does not continue it

What callers saw: a resumable stream broke off, the next endpoint answered with a 2xx, 3xx or 4xx that is no event stream, and the stream was broken off at once, though the route allowed another attempt. The log said "answered".

Cause: only server errors were retried, whether the stream had begun or not.

Result: once a stream has begun, each answer that is no event stream counts as a failed attempt, within the same limits as before. The call ends as broken off with the reason "not_continued" if there is no further attempt.

--- a/src/gateway/handle_outcome.ts
+++ b/src/gateway/handle_outcome.ts
@@ -80,12 +80,16 @@
     logCallEnd(context, call, { outcome: "answered", status });
     return "end";
   }
-  if (status >= MIN_SERVER_ERROR_STATUS) {
-    state.failedResponse = outcome;
-    if (mayRetry(context, options)) return "retry";
+  if (status >= MIN_SERVER_ERROR_STATUS) state.failedResponse = outcome;
+  // A stream that has begun can only be continued by one.
+  const isFailure = status >= MIN_SERVER_ERROR_STATUS || response.hasStarted();
+  if (isFailure && mayRetry(context, options)) return "retry";
+  if (response.hasStarted()) {
+    const reason = "not_continued";
+    endWithFailure(context, { call, state, response, reason });
+    return "end";
   }
-  if (response.hasStarted()) response.abort();
-  else response.sendComplete(status, headers, body);
+  response.sendComplete(status, headers, body);
   logCallEnd(context, call, { outcome: "answered", status });
   return "end";
 }
--- a/src/gateway/resumed_stream_test.ts
+++ b/src/gateway/resumed_stream_test.ts
@@ -2,7 +2,7 @@
 
 import { afterEach, expect, test } from "@jest/globals";
 import { callTestGateway } from "./testing/caller.ts";
-import { createEvent } from "./testing/fleet.ts";
+import { createEvent, COMPLETE_STREAM } from "./testing/fleet.ts";
 import { startTestGateway } from "./testing/mod.ts";
 import { startRawEndpoint } from "./testing/raw_endpoint.ts";
 import type { RawRequest } from "./testing/raw_endpoint.ts";
@@ -25,6 +25,7 @@
 }
 
 const SENT = createEvent(1) + createEvent(2);
+const LAST_CHUNK = "0\r\n\r\n";
 
 /** The first part of a stream, by its framing; then the connection closes. */
 const FIRST_RUNS: Readonly<Record<string, string>> = {
@@ -63,6 +64,11 @@
   (response: string): RequestHandler =>
   ({ socket }) =>
     socket.end(response);
+const continueStream: RequestHandler = ({ socket, text }) => {
+  expect(text).toContain("x-last: 2\r\n");
+  socket.write(createChunked(createEvent(3) + createEvent(4)) + LAST_CHUNK);
+};
+
 async function callFleet(
   handlers: readonly RequestHandler[],
   maxAttempts: number,
@@ -96,3 +102,19 @@
     });
   },
 );
+
+test.each(cases)(
+  "a stream with $framing that breaks off is continued at a third endpoint after a $answer",
+  async ({ framing, answer }) => {
+    const handlers = [
+      breakOff(FIRST_RUNS[framing]!),
+      respond(FAULTY_RUNS[answer]!),
+      continueStream,
+    ];
+    expect(await callFleet(handlers, 3)).toMatchObject({
+      status: 200,
+      body: COMPLETE_STREAM,
+      isComplete: true,
+    });
+  },
+);
