Join a resumed run to a stream only where it continues the stream

What callers saw: a resumable stream broke off, and the next endpoint ignored the id after which it should go on: the events came from the start again, repeated the last one, skipped one or had no ids. They were joined to those before, and the stream ended as complete. A stream whose events bear no ids was sent from its start once more.

Cause: the events of each run were passed on without a look at their ids.

Change: the first event of a resumed run has to have an id greater than the last one sent or, if all ids sent were consecutive numbers, the next one. Other runs end as lost ("not_continued"), are retried within the same limits and count as failures of their endpoint. A stream without ids is not resumed.

The test of the splitter now expects all ids instead of the last.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -53,8 +53,11 @@
   readonly firstByteTimeoutMs: number;
   readonly inactivityTimeoutMs: number;
   readonly isStream: boolean;
-  /** Called with the complete events of a stream, after `onHead`. */
-  readonly onEvents: (events: CompleteEvents, head: StreamHead) => void;
+  /**
+   * Called with the complete events of a stream, after `onHead`. False ends the
+   * attempt: the events do not continue those of an earlier one.
+   */
+  readonly onEvents: (events: CompleteEvents, head: StreamHead) => boolean;
   readonly onHead: (head: ResponseHeaders) => void;
 }
 
@@ -147,7 +150,9 @@
       return;
     }
     const events = splitter.push(bytes);
-    if (events !== undefined) options.onEvents(events, head!);
+    if (events !== undefined && !options.onEvents(events, head!)) {
+      return finish({ type: "lost", reason: "not_continued" }, false);
+    }
     if (splitter.remainder().length > MAX_EVENT_BYTES) {
       finish({ type: "lost", reason: "too_large" }, false);
     }
--- a/src/gateway/bounds_test.ts
+++ b/src/gateway/bounds_test.ts
@@ -127,17 +127,17 @@
         );
         const splitter = createEventSplitter();
         let passed = "";
-        let lastId: string | undefined;
+        const ids: string[] = [];
         places.slice(1).forEach((end, index) => {
           const events = splitter.push(
             Buffer.from(text.slice(places[index], end)),
           );
           passed += events?.bytes.toString() ?? "";
-          lastId = events?.lastId ?? lastId;
+          ids.push(...(events?.ids ?? []));
           expect(passed.endsWith("\n\n") || passed === "").toBe(true);
         });
         expect(passed).toBe(text);
-        expect(lastId).toBe("3");
+        expect(ids).toEqual(["1", "2", "3"]);
       },
     ),
   );
--- a/src/gateway/call_state.ts
+++ b/src/gateway/call_state.ts
@@ -5,6 +5,8 @@
 import type { Call } from "./call.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import type { Choice } from "./choose_endpoint.ts";
+import { createSentEventIds } from "./sent_event_ids.ts";
+import type { SentEventIds } from "./sent_event_ids.ts";
 
 export type ChosenEndpoint = Extract<Choice, { type: "send" }>;
 export type NoEndpoint = Extract<Choice, { type: "none" }>;
@@ -15,7 +17,7 @@
   unsentAttempts: number;
   notRunAttempts: number;
   readonly triedEndpoints: Set<string>;
-  lastEventId: string | undefined;
+  readonly sentEventIds: SentEventIds;
   weightVersion: number | undefined;
   /** From sending the last attempt to its response head. */
   headMs: number | undefined;
@@ -48,7 +50,7 @@
     unsentAttempts: 0,
     notRunAttempts: 0,
     triedEndpoints: new Set(),
-    lastEventId: call.headers.lastEventId,
+    sentEventIds: createSentEventIds(call.headers.lastEventId),
     weightVersion: undefined,
     headMs: undefined,
     failedResponse: undefined,
--- a/src/gateway/event_splitter.ts
+++ b/src/gateway/event_splitter.ts
@@ -4,13 +4,12 @@
  */
 
 const EVENT_END = Buffer.from("\n\n");
-const ID_FIELD = Buffer.from("id:");
-const NEWLINE = 0x0a;
+const ID_FIELD = "id:";
 
 export interface CompleteEvents {
   readonly bytes: Buffer;
-  /** The last event id in these bytes, if any. */
-  readonly lastId: string | undefined;
+  /** The ids of these events, in their order. */
+  readonly ids: readonly string[];
 }
 
 export interface EventSplitter {
@@ -34,21 +33,16 @@
       const end = lastEventEnd + EVENT_END.length;
       remainder = all.subarray(end);
       const complete = all.subarray(0, end);
-      return { bytes: complete, lastId: findLastId(complete) };
+      return { bytes: complete, ids: readIds(complete) };
     },
     remainder: () => remainder,
   };
 }
 
-function findLastId(events: Buffer): string | undefined {
-  let idStart = events.lastIndexOf(ID_FIELD);
-  while (idStart > 0 && events[idStart - 1] !== NEWLINE) {
-    idStart = events.lastIndexOf(ID_FIELD, idStart - 1);
-  }
-  if (idStart < 0) return undefined;
-  const end = events.indexOf(NEWLINE, idStart);
+function readIds(events: Buffer): readonly string[] {
   return events
-    .subarray(idStart + ID_FIELD.length, end)
     .toString("latin1")
-    .trim();
+    .split("\n")
+    .filter((line) => line.startsWith(ID_FIELD))
+    .map((line) => line.slice(ID_FIELD.length).trim());
 }
--- a/src/gateway/handle_outcome.ts
+++ b/src/gateway/handle_outcome.ts
@@ -100,6 +100,8 @@
 ): boolean {
   if (!isRetryable(call) || state.runs >= call.route.maxAttempts) return false;
   if (!response.isOpen()) return false;
+  const canContinue = state.sentEventIds.lastId() !== undefined;
+  if (response.hasStarted() && !canContinue) return false;
   const remainingMs = call.deadlineMs - context.nowMs();
   return remainingMs > MIN_REMAINING_MS && takeRetry(context, call);
 }
--- a/src/gateway/resumed_stream_test.ts
+++ b/src/gateway/resumed_stream_test.ts
@@ -33,6 +33,8 @@
   "neither length nor chunks": `HTTP/1.1 200 OK\r\nx-attempt: a1\r\n${STREAM}\r\n${SENT}id: 3\nda`,
 };
 
+const withoutId = (id: number) => `data: t${id}\n\n`;
+
 /** Answers of the next endpoint that do not continue the stream. */
 const FAULTY_RUNS: Readonly<Record<string, string>> = {
   "500": createResponse("500 Error", "", "error\n\n"),
@@ -51,6 +53,12 @@
     '{"a":1}\n\n',
   ),
   "200 that closes after its head": `HTTP/1.1 200 OK\r\nx-attempt: a1\r\n${STREAM}\r\n`,
+  "stream from its start": createChunked(COMPLETE_STREAM) + LAST_CHUNK,
+  "stream that repeats an event":
+    createChunked([2, 3, 4].map(createEvent).join("")) + LAST_CHUNK,
+  "stream that skips an event": createChunked(createEvent(4)) + LAST_CHUNK,
+  "stream without ids":
+    createChunked([3, 4].map(withoutId).join("")) + LAST_CHUNK,
   "bytes that are no response": "what?\r\n\r\n",
 };
 
@@ -86,8 +94,8 @@
   Object.keys(FAULTY_RUNS).map((answer) => ({ framing, answer })),
 );
 
-// Guards against an error in the middle of a stream, and a broken stream that
-// ends as if it were complete.
+// Guards against an error in the middle of a stream, events of two runs that
+// are joined wrongly, and a broken stream that ends as if it were complete.
 test.each(cases)(
   "a stream with $framing that breaks off is not continued by a $answer",
   async ({ framing, answer }) => {
@@ -118,3 +126,18 @@
     });
   },
 );
+
+test("a stream whose events have no ids is not sent from its start once more", async () => {
+  let runs = 0;
+  const events = [1, 2].map(withoutId).join("");
+  const next: RequestHandler = ({ socket }) => {
+    runs += 1;
+    socket.write(createChunked(events) + LAST_CHUNK);
+  };
+  const first = breakOff(createChunked(events));
+  expect(await callFleet([first, next], 2)).toMatchObject({
+    body: events,
+    isComplete: false,
+  });
+  expect(runs).toBe(0);
+});
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -43,6 +43,10 @@
     endpoint.address,
     headers.promptTokens ?? 0,
   );
+  const { sentEventIds } = state;
+  // Events of two runs are joined only if the second run goes on where the
+  // first one broke off.
+  let isUnchecked = response.hasStarted();
   const sentAtMs = context.nowMs();
   state.headMs = undefined;
   context.rateLimits.count(endpoint, readColdLimit(context, service));
@@ -59,7 +63,7 @@
       endpointId: endpoint.id,
       account: call.account?.name,
       weightVersion,
-      lastEventId: state.lastEventId,
+      lastEventId: state.sentEventIds.lastId(),
     }),
     body: call.body,
     // Only the id tells a late response to an earlier request on the connection
@@ -77,9 +81,14 @@
       state.headMs = Math.round(context.nowMs() - sentAtMs);
     },
     onEvents(events, head) {
-      state.lastEventId = events.lastId ?? state.lastEventId;
+      if (isUnchecked && !sentEventIds.isContinuedBy(events.ids[0])) {
+        return false;
+      }
+      isUnchecked = false;
+      sentEventIds.append(events.ids);
       state.weightVersion ??= weightVersion;
       response.sendEvents(head.status, head.headers, events.bytes);
+      return true;
     },
   });
   context.traffic.bytesSent.increment(
