Send a stream in chunks also if its endpoint declared a length

What callers saw: a resumable stream with a content-length broke off and was continued by a run of another size. If the runs together were shorter, the caller waited for the rest on the kept connection, where the next response would have been taken for it, until the connection idled out after 16 s. If they were longer, the last event was missing and its bytes belonged to no response.

Cause: the length that the first endpoint declared was passed on.

Result: streams are sent on in chunks, or without a length where the endpoint sent none.

--- a/src/gateway/caller_response.ts
+++ b/src/gateway/caller_response.ts
@@ -34,12 +34,18 @@
   let isCloseDelimited = false;
   const method = response.req.method ?? "GET";
 
-  function start(status: number, headers: HttpHeaders) {
+  function start(status: number, headers: HttpHeaders, sentHeaders = headers) {
     if (hasStarted) return;
     hasStarted = true;
     isCloseDelimited = hasCloseDelimitedBody({ method, status, headers });
     if (isCloseDelimited) response.useChunkedEncodingByDefault = false;
-    response.writeHead(status, codec.writeResponseHeaders(headers));
+    response.writeHead(status, codec.writeResponseHeaders(sentHeaders));
+  }
+
+  /** Sent without its length, which a resumed run may not have. */
+  function startStream(status: number, headers: HttpHeaders) {
+    const { "content-length": _, ...otherHeaders } = headers;
+    start(status, headers, otherHeaders);
   }
 
   function abort() {
@@ -74,12 +80,12 @@
     },
     sendEvents(status, headers, bytes) {
       if (response.destroyed) return;
-      start(status, headers);
+      startStream(status, headers);
       response.write(bytes);
     },
     endStream(status, headers) {
       if (response.destroyed) return;
-      start(status, headers);
+      startStream(status, headers);
       const isSourceCloseDelimited = hasCloseDelimitedBody({
         method,
         status,
--- a/src/gateway/resumed_stream_test.ts
+++ b/src/gateway/resumed_stream_test.ts
@@ -30,6 +30,10 @@
 /** The first part of a stream, by its framing; then the connection closes. */
 const FIRST_RUNS: Readonly<Record<string, string>> = {
   chunks: createChunked(SENT),
+  "a length": createResponse("200 OK", STREAM, COMPLETE_STREAM).slice(
+    0,
+    -(COMPLETE_STREAM.length - SENT.length),
+  ),
   "neither length nor chunks": `HTTP/1.1 200 OK\r\nx-attempt: a1\r\n${STREAM}\r\n${SENT}id: 3\nda`,
 };
 
@@ -141,3 +145,20 @@
   });
   expect(runs).toBe(0);
 });
+
+// Guards against a length of the first run that the joined runs do not have:
+// bytes beyond it, or the next response on the connection in place of the rest.
+test.each([
+  { what: "shorter", declaredBytes: COMPLETE_STREAM.length + 10 },
+  { what: "longer", declaredBytes: COMPLETE_STREAM.length - 10 },
+])(
+  "a stream that becomes $what than its first endpoint declared is framed correctly",
+  async ({ declaredBytes }) => {
+    const head = `HTTP/1.1 200 OK\r\nx-attempt: a1\r\n${STREAM}content-length: ${declaredBytes}\r\n\r\n`;
+    const handlers = [breakOff(head + SENT), continueStream];
+    expect(await callFleet(handlers, 2)).toMatchObject({
+      body: COMPLETE_STREAM,
+      isComplete: true,
+    });
+  },
+);
