Recognise the end of an event whose lines end with CRLF

What callers saw: no event of a stream whose lines end with CRLF, and a 502 or other endpoints' attempts at its end, because all of it counted as one event that was cut off.

Cause: the gateway's splitter looked for LF LF only. The splitters of the agent and the entry knew both, each with its own code.

Evidence: the test of the splitter, run with both line ends, failed with CRLF for the whole text in one piece: 'Expected: "id: 1...", Received: ""'.

Result: one function in src/http finds the boundary for all three.

--- a/src/engine/sse_splitter.ts
+++ b/src/engine/sse_splitter.ts
@@ -3,6 +3,8 @@
  * an event is forwarded when the connection breaks.
  */
 
+import { findCompleteEventsLength } from "../http/mod.ts";
+
 const DONE_TOKEN = Buffer.from("[DONE]");
 const DONE_LINES = ["data: [DONE]", "data:[DONE]"] as const;
 const LF = 10;
@@ -29,7 +31,7 @@
         incompleteEvent.length === 0
           ? toBuffer(bytes)
           : concatBuffers(incompleteEvent, bytes);
-      const completeBytes = findLastEventEnd(combined);
+      const completeBytes = findCompleteEventsLength(combined);
       incompleteEvent = combined.subarray(completeBytes);
       const completeEvents = combined.subarray(0, completeBytes);
       isDoneSeen ||= hasDoneLine(completeEvents);
@@ -38,15 +40,6 @@
   };
 }
 
-function findLastEventEnd(bytes: Buffer): number {
-  const last = bytes.length - 1;
-  // Engines mostly send one complete event at a time.
-  if (bytes[last] === LF && bytes[last - 1] === LF) return bytes.length;
-  const lf = bytes.lastIndexOf("\n\n");
-  const crLf = bytes.lastIndexOf("\n\r\n");
-  return Math.max(lf === -1 ? 0 : lf + 2, crLf === -1 ? 0 : crLf + 3);
-}
-
 /** Generated text cannot contain such a line: JSON escapes line breaks. */
 function hasDoneLine(events: Buffer): boolean {
   if (!events.includes(DONE_TOKEN)) return false;
--- a/src/entry/event_stream.ts
+++ b/src/entry/event_stream.ts
@@ -9,21 +9,6 @@
 const CR = 13;
 const CLOSING_BRACKET = "]".charCodeAt(0);
 
-/** Length of the leading bytes that are complete events. */
-export function findCompleteEventsLength(bytes: Buffer): number {
-  const last = bytes.length - 1;
-  if (isEventEnd(bytes, last)) return bytes.length;
-  for (let at = last - 1; at > 0; at--) {
-    if (isEventEnd(bytes, at)) return at + 1;
-  }
-  return 0;
-}
-
-function isEventEnd(bytes: Buffer, at: number): boolean {
-  if (bytes[at] !== LF) return false;
-  return bytes[at - 1] === LF || (bytes[at - 1] === CR && bytes[at - 2] === LF);
-}
-
 /** Length of the final `[DONE]` event; 0 if there is none. */
 export function findDoneEventLength(bytes: Buffer): number {
   // Most events end in "}\n\n", so one comparison is enough for most calls.
--- a/src/entry/response_sink.ts
+++ b/src/entry/response_sink.ts
@@ -1,12 +1,12 @@
 /** Forwards an agent's response: events at once, other bodies buffered. */
 
+import { findCompleteEventsLength } from "../http/mod.ts";
 import type { ResponseHead } from "../wire/mod.ts";
 import type { Call } from "./call.ts";
 import type { EntryMetrics } from "./entry_metrics.ts";
 import {
   DONE_EVENT,
   findDoneEventLength,
-  findCompleteEventsLength,
   rewriteContinuedEvents,
 } from "./event_stream.ts";
 import type { StreamProgress } from "./event_stream.ts";
--- a/src/gateway/bounds_test.ts
+++ b/src/gateway/bounds_test.ts
@@ -116,32 +116,43 @@
   });
 });
 
-test("events are passed on complete, however the network splits the bytes", () => {
-  const text = [1, 2, 3].map((id) => `id: ${id}\ndata: a id: 9\n\n`).join("");
-  fc.assert(
-    fc.property(
-      fc.array(fc.integer({ min: 1, max: text.length - 1 }), { maxLength: 9 }),
-      (cuts) => {
-        const places = [...new Set([0, ...cuts, text.length])].sort(
-          (a, b) => a - b,
-        );
-        const splitter = createEventSplitter();
-        let passed = "";
-        const ids: string[] = [];
-        places.slice(1).forEach((end, index) => {
-          const events = splitter.push(
-            Buffer.from(text.slice(places[index], end)),
+// Guards against events that are held back or cut because their lines end with
+// CRLF.
+test.each(["\n", "\r\n"])(
+  "events whose lines end with %j are passed on complete, however the network splits the bytes",
+  (newline) => {
+    const text = [1, 2, 3]
+      .map((id) => [`id: ${id}`, "data: a id: 9", "", ""].join(newline))
+      .join("");
+    fc.assert(
+      fc.property(
+        fc.array(fc.integer({ min: 1, max: text.length - 1 }), {
+          maxLength: 9,
+        }),
+        (cuts) => {
+          const places = [...new Set([0, ...cuts, text.length])].sort(
+            (a, b) => a - b,
           );
-          passed += events?.bytes.toString() ?? "";
-          ids.push(...(events?.ids ?? []));
-          expect(passed.endsWith("\n\n") || passed === "").toBe(true);
-        });
-        expect(passed).toBe(text);
-        expect(ids).toEqual(["1", "2", "3"]);
-      },
-    ),
-  );
-});
+          const splitter = createEventSplitter();
+          let passed = "";
+          const ids: string[] = [];
+          places.slice(1).forEach((end, index) => {
+            const events = splitter.push(
+              Buffer.from(text.slice(places[index], end)),
+            );
+            passed += events?.bytes.toString() ?? "";
+            ids.push(...(events?.ids ?? []));
+            const isAtEnd = passed.endsWith(newline + newline);
+            expect(isAtEnd || passed === "").toBe(true);
+          });
+          expect(passed).toBe(text);
+          expect(ids).toEqual(["1", "2", "3"]);
+          expect(splitter.remainder()).toHaveLength(0);
+        },
+      ),
+    );
+  },
+);
 
 test("the longest path prefix of the host matches, and weights split a route", () => {
   const split = [
--- a/src/gateway/event_splitter.ts
+++ b/src/gateway/event_splitter.ts
@@ -3,7 +3,8 @@
  * that fails in the middle of an event can be resumed at another endpoint.
  */
 
-const EVENT_END = Buffer.from("\n\n");
+import { findCompleteEventsLength } from "../http/mod.ts";
+
 const ID_FIELD = "id:";
 
 export interface CompleteEvents {
@@ -25,13 +26,9 @@
     push(bytes) {
       const all =
         remainder.length === 0 ? bytes : Buffer.concat([remainder, bytes]);
-      const lastEventEnd = all.lastIndexOf(EVENT_END);
-      if (lastEventEnd < 0) {
-        remainder = all;
-        return undefined;
-      }
-      const end = lastEventEnd + EVENT_END.length;
+      const end = findCompleteEventsLength(all);
       remainder = all.subarray(end);
+      if (end === 0) return undefined;
       const complete = all.subarray(0, end);
       return { bytes: complete, ids: readIds(complete) };
     },
--- a/src/http/mod.ts
+++ b/src/http/mod.ts
@@ -1,5 +1,6 @@
 /** HTTP rules that all parts of the system share. */
 
+export { findCompleteEventsLength } from "./event_boundary.ts";
 export { HOP_BY_HOP_HEADERS } from "./hop_by_hop_headers.ts";
 export { formatAddress, listenAt, splitAddress } from "./listen.ts";
 export { hasBody, hasCloseDelimitedBody } from "./framing.ts";
