End a stream as broken off if it stops within an event, at the entry too

What callers saw: a plain service's event stream that ended within an event lost that part and ended as if it were complete. A language stream that was continued by a run without its [DONE] event would have ended without it, also as complete; the agent keeps such a run from the entry today.

Cause: the entry ended the response by the agent's word alone.

Result: such a run counts as lost ("cut_off"), and is continued or ends with an error event under the same conditions as other losses.

--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -23,6 +23,7 @@
 
 type LostReason =
   | "connection_lost"
+  | "cut_off"
   | "event_too_large"
   | "no_answer"
   | "not_continued"
@@ -171,8 +172,8 @@
 ): AttemptResult {
   const { outcome, code, message, retryAfterMs } = trailer;
   if (outcome === "answered" && sink !== undefined) {
-    sink.finish();
-    return { type: "answered" };
+    const error = sink.finish();
+    return error === undefined ? { type: "answered" } : createLostResult(error);
   }
   if (outcome === "not_run" && sink === undefined) {
     const refusal: Refusal = {
@@ -191,6 +192,7 @@
 
 const LOST_MESSAGES: Readonly<Record<LostReason, string>> = {
   connection_lost: "The connection to the endpoint broke",
+  cut_off: "The endpoint's stream ended before its last event was complete",
   event_too_large: "The endpoint sent an event that is too large",
   no_answer: "The endpoint ended without an answer",
   not_continued: "Another endpoint did not continue the answer",
--- a/src/entry/response_sink.ts
+++ b/src/entry/response_sink.ts
@@ -16,13 +16,13 @@
 const MAX_EVENT_BYTES = 1024 * 1024;
 const EMPTY_BUFFER = Buffer.alloc(0);
 
-export type SinkError = "event_too_large";
+export type SinkError = "cut_off" | "event_too_large";
 
 export interface ResponseSink {
   /** Returns a promise if the caller must read before more is pushed. */
   push(bytes: Uint8Array): Promise<void> | SinkError | undefined;
-  /** Ends the response; the agent's response is complete. */
-  finish(): void;
+  /** Ends the response, unless it has no end although the agent's has one. */
+  finish(): SinkError | undefined;
 }
 
 export interface SinkOptions {
@@ -86,8 +86,12 @@
       return caller.write(events);
     },
     finish() {
+      const isLanguage = call.request.service.kind === "language";
+      const isMissingEnd = isLanguage && !hasDone;
+      if (incompleteEvent.length > 0 || isMissingEnd) return "cut_off";
       startResponse();
       caller.end(hasDone ? DONE_EVENT : undefined);
+      return undefined;
     },
   };
 }
@@ -115,6 +119,7 @@
     finish() {
       if (caller.isStarted()) caller.end();
       else caller.sendComplete(head, Buffer.concat(parts));
+      return undefined;
     },
   };
 }
