Do not continue a stream with an error that an engine reports in a stream

What callers saw: a language stream broke off, the next engine answered with a stream whose only event was an error, and the caller got the text of that error and a [DONE] event, as if the stream were complete.

Cause: each event stream with status 200 was taken for a continuation.

Evidence: the two cases of continued_stream_test.ts that this commit adds, an object with an "error" and an event of type "error", failed: "Expected substring: not 'engine failed'".

Result: such a run is lost ("not_continued"), and nothing of it is forwarded. An engine's error within the first run is still passed on: it is the engine's own response.

--- a/src/entry/continued_stream_test.ts
+++ b/src/entry/continued_stream_test.ts
@@ -58,6 +58,11 @@
   "stream that ends within an event": streamEvents([
     formatEvent("c").slice(0, 30),
   ]),
+  "stream with an error": streamEvents([`data: ${ERROR_BODY}\n\n`, DONE_EVENT]),
+  "stream with an error event": streamEvents([
+    `event: error\ndata: ${ERROR_BODY}\n\n`,
+    DONE_EVENT,
+  ]),
   refusal: refuseWith("overloaded"),
 };
 
--- a/src/entry/event_stream.ts
+++ b/src/entry/event_stream.ts
@@ -39,6 +39,14 @@
   readonly isResumable: boolean;
 }
 
+/** True if an engine reports an error within its stream. */
+export function containsErrorEvent(events: Buffer): boolean {
+  return splitEvents(events).some(
+    (event) =>
+      /^event: ?error$/m.test(event) || Boolean(parseChunk(event)?.error),
+  );
+}
+
 interface Choice {
   readonly index?: number;
   readonly text?: string;
@@ -50,6 +58,7 @@
   readonly id?: string;
   readonly created?: number;
   readonly choices?: readonly Choice[];
+  readonly error?: unknown;
 }
 
 /** Reads text and token count from events that were forwarded. */
--- a/src/entry/response_sink.ts
+++ b/src/entry/response_sink.ts
@@ -5,6 +5,7 @@
 import type { Call } from "./call.ts";
 import type { EntryMetrics } from "./entry_metrics.ts";
 import {
+  containsErrorEvent,
   DONE_EVENT,
   findDoneEventLength,
   rewriteContinuedEvents,
@@ -16,7 +17,7 @@
 const MAX_EVENT_BYTES = 1024 * 1024;
 const EMPTY_BUFFER = Buffer.alloc(0);
 
-export type SinkError = "cut_off" | "event_too_large";
+export type SinkError = "cut_off" | "event_too_large" | "not_continued";
 
 export interface ResponseSink {
   /** Returns a promise if the caller must read before more is pushed. */
@@ -74,8 +75,10 @@
         hasDone = true;
         events = events.subarray(0, events.length - doneBytes);
       }
-      if (progress !== undefined)
+      if (progress !== undefined) {
+        if (containsErrorEvent(events)) return "not_continued";
         events = rewriteContinuedEvents(events, progress);
+      }
       if (events.length === 0) return undefined;
       const isFirst = !caller.isStarted();
       startResponse();
