Test responses that an endpoint of the agent writes once more

On a kept connection of repeatable requests, a response that arrives after the next request was written cannot be told apart, because the project's own interface to endpoints echoes no id.

--- a/src/engine/endpoint_client_test.ts
+++ b/src/engine/endpoint_client_test.ts
@@ -1,4 +1,4 @@
-/** Responses that an endpoint cuts off at any byte, by a FIN or a reset. */
+/** Responses that an endpoint cuts off at any byte or writes once more. */
 
 import { afterEach, expect, test } from "@jest/globals";
 import type { Socket } from "node:net";
@@ -30,13 +30,13 @@
 /** Undefined if the response is missing or seen to be incomplete. */
 async function readCompleteBody(
   client: ReturnType<typeof createEndpointClient>,
-  options: { readonly cutAt: number; readonly isRepeatable: boolean },
+  options: { readonly sent: string; readonly isRepeatable: boolean },
 ): Promise<string | undefined> {
   const response = await client.send({
     method: "POST",
     path: "/",
     headers: {},
-    body: Buffer.from(String(options.cutAt)),
+    body: Buffer.from(options.sent),
     signal: new AbortController().signal,
     isRepeatable: options.isRepeatable,
   });
@@ -64,9 +64,39 @@
     closers.push(client.close, endpoint.close);
     const bodies = await Promise.all(
       Array.from({ length: whole.length }, (_, cutAt) =>
-        readCompleteBody(client, { cutAt, isRepeatable }),
+        readCompleteBody(client, { sent: String(cutAt), isRepeatable }),
       ),
     );
     expect(bodies.filter((body) => body !== undefined)).toEqual([]);
   },
 );
+
+// Guards against an earlier response that is taken for the one to this request.
+test.each([
+  { timing: "after the response", isRepeatable: true },
+  { timing: "on an idle connection", isRepeatable: true },
+  { timing: "before the next response", isRepeatable: false },
+])(
+  "a response written once more $timing belongs to no request (repeatable: $isRepeatable)",
+  async ({ timing, isRepeatable }) => {
+    const stale = `${HEAD}content-length: 5\r\n\r\nstale`;
+    const endpoint = await startRawEndpoint((request) => {
+      const { socket, text, earlierRequests } = request;
+      const body = text.split("\r\n\r\n")[1]!;
+      const isBefore = timing === "before the next response";
+      if (isBefore && earlierRequests > 0) socket.write(stale);
+      socket.write(`${HEAD}content-length: ${body.length}\r\n\r\n${body}`);
+      if (timing === "after the response") socket.write(stale);
+      else if (timing === "on an idle connection") {
+        setTimeout(() => socket.write(stale), 10);
+      }
+    });
+    const client = createEndpointClient(`http://${endpoint.address}`);
+    closers.push(client.close, endpoint.close);
+    for (const sent of ["one", "two", "three"]) {
+      const body = await readCompleteBody(client, { sent, isRepeatable });
+      expect(body).toBe(sent);
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+  },
+);
