--- a/src/gateway/testing/caller.ts
+++ b/src/gateway/testing/caller.ts
@@ -52,11 +52,13 @@
     );
     // A reset that arrives with the last bytes is reported as their end. The
     // client's own listener closes the socket, which then has no peer either.
-    request.on("socket", (socket) =>
-      socket.prependOnceListener("end", () => {
+    request.on("socket", (socket) => {
+      const onEnd = () => {
         if (socket.remoteAddress === undefined) hasFailed = true;
-      }),
-    );
+      };
+      socket.prependOnceListener("end", onEnd);
+      request.once("close", () => socket.off("end", onEnd));
+    });
     // After the response has started, its "close" event gives the outcome.
     request.on("error", (error) => {
       hasFailed = true;
