--- a/src/entry/event_stream.ts
+++ b/src/entry/event_stream.ts
@@ -9,21 +9,6 @@
 const CR = 13;
 const CLOSING_BRACKET = "]".charCodeAt(0);
 
-/** Length of the leading bytes that are complete events. */
-export function findCompleteEventsLength(bytes: Buffer): number {
-  const last = bytes.length - 1;
-  if (isEventEnd(bytes, last)) return bytes.length;
-  for (let at = last - 1; at > 0; at--) {
-    if (isEventEnd(bytes, at)) return at + 1;
-  }
-  return 0;
-}
-
-function isEventEnd(bytes: Buffer, at: number): boolean {
-  if (bytes[at] !== LF) return false;
-  return bytes[at - 1] === LF || (bytes[at - 1] === CR && bytes[at - 2] === LF);
-}
-
 /** Length of the final `[DONE]` event; 0 if there is none. */
 export function findDoneEventLength(bytes: Buffer): number {
   // Most events end in "}\n\n", so one comparison is enough for most calls.
@@ -54,6 +39,14 @@
   readonly isResumable: boolean;
 }
 
+/** True if an engine reports an error within its stream. */
+export function containsErrorEvent(events: Buffer): boolean {
+  return splitEvents(events).some(
+    (event) =>
+      /^event: ?error$/m.test(event) || Boolean(parseChunk(event)?.error),
+  );
+}
+
 interface Choice {
   readonly index?: number;
   readonly text?: string;
@@ -65,6 +58,7 @@
   readonly id?: string;
   readonly created?: number;
   readonly choices?: readonly Choice[];
+  readonly error?: unknown;
 }
 
 /** Reads text and token count from events that were forwarded. */
--- a/src/entry/response_sink.ts
+++ b/src/entry/response_sink.ts
@@ -1,12 +1,13 @@
 /** Forwards an agent's response: events at once, other bodies buffered. */
 
+import { findCompleteEventsLength } from "../http/mod.ts";
 import type { ResponseHead } from "../wire/mod.ts";
 import type { Call } from "./call.ts";
 import type { EntryMetrics } from "./entry_metrics.ts";
 import {
+  containsErrorEvent,
   DONE_EVENT,
   findDoneEventLength,
-  findCompleteEventsLength,
   rewriteContinuedEvents,
 } from "./event_stream.ts";
 import type { StreamProgress } from "./event_stream.ts";
@@ -16,13 +17,13 @@
 const MAX_EVENT_BYTES = 1024 * 1024;
 const EMPTY_BUFFER = Buffer.alloc(0);
 
-export type SinkError = "event_too_large";
+export type SinkError = "cut_off" | "event_too_large" | "not_continued";
 
 export interface ResponseSink {
   /** Returns a promise if the caller must read before more is pushed. */
   push(bytes: Uint8Array): Promise<void> | SinkError | undefined;
-  /** Ends the response; the agent's response is complete. */
-  finish(): void;
+  /** Ends the response, unless it has no end although the agent's has one. */
+  finish(): SinkError | undefined;
 }
 
 export interface SinkOptions {
@@ -74,8 +75,10 @@
         hasDone = true;
         events = events.subarray(0, events.length - doneBytes);
       }
-      if (progress !== undefined)
+      if (progress !== undefined) {
+        if (containsErrorEvent(events)) return "not_continued";
         events = rewriteContinuedEvents(events, progress);
+      }
       if (events.length === 0) return undefined;
       const isFirst = !caller.isStarted();
       startResponse();
@@ -86,8 +89,12 @@
       return caller.write(events);
     },
     finish() {
+      const isLanguage = call.request.service.kind === "language";
+      const isMissingEnd = isLanguage && !hasDone;
+      if (incompleteEvent.length > 0 || isMissingEnd) return "cut_off";
       startResponse();
       caller.end(hasDone ? DONE_EVENT : undefined);
+      return undefined;
     },
   };
 }
@@ -115,6 +122,7 @@
     finish() {
       if (caller.isStarted()) caller.end();
       else caller.sendComplete(head, Buffer.concat(parts));
+      return undefined;
     },
   };
 }
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -59,8 +59,11 @@
   /** Called again while the silence lasts. "end" ends the attempt. */
   readonly onSilence: () => "end" | "wait";
   readonly isStream: boolean;
-  /** Called with the complete events of a stream, after `onHead`. */
-  readonly onEvents: (events: CompleteEvents, head: StreamHead) => void;
+  /**
+   * Called with the complete events of a stream, after `onHead`. False ends the
+   * attempt: the events do not continue those of an earlier one.
+   */
+  readonly onEvents: (events: CompleteEvents, head: StreamHead) => boolean;
   readonly onHead: (head: ResponseHeaders) => void;
 }
 
@@ -145,7 +148,8 @@
       return finish({ type: "not_run", status }, false);
     }
     head = { status, headers };
-    isEventStream = options.isStream && status === 200;
+    isEventStream =
+      options.isStream && status === 200 && mayBeEventStream(headers);
     isCloseDelimited = hasCloseDelimitedBody({
       method: options.method,
       status,
@@ -164,7 +168,9 @@
       return;
     }
     const events = splitter.push(bytes);
-    if (events !== undefined) options.onEvents(events, head!);
+    if (events !== undefined && !options.onEvents(events, head!)) {
+      return finish({ type: "lost", reason: "not_continued" }, false);
+    }
     if (splitter.remainder().length > MAX_EVENT_BYTES) {
       finish({ type: "lost", reason: "too_large" }, false);
     }
@@ -173,8 +179,12 @@
   function onEnd() {
     if (head === undefined) return;
     // A reset also ends a response without length, but does not complete it.
-    const isReset = isCloseDelimited && !connection.hasClosedCleanly();
-    if (isReset || splitter.remainder().length > 0) {
+    // Nor does a clean close right after the head of a stream, as at a crash.
+    const isBroken =
+      isCloseDelimited &&
+      (!connection.hasClosedCleanly() ||
+        (isEventStream && receivedBytes === 0));
+    if (isBroken || splitter.remainder().length > 0) {
       return finish({ type: "lost", reason: "cut_off" }, false);
     }
     const { status, headers } = head;
@@ -216,3 +226,8 @@
       finish({ type: isSent ? "lost" : "not_sent", reason }, false),
   };
 }
+
+/** Other bodies on a stream route, such as an error's, contain no events. */
+function mayBeEventStream({ "content-type": type }: HttpHeaders): boolean {
+  return type === undefined || /^text\/event-stream\b/i.test(String(type));
+}
--- a/src/gateway/event_splitter.ts
+++ b/src/gateway/event_splitter.ts
@@ -3,14 +3,14 @@
  * that fails in the middle of an event can be resumed at another endpoint.
  */
 
-const EVENT_END = Buffer.from("\n\n");
-const ID_FIELD = Buffer.from("id:");
-const NEWLINE = 0x0a;
+import { findCompleteEventsLength } from "../http/mod.ts";
+
+const ID_FIELD = "id:";
 
 export interface CompleteEvents {
   readonly bytes: Buffer;
-  /** The last event id in these bytes, if any. */
-  readonly lastId: string | undefined;
+  /** The ids of these events, in their order. */
+  readonly ids: readonly string[];
 }
 
 export interface EventSplitter {
@@ -26,29 +26,20 @@
     push(bytes) {
       const all =
         remainder.length === 0 ? bytes : Buffer.concat([remainder, bytes]);
-      const lastEventEnd = all.lastIndexOf(EVENT_END);
-      if (lastEventEnd < 0) {
-        remainder = all;
-        return undefined;
-      }
-      const end = lastEventEnd + EVENT_END.length;
+      const end = findCompleteEventsLength(all);
       remainder = all.subarray(end);
+      if (end === 0) return undefined;
       const complete = all.subarray(0, end);
-      return { bytes: complete, lastId: findLastId(complete) };
+      return { bytes: complete, ids: readIds(complete) };
     },
     remainder: () => remainder,
   };
 }
 
-function findLastId(events: Buffer): string | undefined {
-  let idStart = events.lastIndexOf(ID_FIELD);
-  while (idStart > 0 && events[idStart - 1] !== NEWLINE) {
-    idStart = events.lastIndexOf(ID_FIELD, idStart - 1);
-  }
-  if (idStart < 0) return undefined;
-  const end = events.indexOf(NEWLINE, idStart);
+function readIds(events: Buffer): readonly string[] {
   return events
-    .subarray(idStart + ID_FIELD.length, end)
     .toString("latin1")
-    .trim();
+    .split("\n")
+    .filter((line) => line.startsWith(ID_FIELD))
+    .map((line) => line.slice(ID_FIELD.length).trim());
 }
--- a/src/gateway/handle_outcome.ts
+++ b/src/gateway/handle_outcome.ts
@@ -93,12 +93,16 @@
     logCallEnd(context, call, { outcome: "answered", status });
     return "end";
   }
-  if (status >= MIN_SERVER_ERROR_STATUS) {
-    state.failedResponse = outcome;
-    if (mayRetry(context, options)) return "retry";
+  if (status >= MIN_SERVER_ERROR_STATUS) state.failedResponse = outcome;
+  // A stream that has begun can only be continued by one.
+  const isFailure = status >= MIN_SERVER_ERROR_STATUS || response.hasStarted();
+  if (isFailure && mayRetry(context, options)) return "retry";
+  if (response.hasStarted()) {
+    const reason = "not_continued";
+    endWithFailure(context, { call, state, response, reason });
+    return "end";
   }
-  if (response.hasStarted()) response.abort("failed_response");
-  else response.sendComplete(status, headers, body);
+  response.sendComplete(status, headers, body);
   logCallEnd(context, call, { outcome: "answered", status });
   return "end";
 }
@@ -111,6 +115,8 @@
   if (!isRetryable(call) || state.runs >= call.route.maxAttempts) return false;
   if (isSuspected(context, call)) return false;
   if (!response.isOpen()) return false;
+  const canContinue = state.sentEventIds.lastId() !== undefined;
+  if (response.hasStarted() && !canContinue) return false;
   const remainingMs = call.deadlineMs - context.nowMs();
   return remainingMs > MIN_REMAINING_MS && takeRetry(context, call);
 }
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -51,6 +51,10 @@
     endpoint.address,
     headers.promptTokens ?? 0,
   );
+  const { sentEventIds } = state;
+  // Events of two runs are joined only if the second run goes on where the
+  // first one broke off.
+  let isUnchecked = response.hasStarted();
   const sentAtMs = context.nowMs();
   state.headMs = undefined;
   state.hasSurvived = false;
@@ -77,10 +81,13 @@
       endpointId: endpoint.id,
       account: call.account?.name,
       weightVersion,
-      lastEventId: state.lastEventId,
+      lastEventId: state.sentEventIds.lastId(),
     }),
     body: call.body,
-    needsNewConnection: route.kind === "non_idempotent",
+    // Only the id tells a late response to an earlier request on the connection
+    // from the response to this one.
+    needsNewConnection:
+      route.kind === "non_idempotent" || headers.attemptId === undefined,
     firstByteTimeoutMs: Math.min(
       unlimitedMs,
       computeVersionTimeoutMs(context, call, choice.view),
@@ -102,12 +109,17 @@
       state.headMs = Math.round(context.nowMs() - sentAtMs);
     },
     onEvents(events, head) {
+      if (isUnchecked && !sentEventIds.isContinuedBy(events.ids[0])) {
+        return false;
+      }
+      isUnchecked = false;
       response.sendEvents(head.status, head.headers, events.bytes);
-      state.lastEventId = events.lastId ?? state.lastEventId;
+      sentEventIds.append(events.ids);
       state.weightVersion ??= weightVersion;
       reads += 1;
       const hasLasted = context.nowMs() - headAtMs >= SURVIVAL_MS;
       if (hasLasted && reads >= SURVIVAL_READS) recordSurvival();
+      return true;
     },
   });
   context.traffic.bytesSent.increment(
