Refuse a request whose deadline passed while it waited on its connection

What callers saw: a second request on a connection, sent once the response ahead of it was complete, ran at an endpoint although its deadline had passed (remaining time -380 ms in the reviewer's run), or was answered 504 although it had not run.

Cause: the timer of the deadline fires in a later step than the one that sends the request. It came with the order of requests on a connection.

Change: a call whose deadline has passed is answered "not run" before an endpoint is chosen.

Result: waiting_request_test.ts, written by a reviewer, fails without the change (two requests at the endpoint, one expected) and passes with it.

--- a/src/gateway/dispatch_call.ts
+++ b/src/gateway/dispatch_call.ts
@@ -69,6 +69,12 @@
   const promptParts = call.headers.sharedPromptParts ?? [];
 
   async function run() {
+    const state = createCallState(call);
+    // The call may have waited behind another one on its connection.
+    if (call.deadlineMs <= context.nowMs()) {
+      const outcome = { type: "not_sent", reason: "deadline" } as const;
+      return endExpired(context, { call, response, state, outcome });
+    }
     const service = findService(context, call.service);
     if (service === undefined) {
       return refuseCall(context, {
@@ -91,7 +97,6 @@
     }
     context.getRetryBudget(service.name).recordRequest();
     const refusalTracker = context.getRefusalTracker(service.name);
-    const state = createCallState(call);
     for (;;) {
       const choice =
         state.reservedRetry ?? choose(context, { call, service, state });
