--- a/src/quarantine/mod.ts
+++ b/src/quarantine/mod.ts
@@ -6,8 +6,8 @@
 export type { FingerprintInput } from "./fingerprint.ts";
 export { createPromptPartQuarantine } from "./prompt_part_quarantine.ts";
 export type {
-  PartRefusal,
   PromptPartQuarantine,
   PromptPartQuarantineOptions,
 } from "./prompt_part_quarantine.ts";
+export type { PartRefusal } from "./quarantined_parts.ts";
 export type { BrokenRequest } from "./crash_incidents.ts";
--- a/src/quarantine/prompt_part_quarantine.ts
+++ b/src/quarantine/prompt_part_quarantine.ts
@@ -13,6 +13,15 @@
 import type { BrokenRequest } from "./crash_incidents.ts";
 import { findCrashCauses } from "./find_crash_causes.ts";
 import type { CrashCause } from "./find_crash_causes.ts";
+import {
+  createQuarantinedParts,
+  INITIAL_PERIOD_MS,
+} from "./quarantined_parts.ts";
+import type {
+  PartRefusal,
+  PartVerdict,
+  QuarantinedPart,
+} from "./quarantined_parts.ts";
 import { createSurvivedParts } from "./survived_parts.ts";
 
 /** A single crash can have any cause. */
@@ -29,27 +38,11 @@
  * only ran beside the guilty one can be in more of the known crashes.
  */
 const VERDICT_DELAY_MS = 60;
-const INITIAL_PERIOD_MS = 15_000;
 /**
  * For a part that has survived before: a total outage of another cause looks
  * the same, and nothing can survive while the part is refused.
  */
 const SURVIVED_PART_PERIOD_MS = 3_000;
-const PERIOD_FACTOR = 4;
-const MAX_PERIOD_MS = 10 * 60 * 1_000;
-/**
- * Delay before a request that tells two parts apart is tried. Requests with
- * the guilty one that are in progress have ended by then.
- */
-const DISTINCTION_DELAY_MS = 1_000;
-/** Time for the outcome of a trial. */
-const TRIAL_MS = 3_000;
-/** Longer than a notice of a trial takes to reach all entries. */
-const TRIAL_STAGGER_MS = 250;
-const MAX_TRIAL_RANK = 12;
-/** A part that nobody has requested for this long is forgotten. */
-const IDLE_TTL_MS = 10 * 60 * 1_000;
-const MAX_QUARANTINED = 256;
 /**
  * A survival that is newer by less is not news: the time that notices take on
  * their way adds to their age.
@@ -58,11 +51,6 @@
 /** Interval at which entries tell each other that a suspect has survived. */
 const SURVIVAL_INTERVAL_MS = 5_000;
 
-export interface PartRefusal {
-  readonly part: string;
-  readonly remainingMs: number;
-}
-
 export interface PromptPartQuarantine {
   /** The endpoint has ended while it ran the request. */
   recordCrash(broken: BrokenRequest): void;
@@ -98,19 +86,6 @@
   readonly logger: Logger;
 }
 
-interface QuarantinedPart {
-  readonly part: string;
-  readonly rivals: readonly string[];
-  periodMs: number;
-  /** Time of the verdict or of the last crash since. */
-  sinceMs: number;
-  dueAtMs: number;
-  trialEndMs: number;
-  /** True while it follows from the crashes that this entry knows of. */
-  isOwn: boolean;
-  isOnTrial: boolean;
-}
-
 interface Watcher {
   readonly parts: readonly string[];
   readonly handle: () => void;
@@ -122,19 +97,15 @@
   const { nowMs, send, rankForTrial, schedule, logger } = options;
   const incidents = createCrashIncidents(nowMs);
   const survived = createSurvivedParts(nowMs);
-  const quarantined = new Map<string, QuarantinedPart>();
+  const quarantined = createQuarantinedParts({ nowMs, rankForTrial });
   const watchers = new Set<Watcher>();
   // Suspects whose survival is known to the others, with the time of the notice.
   const announcedAtMs = new Map<string, number>();
   let isVerdictDue = false;
 
-  function findQuarantined(parts: readonly string[]) {
-    return parts.flatMap((part) => quarantined.get(part) ?? []);
-  }
-
   function findCauses() {
     // Verdicts of this entry are reached again, with all evidence.
-    const known = [...quarantined.values()].filter(({ isOwn }) => !isOwn);
+    const known = quarantined.list().filter(({ isOwn }) => !isOwn);
     const isInformed = survived.countRequests() >= MIN_SURVIVED_REQUESTS;
     return findCrashCauses(incidents.list(), {
       lastSurvivedAtMs: survived.lastAtMs,
@@ -146,16 +117,9 @@
     });
   }
 
-  function quarantine(
-    verdict: Omit<QuarantinedPart, "isOnTrial" | "trialEndMs">,
-    evidence?: CrashCause,
-  ) {
+  function quarantine(verdict: PartVerdict, evidence?: CrashCause) {
     const { part, rivals } = verdict;
-    const found = { ...verdict, isOnTrial: false, trialEndMs: -Infinity };
-    quarantined.set(part, found);
-    [...quarantined.keys()]
-      .slice(0, Math.max(0, quarantined.size - MAX_QUARANTINED))
-      .forEach((oldest) => quarantined.delete(oldest));
+    quarantined.add(verdict);
     logger.warn(
       {
         part,
@@ -196,29 +160,35 @@
     logger.warn({ part, reason }, "prompt part released");
   }
 
-  function extend(found: QuarantinedPart, endpoint: string, atMs: number) {
-    const { part } = found;
-    const others = [...quarantined.keys()].filter((other) => other !== part);
-    // A crash that another quarantined part explains decides no trial.
-    const isDecided =
-      found.isOnTrial &&
-      atMs >= found.trialEndMs - TRIAL_MS &&
-      !incidents.hasPart(endpoint, others);
-    if (isDecided) {
-      found.isOnTrial = false;
-      found.isOwn = false;
-      found.periodMs = Math.min(MAX_PERIOD_MS, found.periodMs * PERIOD_FACTOR);
-    }
-    found.sinceMs = Math.max(found.sinceMs, atMs);
-    found.dueAtMs = Math.max(found.dueAtMs, atMs + found.periodMs);
+  /** True if the crash broke off another quarantined part as well. */
+  function isExplainedByOther(endpoint: string, part: string): boolean {
+    return incidents.hasPart(
+      endpoint,
+      listOthers(part).map((other) => other.part),
+    );
+  }
+
+  function listOthers(part: string): readonly QuarantinedPart[] {
+    return quarantined.list().filter((other) => other.part !== part);
+  }
+
+  function recordQuarantinedCrash(
+    { part }: QuarantinedPart,
+    { endpoint, atMs }: { readonly endpoint: string; readonly atMs: number },
+  ) {
+    const hasOtherCause = isExplainedByOther(endpoint, part);
+    const isDecided = quarantined.recordCrash(part, { atMs, hasOtherCause });
     if (!isDecided) return;
-    logger.warn({ part, periodMs: found.periodMs }, "trial ended in a crash");
+    const [found] = quarantined.find([part]);
+    logger.warn({ part, periodMs: found?.periodMs }, "trial ended in a crash");
     endWatched(part);
   }
 
   function judge({ parts, endpoint }: BrokenRequest, atMs: number) {
     announceSurvived(parts);
-    findQuarantined(parts).forEach((found) => extend(found, endpoint, atMs));
+    quarantined
+      .find(parts)
+      .forEach((found) => recordQuarantinedCrash(found, { endpoint, atMs }));
     if (isVerdictDue) return;
     isVerdictDue = true;
     schedule(decide, VERDICT_DELAY_MS);
@@ -246,7 +216,8 @@
         quarantine(verdict, evidence);
         send(createQuarantinedNotice(verdict));
       });
-    [...quarantined.values()]
+    quarantined
+      .list()
       .filter(({ isOwn, isOnTrial }) => isOwn && !isOnTrial)
       .filter(({ part }) => !causes.some((cause) => cause.part === part))
       .filter(({ part }) => hasOtherCause(part))
@@ -258,13 +229,13 @@
 
   /** True if another quarantined part explains some crashes with the part. */
   function hasOtherCause(part: string): boolean {
-    const others = [...quarantined.keys()].filter((other) => other !== part);
+    const others = listOthers(part);
     return incidents
       .list()
       .some(
         ({ requestsByPart }) =>
           requestsByPart.has(part) &&
-          others.some((other) => requestsByPart.has(other)),
+          others.some((other) => requestsByPart.has(other.part)),
       );
   }
 
@@ -273,7 +244,7 @@
     periodMs,
     dueAtMs,
     rivals,
-  }: Omit<QuarantinedPart, "isOnTrial" | "trialEndMs">): PartQuarantinedNotice {
+  }: PartVerdict): PartQuarantinedNotice {
     return {
       topic: "part_quarantined",
       part,
@@ -284,32 +255,25 @@
   }
 
   function adopt(notice: PartQuarantinedNotice): boolean {
-    const { part } = notice;
-    const periodMs = Math.min(notice.periodMs, MAX_PERIOD_MS);
+    const { part, rivals, periodMs } = notice;
     const remainingMs = Math.min(notice.remainingMs, periodMs);
-    const known = quarantined.get(part);
-    if (known !== undefined) {
-      if (periodMs <= known.periodMs) return false;
-      known.periodMs = periodMs;
-      known.dueAtMs = nowMs() + remainingMs;
-      return true;
-    }
-    const sinceMs = nowMs() - (periodMs - remainingMs);
+    const verdict = {
+      part,
+      rivals,
+      periodMs,
+      sinceMs: nowMs() - (periodMs - remainingMs),
+      dueAtMs: nowMs() + remainingMs,
+      isOwn: false,
+    };
+    if (quarantined.has(part)) return quarantined.prolong(part, verdict);
     const survivedAtMs = survived.lastAtMs(part);
     const isFirstPeriod = periodMs <= INITIAL_PERIOD_MS;
-    // The sender may not know that the part has been sound so far.
-    if (survivedAtMs > (isFirstPeriod ? -Infinity : sinceMs)) {
+    // The sender may not know that the part has been sound before the crashes.
+    if (survivedAtMs > (isFirstPeriod ? -Infinity : verdict.sinceMs)) {
       send(createSurvivedNotice([part], survivedAtMs));
       return false;
     }
-    quarantine({
-      part,
-      rivals: notice.rivals,
-      periodMs,
-      sinceMs,
-      dueAtMs: nowMs() + remainingMs,
-      isOwn: false,
-    });
+    quarantine(verdict);
     return true;
   }
 
@@ -324,7 +288,7 @@
 
   /** To be called once the survival is recorded. */
   function releaseSurvived(parts: readonly string[], atMs: number) {
-    const found = findQuarantined(parts);
+    const found = quarantined.find(parts);
     if (found.length === 0) return;
     const causes = findCauses();
     found
@@ -355,35 +319,6 @@
     return { topic: "part_survived", parts: [...parts], ageMs };
   }
 
-  /**
-   * Time from which this entry may try one of the `found` parts. A request with
-   * only one of several parts that explain the same crashes tells them apart.
-   */
-  function computeDueAtMs(
-    { part, rivals, sinceMs, dueAtMs, trialEndMs }: QuarantinedPart,
-    found: readonly QuarantinedPart[],
-  ): number {
-    const isDistinctive = found.length === 1 && rivals.some(isInQuarantine);
-    const startMs = isDistinctive ? sinceMs + DISTINCTION_DELAY_MS : dueAtMs;
-    const rank = Math.min(rankForTrial(part), MAX_TRIAL_RANK);
-    return Math.max(startMs, trialEndMs) + rank * TRIAL_STAGGER_MS;
-  }
-
-  function isInQuarantine(part: string): boolean {
-    return quarantined.has(part);
-  }
-
-  function startTrial(found: QuarantinedPart) {
-    found.isOnTrial = true;
-    found.trialEndMs = nowMs() + TRIAL_MS;
-  }
-
-  function removeIdle() {
-    [...quarantined.values()]
-      .filter(({ dueAtMs }) => nowMs() - dueAtMs > IDLE_TTL_MS)
-      .forEach(({ part }) => quarantined.delete(part));
-  }
-
   return {
     recordCrash(broken) {
       if (broken.parts.length === 0) return;
@@ -401,30 +336,19 @@
       releaseSurvived(doubted, nowMs());
       send(createSurvivedNotice(doubted, nowMs()));
     },
-    checkRequest(parts) {
-      if (quarantined.size === 0) return undefined;
-      removeIdle();
-      const found = findQuarantined(parts);
-      const waiting = found
-        .map((item) => ({
-          part: item.part,
-          remainingMs: computeDueAtMs(item, found) - nowMs(),
-        }))
-        .sort((a, b) => b.remainingMs - a.remainingMs)[0];
-      return waiting !== undefined && waiting.remainingMs > 0
-        ? waiting
-        : undefined;
-    },
+    checkRequest: (parts) => quarantined.findRefusal(quarantined.find(parts)),
     recordSend(parts) {
-      findQuarantined(parts).forEach((item) => {
-        const { part } = item;
-        startTrial(item);
-        logger.info({ part }, "trial of a quarantined prompt part");
-        send({ topic: "part_trial", part });
-      });
+      quarantined
+        .find(parts)
+        .map(({ part }) => part)
+        .filter(quarantined.startTrial)
+        .forEach((part) => {
+          logger.info({ part }, "trial of a quarantined prompt part");
+          send({ topic: "part_trial", part });
+        });
     },
     isSuspected: (parts) =>
-      findQuarantined(parts).length > 0 ||
+      quarantined.find(parts).length > 0 ||
       (parts.some((part) => incidents.isSuspect(part, -Infinity)) &&
         findCauses().some(({ part }) => parts.includes(part))),
     watch(parts, handle) {
@@ -443,23 +367,17 @@
         case "part_quarantined":
           return adopt(notice);
         case "part_released": {
-          const found = quarantined.get(notice.part);
+          const [found] = quarantined.find([notice.part]);
+          if (found === undefined) return false;
           // A verdict of this entry follows from what it knows itself.
-          const isKept =
-            found?.isOwn || (found?.periodMs ?? 0) > INITIAL_PERIOD_MS;
-          if (found === undefined || isKept) return false;
+          if (found.isOwn || found.periodMs > INITIAL_PERIOD_MS) return false;
           release(notice.part, "other_cause");
           return true;
         }
         case "part_survived":
           return applySurvival(notice.parts, nowMs() - notice.ageMs);
-        case "part_trial": {
-          const found = quarantined.get(notice.part);
-          const isKnown = found?.isOnTrial && nowMs() < found.trialEndMs;
-          if (found === undefined || isKnown) return false;
-          startTrial(found);
-          return true;
-        }
+        case "part_trial":
+          return quarantined.startTrial(notice.part);
       }
     },
     // Evidence comes last, so that it is read with what explains it.
@@ -470,7 +388,7 @@
         ...[...suspects]
           .filter((part) => survived.lastAtMs(part) !== -Infinity)
           .map((part) => createSurvivedNotice([part], survived.lastAtMs(part))),
-        ...[...quarantined.values()].map(createQuarantinedNotice),
+        ...quarantined.list().map(createQuarantinedNotice),
         ...requests.map(({ endpoint, request, parts, atMs }) => ({
           topic: "part_crash" as const,
           endpoint,
