--- a/src/gateway/reserve_retry.ts
+++ b/src/gateway/reserve_retry.ts
@@ -1,7 +1,8 @@
 /**
  * Reserves a retry for an attempt whose endpoint is silent. An endpoint can be
- * silent for a second and go on, so an attempt is ended for silence only if
- * another endpoint is certain to get the request in the same step.
+ * silent for a second and go on, so an attempt is ended for silence only if the
+ * request is sent to another endpoint in the same step. That endpoint can still
+ * reject it.
  */
 
 import type { ActiveCall, CallState, ChosenEndpoint } from "./call_state.ts";
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -35,7 +35,7 @@
   options: PendingCall & {
     readonly response: CallerResponse;
     readonly choice: ChosenEndpoint;
-    /** Returns true if another endpoint is certain to get the call now. */
+    /** Returns true if the call is sent to another endpoint now. */
     readonly reserveRetry: () => boolean;
   },
 ): Attempt {
