Move the resolution of a request to a file of its own

The context names the quarantine of prompt parts as such, as dispatch_call.ts has a list of parts under the former name. No behaviour changes; the tests are the same.

--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -7,7 +7,6 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { RoutingConfig } from "../directory/mod.ts";
-import type { Call } from "./call.ts";
 import { createCallerResponse } from "./caller_response.ts";
 import { createConnectionOrder } from "./connection_order.ts";
 import { listenAt } from "../http/mod.ts";
@@ -22,37 +21,21 @@
   STATUS_OUTCOME_UNKNOWN,
 } from "./refusal.ts";
 import type { Refusal } from "./refusal.ts";
-import {
-  chooseService,
-  createRouteTable,
-  normaliseHost,
-  removeQuery,
-} from "./route_table.ts";
+import { resolveCall } from "./resolve_call.ts";
+import { createRouteTable } from "./route_table.ts";
 import type { RouteTable } from "./route_table.ts";
 
 /** Limit of the parser. The configured limit is checked for each request. */
 const MAX_PARSED_HEADER_BYTES = 128 * 1024;
-/** A starting entry has its configuration 50 to 250 ms after it listens. */
-const NO_CONFIG_RETRY_MS = 200;
-const STALE_CONFIG_RETRY_MS = 500;
-/** API keys are refreshed about once a second. */
-const STALE_KEYS_RETRY_MS = 700;
-/**
- * Margin within the bound on revoked keys: the age of the API keys is checked
- * when the request head is read, and the request is accepted later.
- */
-const REVOKE_MARGIN_MS = 300;
-/** A new configuration has to be in effect within two seconds. */
-const MAX_CONFIG_AGE_MS = 1_800;
-const STALE_CONFIG: Refusal = {
+/** Short, because another entry can accept the call at once. */
+const LEAVING_RETRY_MS = 50;
+const LEAVING: Refusal = {
   status: STATUS_NOT_RUN,
-  reason: "stale_configuration",
-  retryAfterMs: STALE_CONFIG_RETRY_MS,
+  reason: "leaving",
+  retryAfterMs: LEAVING_RETRY_MS,
 };
 /** Another entry may not have the fault. */
 const FAILED_RETRY_MS = 300;
-/** Short, because another entry can accept the call at once. */
-const LEAVING_RETRY_MS = 50;
 /** While draining, idle connections are closed at this interval. */
 const CLOSE_IDLE_INTERVAL_MS = 100;
 /** Until the first configuration sets it. */
@@ -74,7 +57,7 @@
 }
 
 export function createCallerServer(context: GatewayContext): CallerServer {
-  const { directory, registry, nowMs } = context;
+  const { directory, registry } = context;
   const refusals = registry.counter(
     "refused_requests_total",
     "Requests refused before dispatch, by reason",
@@ -110,77 +93,6 @@
     return routeTable;
   }
 
-  function resolveCall(request: IncomingMessage): Omit<Call, "body"> | Refusal {
-    if (state === "draining") {
-      return {
-        status: STATUS_NOT_RUN,
-        reason: "leaving",
-        retryAfterMs: LEAVING_RETRY_MS,
-      };
-    }
-    const currentTable = getRouteTable();
-    if (currentTable === undefined) {
-      return {
-        status: STATUS_NOT_RUN,
-        reason: "no_configuration",
-        retryAfterMs: NO_CONFIG_RETRY_MS,
-      };
-    }
-    const path = request.url ?? "/";
-    const route = currentTable.findRoute(
-      normaliseHost(request.headers.host),
-      removeQuery(path),
-    );
-    if (route === undefined) {
-      return isConfigStale(context)
-        ? STALE_CONFIG
-        : { status: 404, reason: "no_route" };
-    }
-    if (
-      countHeaderBytes(request.rawHeaders) >
-      currentTable.config.limits.maxHeaderBytes
-    ) {
-      return { status: 431, reason: "headers_too_large" };
-    }
-    const headers = context.codec.readCallHeaders(request.headers);
-    const needsKey =
-      currentTable.config.accounts !== undefined && !route.isAnonymous;
-    const account =
-      headers.apiKey === undefined
-        ? undefined
-        : currentTable.findAccount(headers.apiKey);
-    if (needsKey && areApiKeysStale(context)) {
-      return {
-        status: STATUS_NOT_RUN,
-        reason: "stale_keys",
-        retryAfterMs: STALE_KEYS_RETRY_MS,
-      };
-    }
-    if (needsKey && account === undefined) {
-      return isConfigStale(context)
-        ? STALE_CONFIG
-        : { status: 401, reason: "unknown_key" };
-    }
-    const receivedAtMs = nowMs();
-    const timeoutMs = Math.min(
-      headers.remainingMs ?? route.timeoutMs,
-      route.timeoutMs,
-    );
-    return {
-      id: headers.attemptId ?? "",
-      method: request.method ?? "GET",
-      path,
-      rawHeaders: request.rawHeaders,
-      headers,
-      route,
-      service: chooseService(route, context.random()) ?? "",
-      account,
-      configVersion: currentTable.config.version,
-      receivedAtMs,
-      deadlineMs: receivedAtMs + timeoutMs,
-    };
-  }
-
   async function handleRequest(
     request: IncomingMessage,
     response: ServerResponse,
@@ -264,7 +176,10 @@
     readonly response: ServerResponse;
     readonly turn: Promise<void>;
   }): Promise<Dispatch | undefined> {
-    const resolved = resolveCall(request);
+    const resolved =
+      state === "draining"
+        ? LEAVING
+        : resolveCall(context, { request, routeTable: getRouteTable() });
     if ("status" in resolved) {
       refuse(request, response, resolved);
       return undefined;
@@ -339,21 +254,3 @@
   server.keepAliveTimeout = limits.idleTimeoutMs;
   server.headersTimeout = limits.headerTimeoutMs;
 }
-
-/** Clients do not retry a 404 or 401, so stale data must not lead to one. */
-function isConfigStale({ directory }: GatewayContext): boolean {
-  return directory.ageMs() > MAX_CONFIG_AGE_MS;
-}
-
-/** True if a key may have been revoked longer ago than `revokeMs` allows. */
-export function areApiKeysStale(
-  context: Pick<GatewayContext, "directory" | "bounds">,
-): boolean {
-  const { isRevocationStrict, revokeMs } = context.bounds;
-  if (!isRevocationStrict) return false;
-  return context.directory.ageMs() > revokeMs - REVOKE_MARGIN_MS;
-}
-
-function countHeaderBytes(rawHeaders: readonly string[]): number {
-  return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
-}
--- a/src/gateway/dispatch_call.ts
+++ b/src/gateway/dispatch_call.ts
@@ -86,7 +86,8 @@
     }
     const quarantinedMs =
       context.quarantine.remainingMs(fingerprint) ||
-      (context.promptParts.checkRequest(promptParts)?.remainingMs ?? 0);
+      (context.promptPartQuarantine.checkRequest(promptParts)?.remainingMs ??
+        0);
     if (quarantinedMs > 0) {
       return refuseCall(context, {
         call,
@@ -107,7 +108,7 @@
       }
       refusalTracker.countAdmitted();
       if (state.triedEndpoints.size === 0) {
-        context.promptParts.recordSend(promptParts);
+        context.promptPartQuarantine.recordSend(promptParts);
       }
       attempt = sendAttempt(context, {
         call,
@@ -124,7 +125,7 @@
             choose: (next) => choose(context, { call, service, state: next }),
           }),
       });
-      const watch = context.promptParts.watch(promptParts, () => {
+      const watch = context.promptPartQuarantine.watch(promptParts, () => {
         if (!state.hasSurvived) attempt?.fail(QUARANTINED_REASON);
       });
       const outcome = await trackAttempt(context, attempt, choice.view);
@@ -136,7 +137,7 @@
           context.sendCrashNotice(
             context.quarantine.recordLikelyCrash(fingerprint, address),
           );
-          context.promptParts.recordCrash({
+          context.promptPartQuarantine.recordCrash({
             endpoint: `${id} ${startedAtMs ?? ""}`,
             request: fingerprint.slice(0, REQUEST_KEY_LENGTH),
             parts: promptParts,
--- a/src/gateway/gateway_context.ts
+++ b/src/gateway/gateway_context.ts
@@ -48,7 +48,7 @@
   readonly quarantine: Quarantine;
   readonly sendCrashNotice: (notice: CrashNotice) => void;
   /** Prompt parts that crash the endpoints which answer requests with them. */
-  readonly promptParts: PromptPartQuarantine;
+  readonly promptPartQuarantine: PromptPartQuarantine;
   /** Refusals of a service. */
   readonly getRefusalTracker: (service: string) => RefusalTracker;
   readonly getRetryBudget: (service: string) => RetryBudget;
--- a/src/gateway/handle_outcome.ts
+++ b/src/gateway/handle_outcome.ts
@@ -122,8 +122,11 @@
 }
 
 /** True if the request may crash the next endpoint as well. */
-function isSuspected({ promptParts }: GatewayContext, call: Call): boolean {
-  return promptParts.isSuspected(call.headers.sharedPromptParts ?? []);
+function isSuspected(
+  { promptPartQuarantine }: GatewayContext,
+  call: Call,
+): boolean {
+  return promptPartQuarantine.isSuspected(call.headers.sharedPromptParts ?? []);
 }
 
 function takeRetry(context: GatewayContext, call: Call): boolean {
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -64,7 +64,9 @@
   function recordSurvival() {
     if (state.hasSurvived) return;
     state.hasSurvived = true;
-    context.promptParts.recordSurvival(headers.sharedPromptParts ?? []);
+    context.promptPartQuarantine.recordSurvival(
+      headers.sharedPromptParts ?? [],
+    );
   }
 
   context.rateLimits.count(endpoint, readColdLimit(context, service));
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -39,7 +39,8 @@
 import { createEndpointConnections } from "./endpoint_connections.ts";
 import { createEndpointLoads } from "./endpoint_loads.ts";
 import { createEndpointHealth } from "./endpoint_health.ts";
-import { createCallerServer, areApiKeysStale } from "./caller_server.ts";
+import { createCallerServer } from "./caller_server.ts";
+import { areApiKeysStale } from "./resolve_call.ts";
 import type { GatewayBounds, GatewayContext } from "./gateway_context.ts";
 import { readColdLimit } from "./list_endpoint_views.ts";
 import { createRateLimits } from "./rate_limits.ts";
@@ -160,7 +161,7 @@
       .forEach((peer) => peer.sendNotice(notice));
   }
 
-  const promptParts = createPromptPartQuarantine({
+  const promptPartQuarantine = createPromptPartQuarantine({
     nowMs,
     send: (notice) => sendToEntries(notice),
     rankForTrial(part) {
@@ -207,7 +208,7 @@
     regions: settings.regions,
     quarantine,
     sendCrashNotice: (notice) => sendToEntries(notice),
-    promptParts,
+    promptPartQuarantine,
     getRefusalTracker,
     getRetryBudget,
     countEntries,
@@ -255,9 +256,10 @@
   });
   mesh.onPeer((peer) => {
     if (peer.hello.role !== "entry") return;
-    [...quarantine.listNotices(), ...promptParts.listNotices()].forEach(
-      (notice) => peer.sendNotice(notice),
-    );
+    [
+      ...quarantine.listNotices(),
+      ...promptPartQuarantine.listNotices(),
+    ].forEach((notice) => peer.sendNotice(notice));
   });
   mesh.onNotice("crash", (peer, notice) => {
     const isNew = quarantine.applyNotice(notice as CrashNotice);
@@ -265,7 +267,9 @@
   });
   PROMPT_PART_TOPICS.forEach((topic) =>
     mesh.onMeshNotice(topic, (peer, notice) => {
-      const isNew = promptParts.applyNotice(notice as PromptPartNotice);
+      const isNew = promptPartQuarantine.applyNotice(
+        notice as PromptPartNotice,
+      );
       if (isNew) sendToEntries(notice, peer);
     }),
   );
--- a/src/gateway/testing/mod.ts
+++ b/src/gateway/testing/mod.ts
@@ -175,7 +175,7 @@
     regions: { "kol-a": "kolkata", "sil-a": "siliguri" },
     quarantine: createQuarantine({ wallMs: Date.now, crashesToQuarantine: 3 }),
     sendCrashNotice: () => undefined,
-    promptParts: createPromptPartQuarantine({
+    promptPartQuarantine: createPromptPartQuarantine({
       nowMs,
       send: () => undefined,
       rankForTrial: () => 0,
