--- a/src/quarantine/prompt_part_quarantine.ts
+++ b/src/quarantine/prompt_part_quarantine.ts
@@ -35,7 +35,7 @@
 const MIN_SURVIVED_REQUESTS = 50;
 /**
  * All entries have reported what a crash broke off by then. Before, a part that
- * only ran beside the guilty one can be in more of the known crashes.
+ * only ran beside the crashing one can be in more of the known crashes.
  */
 const VERDICT_DELAY_MS = 60;
 /**
--- a/src/quarantine/quarantined_parts.ts
+++ b/src/quarantine/quarantined_parts.ts
@@ -9,7 +9,7 @@
 export const INITIAL_PERIOD_MS = 15_000;
 /**
  * Delay before a request that tells two parts apart is tried. Requests with
- * the guilty one that are in progress have ended by then.
+ * the crashing one that are in progress have ended by then.
  */
 const DISTINCTION_DELAY_MS = 1_000;
 /** Time for the outcome of a trial. */
