Log the request limits that endpoints name

Cause: the logs of the incident cannot tell whether a process knew of a limit, as nothing reads the header in which an endpoint names it. Change: the adapter decodes it from responses and reports. Entries and agents keep the last statement of each incarnation and log and count each change. Of two statements that may have overtaken each other the lower one counts. A value that is no rate says nothing. No request goes elsewhere because of it yet.

--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -39,6 +39,11 @@
   readonly isLeaving: boolean;
   /** Time for which the endpoint wants no requests, in a refusal. */
   readonly retryAfterMs?: number | undefined;
+  /**
+   * Requests per second that the endpoint takes from all entries together;
+   * Infinity if it names no limit. Absent if its value cannot be read.
+   */
+  readonly requestLimitPerS?: number | undefined;
   /** Id of the endpoint that responds, if it names itself. */
   readonly endpointId?: string | undefined;
   readonly load?: {
--- a/src/gateway/endpoint_availability.ts
+++ b/src/gateway/endpoint_availability.ts
@@ -6,6 +6,7 @@
  */
 
 import type { EndpointRecord } from "../directory/mod.ts";
+import { createRecentRecords } from "../limits/mod.ts";
 import type { Logger } from "../logging/mod.ts";
 import type { Registry } from "../metrics/mod.ts";
 import type { ResponseHeaders } from "./call.ts";
@@ -65,8 +66,7 @@
   registry,
   logger,
 }: EndpointAvailabilityOptions): EndpointAvailability {
-  /** The least recently used record is the first. */
-  const records = new Map<string, AvailabilityRecord>();
+  const records = createRecentRecords<AvailabilityRecord>(MAX_RECORDS);
   let lastPauseEndMs = -Infinity;
   const changes = registry.counter(
     "endpoint_availability_changes_total",
@@ -74,19 +74,11 @@
   );
 
   function read(endpoint: Incarnation): AvailabilityRecord {
-    const key = createKey(endpoint);
-    const found = records.get(key);
-    if (found === undefined) return INITIAL_RECORD;
-    records.delete(key);
-    records.set(key, found);
-    return found;
+    return records.read(createKey(endpoint)) ?? INITIAL_RECORD;
   }
 
   function write(endpoint: Incarnation, record: AvailabilityRecord) {
-    records.set(createKey(endpoint), record);
-    if (records.size <= MAX_RECORDS) return;
-    const [oldest] = records.keys();
-    records.delete(oldest!);
+    records.write(createKey(endpoint), record);
   }
 
   function noteLeaving(endpoint: Incarnation, status: number) {
@@ -160,8 +152,8 @@
  * A 421 also comes from another endpoint that was given the address, so it has
  * to name its sender.
  */
-function isFrom(
-  endpoint: Incarnation,
+export function isFrom(
+  endpoint: Pick<Incarnation, "id">,
   status: number,
   { endpointId }: ResponseHeaders,
 ): boolean {
--- a/src/gateway/gateway_context.ts
+++ b/src/gateway/gateway_context.ts
@@ -2,7 +2,7 @@
 
 import type { AgeClock, Directory } from "../directory/mod.ts";
 import type { Logger } from "../logging/mod.ts";
-import type { RetryBudget } from "../limits/mod.ts";
+import type { RetryBudget, StatedLimits } from "../limits/mod.ts";
 import type { Registry } from "../metrics/mod.ts";
 import type { PromptPartQuarantine, Quarantine } from "../quarantine/mod.ts";
 import type { TrafficCounters } from "../traffic/mod.ts";
@@ -39,6 +39,8 @@
   readonly health: EndpointHealth;
   /** What endpoints say about taking further requests. */
   readonly availability: EndpointAvailability;
+  /** Request limits that endpoints name. */
+  readonly statedLimits: StatedLimits;
   readonly rateLimits: RateLimits;
   /** Endpoints to weigh for a call. */
   readonly candidates: Candidates;
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -6,11 +6,12 @@
 
 import { startAttempt } from "./attempt.ts";
 import type { Attempt, AttemptOptions, AttemptOutcome } from "./attempt.ts";
-import type { Call } from "./call.ts";
+import type { Call, ResponseHeaders } from "./call.ts";
 import { isRetryable, PAUSED_REASON } from "./call_state.ts";
 import type { ChosenEndpoint, PendingCall } from "./call_state.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import type { EndpointView } from "./choose_endpoint.ts";
+import { isFrom } from "./endpoint_availability.ts";
 import { findSendObstacle, findTimeToBoundMs } from "./find_send_obstacle.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import { readColdLimit } from "./list_endpoint_views.ts";
@@ -108,6 +109,11 @@
     onStart: () => versionDeadline.close(),
     onHead(status, responseHeaders) {
       context.availability.onResponse(endpoint, status, responseHeaders);
+      noteRequestLimit(context, endpoint, {
+        status,
+        headers: responseHeaders,
+        sentAtMs,
+      });
       withdrawUnsentIfPaused(context, endpoint);
       trackedRequest.markStarted();
       headAtMs = context.nowMs();
@@ -148,6 +154,22 @@
   return attempt;
 }
 
+function noteRequestLimit(
+  { statedLimits, nowMs }: GatewayContext,
+  endpoint: EndpointView["endpoint"],
+  response: {
+    readonly status: number;
+    readonly headers: ResponseHeaders;
+    readonly sentAtMs: number;
+  },
+) {
+  const { status, headers, sentAtMs } = response;
+  const { requestLimitPerS: ratePerS } = headers;
+  if (ratePerS === undefined || !isFrom(endpoint, status, headers)) return;
+  const statement = { ratePerS, sentAtMs, heardAtMs: nowMs() };
+  statedLimits.note(endpoint, statement, "response");
+}
+
 /** Connecting takes up to half a second, in which an endpoint may be paused. */
 function withdrawUnsentIfPaused(
   { availability, attemptsByAddress }: GatewayContext,
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -13,7 +13,7 @@
 import type { MetadataStore } from "../directory/mod.ts";
 import { rankByHash } from "../hashing/mod.ts";
 import { listenAt } from "../http/mod.ts";
-import { createRetryBudget } from "../limits/mod.ts";
+import { createRetryBudget, createStatedLimits } from "../limits/mod.ts";
 import type { RetryBudget } from "../limits/mod.ts";
 import type { Logger } from "../logging/mod.ts";
 import { startMesh } from "../mesh/mod.ts";
@@ -198,6 +198,7 @@
     loads,
     health: createEndpointHealth(nowMs),
     availability: createEndpointAvailability({ nowMs, registry, logger }),
+    statedLimits: createStatedLimits({ nowMs, registry, logger }),
     rateLimits,
     candidates,
     connections: createEndpointConnections(registry),
--- a/src/gateway/testing/mod.ts
+++ b/src/gateway/testing/mod.ts
@@ -18,7 +18,7 @@
   EndpointRecord,
   OutageSpan,
 } from "../../directory/mod.ts";
-import { createRetryBudget } from "../../limits/mod.ts";
+import { createRetryBudget, createStatedLimits } from "../../limits/mod.ts";
 import { createRegistry } from "../../metrics/mod.ts";
 import { createTrafficCounters } from "../../traffic/mod.ts";
 import {
@@ -100,6 +100,8 @@
     isMarkedNotRun: headers["x-not-run"] !== undefined,
     isLeaving: headers["x-leaving"] !== undefined,
     endpointId: text(headers["x-endpoint"]),
+    requestLimitPerS:
+      headers["x-limit"] === undefined ? Infinity : Number(headers["x-limit"]),
     ...(headers["retry-after"] !== undefined && {
       retryAfterMs: Number(headers["retry-after"]) * 1_000,
     }),
@@ -166,6 +168,11 @@
       registry,
       logger: SILENT_LOGGER,
     }),
+    statedLimits: createStatedLimits({
+      nowMs,
+      registry,
+      logger: SILENT_LOGGER,
+    }),
     rateLimits,
     candidates: createCandidates({
       nowMs,
--- a/src/limits/mod.ts
+++ b/src/limits/mod.ts
@@ -1,7 +1,17 @@
-/** Client-account rate limits and the retry budget. */
+/** Client-account rate limits, limits of endpoints and the retry budget. */
 
 export { createAccountLimits } from "./account_limits.ts";
 export type { AccountLimits, AccountLimitsOptions } from "./account_limits.ts";
+export { mergeStatements } from "./limit_statement.ts";
+export type { LimitStatement } from "./limit_statement.ts";
+export { createRecentRecords } from "./recent_records.ts";
+export type { RecentRecords } from "./recent_records.ts";
+export { createStatedLimits } from "./stated_limits.ts";
+export type {
+  LimitedIncarnation,
+  StatedLimit,
+  StatedLimits,
+} from "./stated_limits.ts";
 export { createRetryBudget } from "./retry_budget.ts";
 export type { RetryBudget, RetryCause } from "./retry_budget.ts";
 export { computeReserveShare, splitColdLimit } from "./split_cold_limit.ts";
--- a/src/sidecar/endpoint_api.ts
+++ b/src/sidecar/endpoint_api.ts
@@ -17,6 +17,8 @@
   /** True if the endpoint states that it takes no further requests. */
   readonly isLeaving: boolean;
   readonly startedAtMs?: number | undefined;
+  /** As in the responses to requests; reports may lack it. */
+  readonly requestLimitPerS?: number | undefined;
 }
 
 export type EndpointFailure = "timeout" | "connection" | "refused";
--- a/src/sidecar/load_reporter.ts
+++ b/src/sidecar/load_reporter.ts
@@ -46,6 +46,8 @@
   readonly mesh: Mesh;
   /** Share of an entry in the endpoint's request rate, if it is known. */
   readonly readSharePerS: () => number | undefined;
+  /** Called with each report and the time at which it was requested. */
+  readonly onReport: (report: EndpointReport, sentAtMs: number) => void;
   readonly logger: Logger;
 }
 
@@ -126,6 +128,7 @@
 
   /** Returns the delay before the next read. */
   async function readOnce(): Promise<number> {
+    const sentAtMs = performance.now();
     const result = await endpoint.readReport();
     if (result.isOk()) {
       failures = 0;
@@ -133,6 +136,7 @@
       const former = startedAtMs;
       startedAtMs = report.startedAtMs ?? former;
       hasRestarted = former !== undefined && startedAtMs !== former;
+      options.onReport(report, sentAtMs);
     } else {
       failures += 1;
       if (failures >= FAILURES_UNTIL_UNKNOWN) report = undefined;
--- a/src/sidecar/load_reporter_test.ts
+++ b/src/sidecar/load_reporter_test.ts
@@ -61,6 +61,7 @@
       onPeer: () => undefined,
     } as unknown as Mesh,
     readSharePerS: () => undefined,
+    onReport: () => undefined,
     logger: SILENT_LOGGER,
   });
   closers.push(reporter.close);
--- a/src/sidecar/start_sidecar.ts
+++ b/src/sidecar/start_sidecar.ts
@@ -4,6 +4,7 @@
  */
 
 import type { Logger } from "../logging/mod.ts";
+import { createStatedLimits } from "../limits/mod.ts";
 import { startMesh } from "../mesh/mod.ts";
 import type { Registry } from "../metrics/mod.ts";
 import { createWeightDistributor } from "../weights/mod.ts";
@@ -16,6 +17,7 @@
 import { createFleetState } from "./fleet_state.ts";
 import { startLoadReporter } from "./load_reporter.ts";
 import { createRateLoans } from "./rate_loans.ts";
+import { createReportedLimit } from "./reported_limit.ts";
 import { createOriginStore } from "./origin_store.ts";
 import { startVersionUpdater } from "./version_updater.ts";
 
@@ -106,11 +108,18 @@
     readLimitPerS: () => fleetState.ownService()?.coldLimitPerS,
     countPartners: mesh.countPartners,
   });
+  const statedLimits = createStatedLimits({ nowMs, registry, logger });
+  const reportedLimit = createReportedLimit({
+    address: settings.endpointAddress,
+    statedLimits,
+    nowMs,
+  });
   const reporter = startLoadReporter({
     endpoint,
     address: settings.endpointAddress,
     mesh,
     readSharePerS: rateLoans.sharePerS,
+    onReport: reportedLimit.onReport,
     logger,
   });
   const versionUpdater = startVersionUpdater({
--- a/stand_ins/users_platform/worker.ts
+++ b/stand_ins/users_platform/worker.ts
@@ -33,16 +33,20 @@
    * `isHung`: no request is answered. `isDown`: connections are closed.
    * `isLeaving`: all answers say that it is leaving; it goes on serving.
    * `pauseS`: requests are refused, and none is wanted for so long.
+   * `requestLimit`: named in all answers; requests above it are served, too.
    */
   readonly faults: {
     isHung: boolean;
     isDown: boolean;
     isLeaving: boolean;
     pauseS: number | undefined;
+    requestLimit: string | undefined;
   };
   version(): number | undefined;
   /** Ids of the attempts that were meant for this worker, in order. */
   readonly receivedAttemptIds: readonly string[];
+  /** Monotonic times at which these attempts arrived. */
+  readonly arrivalsMs: readonly number[];
   /** Ids of the attempts that have started to run, in order. */
   readonly startedAttemptIds: readonly string[];
   /** Time from the arrival of an attempt to its first event, by attempt id. */
@@ -76,9 +80,11 @@
     isDown: false,
     isLeaving: false,
     pauseS: undefined,
+    requestLimit: undefined,
   };
   const staged = new Map<number, Buffer>();
   const receivedAttemptIds: string[] = [];
+  const arrivalsMs: number[] = [];
   const startedAttemptIds: string[] = [];
   const corruptLoads: number[] = [];
   const eventCount = options.eventCount ?? DEFAULT_EVENTS;
@@ -167,6 +173,7 @@
       return response.writeHead(421, { "Instance-Id": id }).end();
     }
     receivedAttemptIds.push(attemptId);
+    arrivalsMs.push(performance.now());
     if (faults.pauseS !== undefined) {
       const retryAfter = { "Not-Run": "1", "Retry-After": faults.pauseS };
       return response.writeHead(503, retryAfter).end();
@@ -223,6 +230,9 @@
     request.on("end", () => {
       if (faults.isHung) return;
       if (faults.isLeaving) response.setHeader("Server-Leaving", "1");
+      if (faults.requestLimit !== undefined) {
+        response.setHeader("Server-Limit", faults.requestLimit);
+      }
       const body = Buffer.concat(chunks);
       const url = new URL(request.url ?? "/", "http://worker");
       if (url.pathname === "/-/report") {
@@ -245,6 +255,7 @@
     faults,
     version: () => version,
     receivedAttemptIds,
+    arrivalsMs,
     startedAttemptIds,
     firstEventsMs,
     corruptLoads,
