Reproduce the incident: endpoints get more requests than they name

Callers see nothing of it; endpoints in need get as many requests as before. Change: a test with six gateways, four agents and stand-ins of the workers that name a limit counts arrivals from 3 s after that, as the users' rule does.

--- /dev/null
+++ b/test/users_platform/request_limit_test.ts
@@ -0,0 +1,122 @@
+/** Endpoints that name in their answers how many requests they take. */
+
+import { afterEach, beforeAll, expect, test } from "@jest/globals";
+import {
+  callGateway,
+  FIRST_KEY,
+  startPlatformFleet,
+} from "../../stand_ins/users_platform/mod.ts";
+import type {
+  AttemptResult,
+  PlatformFleet,
+  WorkerStandIn,
+} from "../../stand_ins/users_platform/mod.ts";
+import { buildPrograms } from "../build_programs.ts";
+import { waitUntil } from "../wait_until.ts";
+
+const GATEWAYS = 6;
+const CALL_TIMEOUT_MS = 6_000;
+/** Between calls: 60 a second. */
+const CALL_INTERVAL_MS = 1_000 / 60;
+/** From the first naming until the limit must be kept. */
+const CONTACT_MS = 3_000;
+const MEASURED_MS = 9_000;
+const WINDOW_MS = 4_000;
+
+let fleet: PlatformFleet | undefined;
+
+beforeAll(() => buildPrograms(), 120_000);
+
+afterEach(async () => {
+  await fleet?.close();
+  fleet = undefined;
+});
+
+const wait = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
+
+async function startFleet(workers: number) {
+  const started = await startPlatformFleet({
+    gateways: GATEWAYS,
+    workers: Array.from({ length: workers }, () => 1),
+  });
+  fleet = started;
+  let calls = 0;
+  const call = (gateway: number) => {
+    calls += 1;
+    return callGateway({
+      url: started.gateways[gateway]!.callerUrl,
+      attemptId: `c${calls}`,
+      apiKey: FIRST_KEY,
+      remainingMs: CALL_TIMEOUT_MS,
+    });
+  };
+  await Promise.all(
+    started.gateways.map((_, index) =>
+      waitUntil(
+        `entry ${index} answers`,
+        async () => (await call(index)).status === 200,
+      ),
+    ),
+  );
+  return { ...started, call };
+}
+
+/** Calls these gateways in turn until `forMs` have passed. */
+async function callSteadily(
+  call: (gateway: number) => Promise<AttemptResult>,
+  options: { readonly gateways: readonly number[]; readonly forMs: number },
+): Promise<readonly AttemptResult[]> {
+  const { gateways, forMs } = options;
+  const startedAtMs = performance.now();
+  const pending: Promise<AttemptResult>[] = [];
+  while (performance.now() - startedAtMs < forMs) {
+    pending.push(call(gateways[pending.length % gateways.length]!));
+    await wait(
+      startedAtMs + pending.length * CALL_INTERVAL_MS - performance.now(),
+    );
+  }
+  return Promise.all(pending);
+}
+
+/** Most arrivals in any window after `fromMs`. */
+function countMostArrivals(worker: WorkerStandIn, fromMs: number): number {
+  const times = worker.arrivalsMs.filter((atMs) => atMs >= fromMs);
+  return times.reduce((most, startMs, index) => {
+    const end = times.findIndex((atMs) => atMs >= startMs + WINDOW_MS);
+    return Math.max(most, (end < 0 ? times.length : end) - index);
+  }, 0);
+}
+
+/** What the platform allows in a window. */
+const countAllowed = (limitPerS: number) =>
+  1.5 * limitPerS * (WINDOW_MS / 1_000) + 5;
+
+const ALL_GATEWAYS = Array.from({ length: GATEWAYS }, (_, index) => index);
+
+// Guards against entries that send an endpoint in need as much as before,
+// together more than it has named.
+test.each([
+  { what: "one of four", limits: [1.6], gateways: ALL_GATEWAYS },
+  { what: "another one, through one entry", limits: [0, 1], gateways: [0] },
+  { what: "all four", limits: [5, 5, 5, 5], gateways: ALL_GATEWAYS },
+])(
+  "endpoints get no more requests than they name, $what",
+  async ({ limits, gateways }) => {
+    const { workers, call } = await startFleet(4);
+    const limited = limits
+      .map((limitPerS, index) => ({ limitPerS, worker: workers[index]! }))
+      .filter(({ limitPerS }) => limitPerS > 0);
+    limited.forEach(({ worker, limitPerS }) => {
+      worker.faults.requestLimit = String(limitPerS);
+    });
+    const namedAtMs = performance.now();
+    await callSteadily(call, { gateways, forMs: CONTACT_MS + MEASURED_MS });
+    const excess = limited.map(
+      ({ worker, limitPerS }) =>
+        countMostArrivals(worker, namedAtMs + CONTACT_MS) -
+        countAllowed(limitPerS),
+    );
+    expect(Math.max(...excess)).toBeLessThanOrEqual(0);
+  },
+  60_000,
+);
