Keep the request limit that an endpoint names, over all entries

Callers saw nothing, but an endpoint that named 1 request a second got 17 in 4 s, where 11 are allowed. Cause: nothing read the limit. Entries send by forecast, and nearly all requests come from the entry of the endpoint's data centre, so that equal shares would either exceed the limit or waste it. The class of fault: a statement of an endpoint that no process reads. Change: each attempt at an endpoint that names a limit needs a permit, which is checked once more when its connection is open. The agent beside the endpoint counts for all entries and lends permits for 0.85 of the rate. They expire 1.5 s after the ask, so in any 4 s at most 4.7 times the rate and one are used. Entries without contact to the agent send in turns for 0.15 of the rate, those of services without agents for all of it. An entry asks only for an endpoint that is better than the one it chose. Entries tell each other and the agent what endpoints state. While all endpoints are above their limits, requests are rejected at once with the time in which the next one is taken.

--- a/src/gateway/choose_endpoint.ts
+++ b/src/gateway/choose_endpoint.ts
@@ -16,6 +16,10 @@
   readonly pausedMs: number;
   readonly isInBackoff: boolean;
   readonly hasColdCapacity: boolean;
+  /** Requests per second that it takes from all entries; Infinity for any. */
+  readonly requestLimitPerS: number;
+  /** False if its request limit leaves none for this entry now. */
+  readonly hasPermit: boolean;
   readonly failureRate: number;
   /** Location of the endpoint relative to this entry. */
   readonly distance: "data_centre" | "region" | "other_region";
@@ -46,6 +50,8 @@
       readonly type: "send";
       readonly view: EndpointView;
       readonly forecastMs: number;
+      /** A better endpoint, for which this entry has no permit. */
+      readonly withheld?: EndpointView | undefined;
     }
   | {
       readonly type: "none";
@@ -55,6 +61,7 @@
         | "endpoints_paused"
         | "older_version"
         | "cold"
+        | "request_limit"
         | "too_busy";
       readonly listedEndpoints: number;
       readonly usableEndpoints: number;
@@ -62,6 +69,8 @@
       readonly forecastMs?: number | undefined;
       /** No endpoint can take the request sooner. */
       readonly minRetryAfterMs?: number | undefined;
+      /** As for an endpoint that is chosen. */
+      readonly withheld?: EndpointView | undefined;
     };
 
 /**
@@ -86,9 +95,17 @@
  * request costs its caller. A single failure shifts hardly any load.
  */
 const FAILURE_COST_MS = 400;
+/** Callers would not wait longer; the limit may have ended by then. */
+const MAX_PERMIT_INTERVAL_MS = 5_000;
 /** Cost of a plain endpoint whose slots are all in use. */
 const FULL_COST_MS = 200;
 
+interface CostedView {
+  readonly view: EndpointView;
+  readonly forecastMs: number;
+  readonly costMs: number;
+}
+
 export function chooseEndpoint(
   views: readonly EndpointView[],
   options: ChoiceOptions,
@@ -97,8 +114,9 @@
   const staying = allowed.filter(({ isLeaving }) => !isLeaving);
   const open = staying.filter(({ pausedMs }) => pausedMs === 0);
   const inTime = open.filter((view) => isVersionUsable(view, options));
-  const notInBackoff = inTime.filter(({ isInBackoff }) => !isInBackoff);
-  const usable = notInBackoff.length > 0 ? notInBackoff : inTime;
+  const permitted = inTime.filter(({ hasPermit }) => hasPermit);
+  const notInBackoff = permitted.filter(({ isInBackoff }) => !isInBackoff);
+  const usable = notInBackoff.length > 0 ? notInBackoff : permitted;
   const noEndpoint = {
     type: "none",
     listedEndpoints: views.length,
@@ -117,22 +135,58 @@
     const minRetryAfterMs = computeLoadTimeMs(options.service);
     return { ...noEndpoint, reason: "older_version", minRetryAfterMs };
   }
-  const available = usable.filter(({ hasColdCapacity }) => hasColdCapacity);
-  if (available.length === 0) {
-    return { ...noEndpoint, reason: "cold" };
+  const withheld = findCheapest(
+    inTime.filter(
+      ({ hasPermit, isInBackoff, hasColdCapacity }) =>
+        !hasPermit && !isInBackoff && hasColdCapacity,
+    ),
+    options,
+  );
+  if (permitted.length === 0) {
+    const minRetryAfterMs = computePermitIntervalMs(inTime);
+    return {
+      ...noEndpoint,
+      reason: "request_limit",
+      minRetryAfterMs,
+      withheld: withheld?.view,
+    };
+  }
+  const best = findCheapest(
+    usable.filter(({ hasColdCapacity }) => hasColdCapacity),
+    options,
+  );
+  if (best === undefined) {
+    return { ...noEndpoint, reason: "cold", withheld: withheld?.view };
   }
-  const costed = available.map((view) => ({
-    view,
-    ...estimateCost(view, options),
-  }));
-  const best = costed.reduce((a, b) => (b.costMs < a.costMs ? b : a));
+  const isBetterWithheld = (withheld?.costMs ?? Infinity) < best.costMs;
+  const result = { withheld: isBetterWithheld ? withheld?.view : undefined };
   const { engine } = options.service;
   const maxForecastMs =
     (options.timeToObjectiveMs - FORECAST_MARGIN_MS) / FORECAST_SPREAD;
   if (engine !== undefined && best.forecastMs > maxForecastMs) {
-    return { ...noEndpoint, reason: "too_busy", forecastMs: best.forecastMs };
+    const { forecastMs } = best;
+    return { ...noEndpoint, ...result, reason: "too_busy", forecastMs };
   }
-  return { type: "send", view: best.view, forecastMs: best.forecastMs };
+  const { view, forecastMs } = best;
+  return { ...result, type: "send", view, forecastMs };
+}
+
+function findCheapest(
+  views: readonly EndpointView[],
+  options: ChoiceOptions,
+): CostedView | undefined {
+  return views
+    .map((view) => ({ view, ...estimateCost(view, options) }))
+    .reduce<CostedView | undefined>(
+      (a, b) => (a !== undefined && a.costMs <= b.costMs ? a : b),
+      undefined,
+    );
+}
+
+/** Time in which these endpoints take one request from all entries together. */
+function computePermitIntervalMs(views: readonly EndpointView[]): number {
+  const perS = views.reduce((sum, view) => sum + view.requestLimitPerS, 0);
+  return Math.min(MAX_PERMIT_INTERVAL_MS, 1_000 / perS);
 }
 
 /** True if the request starts while the endpoint may use its weights. */
--- a/src/gateway/choose_endpoint_test.ts
+++ b/src/gateway/choose_endpoint_test.ts
@@ -26,6 +26,8 @@
     pausedMs: 0,
     isInBackoff: false,
     hasColdCapacity: true,
+    requestLimitPerS: Infinity,
+    hasPermit: true,
     failureRate: 0,
     distance: "data_centre",
     weightVersion: 1,
@@ -33,13 +35,19 @@
   };
 }
 
-function choose(views: readonly EndpointView[], timeToObjectiveMs = 500) {
-  const choice = chooseEndpoint(views, {
+const WITHHELD = { requestLimitPerS: 2, hasPermit: false };
+
+function chooseFrom(views: readonly EndpointView[], timeToObjectiveMs = 500) {
+  return chooseEndpoint(views, {
     service: SERVICE,
     promptTokens: 979,
     timeToObjectiveMs,
     random: () => 0,
   });
+}
+
+function choose(views: readonly EndpointView[], timeToObjectiveMs = 500) {
+  const choice = chooseFrom(views, timeToObjectiveMs);
   return choice.type === "send" ? choice.view.endpoint.id : choice.reason;
 }
 
@@ -132,6 +140,27 @@
     views: [view("cold", { hasColdCapacity: false })],
     expected: "cold",
   },
+  {
+    name: "an endpoint in backoff rather than one above its request limit",
+    views: [
+      view("limited", { ...WITHHELD, requests: 0 }),
+      view("in-backoff", { isInBackoff: true }),
+    ],
+    expected: "in-backoff",
+  },
+  {
+    name: "no endpoint above its request limit",
+    views: [view("limited", WITHHELD)],
+    expected: "request_limit",
+  },
+  {
+    name: "no endpoint beyond its capacity while another one is above its request limit",
+    views: [
+      view("limited", { ...WITHHELD, requests: 0 }),
+      view("full", { requests: 24 }),
+    ],
+    expected: "too_busy",
+  },
   {
     name: "an endpoint with enough time left on its weight version rather than one without",
     views: [
@@ -163,3 +192,29 @@
 test.each(cases)("chooses $name", ({ views, expected }) => {
   expect(choose(views)).toBe(expected);
 });
+
+// Guards against permits that are asked for by entries which do not use them,
+// so that the endpoint gets less than it takes.
+test.each([
+  {
+    what: "it is better than the chosen one",
+    requests: 0,
+    expected: "limited",
+  },
+  { what: "the chosen one is better", requests: 8, expected: undefined },
+])(
+  "an endpoint above its request limit is wanted only if $what",
+  ({ requests, expected }) => {
+    const limited = view("limited", { ...WITHHELD, requests });
+    const choice = chooseFrom([limited, view("chosen")]);
+    expect(choice.withheld?.endpoint.id).toBe(expected);
+  },
+);
+
+test("a rejection above the request limits says when the next request is taken", () => {
+  const limited = ["a", "b"].map((id) => view(id, WITHHELD));
+  expect(chooseFrom(limited)).toMatchObject({
+    reason: "request_limit",
+    minRetryAfterMs: 250,
+  });
+});
--- a/src/gateway/dispatch_call.ts
+++ b/src/gateway/dispatch_call.ts
@@ -207,7 +207,7 @@
   const timeToObjectiveMs = isUnsent
     ? call.route.objectiveMs - (now - call.receivedAtMs)
     : call.deadlineMs - now;
-  return chooseEndpoint(
+  const choice = chooseEndpoint(
     listEndpointViews(context, {
       call,
       service,
@@ -221,4 +221,8 @@
       random: context.random,
     },
   );
+  if (choice.withheld !== undefined) {
+    context.requestPermits.want(choice.withheld.endpoint);
+  }
+  return choice;
 }
--- a/src/gateway/endpoint_availability.ts
+++ b/src/gateway/endpoint_availability.ts
@@ -74,11 +74,11 @@
   );
 
   function read(endpoint: Incarnation): AvailabilityRecord {
-    return records.read(createKey(endpoint)) ?? INITIAL_RECORD;
+    return records.read(createIncarnationKey(endpoint)) ?? INITIAL_RECORD;
   }
 
   function write(endpoint: Incarnation, record: AvailabilityRecord) {
-    records.write(createKey(endpoint), record);
+    records.write(createIncarnationKey(endpoint), record);
   }
 
   function noteLeaving(endpoint: Incarnation, status: number) {
@@ -140,7 +140,11 @@
 }
 
 /** The address belongs to it as well, where no start time is published. */
-function createKey({ id, address, startedAtMs }: Incarnation): string {
+export function createIncarnationKey({
+  id,
+  address,
+  startedAtMs,
+}: Incarnation): string {
   return `${id} ${startedAtMs ?? ""} ${address}`;
 }
 
--- a/src/gateway/find_send_obstacle.ts
+++ b/src/gateway/find_send_obstacle.ts
@@ -8,6 +8,8 @@
 import type { EndpointView } from "./choose_endpoint.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import { findStartWindowMs } from "./list_endpoint_views.ts";
+import { REQUEST_LIMIT_REASON } from "./request_permits.ts";
+import type { RequestPermit } from "./request_permits.ts";
 import { VERSION_EXPIRED_REASON } from "./version_deadlines.ts";
 import { startsInTime } from "./weight_versions.ts";
 
@@ -18,11 +20,13 @@
 export function findSendObstacle(
   context: GatewayContext,
   { view, forecastMs }: ChosenEndpoint,
+  permit: RequestPermit,
 ): string | undefined {
   if (isWithdrawn(context, view)) return WITHDRAWN_REASON;
-  return startsInTime(findTimeToBoundMs(context, view), forecastMs)
-    ? undefined
-    : VERSION_EXPIRED_REASON;
+  if (!startsInTime(findTimeToBoundMs(context, view), forecastMs)) {
+    return VERSION_EXPIRED_REASON;
+  }
+  return permit.confirm() ? undefined : REQUEST_LIMIT_REASON;
 }
 
 function isWithdrawn(
--- a/src/gateway/gateway_context.ts
+++ b/src/gateway/gateway_context.ts
@@ -2,7 +2,7 @@
 
 import type { AgeClock, Directory } from "../directory/mod.ts";
 import type { Logger } from "../logging/mod.ts";
-import type { RetryBudget, StatedLimits } from "../limits/mod.ts";
+import type { LimitStatement, RetryBudget } from "../limits/mod.ts";
 import type { Registry } from "../metrics/mod.ts";
 import type { PromptPartQuarantine, Quarantine } from "../quarantine/mod.ts";
 import type { TrafficCounters } from "../traffic/mod.ts";
@@ -10,11 +10,15 @@
 import type { Attempt } from "./attempt.ts";
 import type { HeaderCodec } from "./call.ts";
 import type { Candidates } from "./candidates.ts";
-import type { EndpointAvailability } from "./endpoint_availability.ts";
+import type {
+  EndpointAvailability,
+  Incarnation,
+} from "./endpoint_availability.ts";
 import type { EndpointConnections } from "./endpoint_connections.ts";
 import type { EndpointLoads } from "./endpoint_loads.ts";
 import type { EndpointHealth } from "./endpoint_health.ts";
 import type { RateLimits } from "./rate_limits.ts";
+import type { RequestPermits } from "./request_permits.ts";
 import type { RefusalTracker } from "./refusal_tracker.ts";
 import type { VersionDeadlines } from "./version_deadlines.ts";
 
@@ -39,8 +43,12 @@
   readonly health: EndpointHealth;
   /** What endpoints say about taking further requests. */
   readonly availability: EndpointAvailability;
-  /** Request limits that endpoints name. */
-  readonly statedLimits: StatedLimits;
+  readonly requestPermits: RequestPermits;
+  /** Passes on what a response states about its endpoint's request limit. */
+  readonly noteRequestLimit: (
+    endpoint: Incarnation,
+    statement: LimitStatement,
+  ) => void;
   readonly rateLimits: RateLimits;
   /** Endpoints to weigh for a call. */
   readonly candidates: Candidates;
--- a/src/gateway/handle_outcome.ts
+++ b/src/gateway/handle_outcome.ts
@@ -8,6 +8,7 @@
 import { readPauseMs } from "./endpoint_availability.ts";
 import { WITHDRAWN_REASON } from "./find_send_obstacle.ts";
 import type { GatewayContext } from "./gateway_context.ts";
+import { REQUEST_LIMIT_REASON } from "./request_permits.ts";
 import { replaceRetryAfter } from "./return_delay.ts";
 import { VERSION_EXPIRED_REASON } from "./version_deadlines.ts";
 
@@ -26,6 +27,7 @@
   VERSION_EXPIRED_REASON,
   PAUSED_REASON,
   WITHDRAWN_REASON,
+  REQUEST_LIMIT_REASON,
 ]);
 /**
  * Reasons that suggest that the endpoint is gone. Other reasons can concern a
--- a/src/gateway/list_endpoint_views.ts
+++ b/src/gateway/list_endpoint_views.ts
@@ -60,6 +60,8 @@
       isInBackoff: context.health.isInBackoff(endpoint.id),
       hasColdCapacity:
         context.rateLimits.countFree(endpoint, coldLimitPerS) >= 1,
+      requestLimitPerS: context.requestPermits.readLimitPerS(endpoint),
+      hasPermit: context.requestPermits.isAvailable(endpoint),
       failureRate: context.health.failureRate(endpoint.id),
       distance: classifyDistance(context, endpoint.dataCentre),
       model,
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -73,6 +73,7 @@
   }
 
   context.rateLimits.count(endpoint, readColdLimit(context, service));
+  const permit = context.requestPermits.take(endpoint);
   if (state.triedEndpoints.size === 0) logFirstSend(context, options);
   const attempt = startAttempt({
     connections: context.connections,
@@ -98,7 +99,7 @@
       ? findSilenceLimits(call)
       : { beforeFirstByteMs: unlimitedMs, betweenBytesMs: unlimitedMs },
     isStream,
-    findSendObstacle: () => findSendObstacle(context, choice),
+    findSendObstacle: () => findSendObstacle(context, choice, permit),
     onSilence() {
       if (!canRetry) return "wait";
       if (options.reserveRetry()) return "end";
@@ -144,6 +145,7 @@
   void attempt.outcome.then((outcome) => {
     versionDeadline.close();
     trackedRequest.end();
+    if (outcome.type === "not_sent") permit.release();
     const isSuccess = outcome.type === "answered" && outcome.status < 400;
     if (isSuccess) recordSurvival();
     context.traffic.bytesReceived.increment(
@@ -155,7 +157,7 @@
 }
 
 function noteRequestLimit(
-  { statedLimits, nowMs }: GatewayContext,
+  context: GatewayContext,
   endpoint: EndpointView["endpoint"],
   response: {
     readonly status: number;
@@ -166,8 +168,8 @@
   const { status, headers, sentAtMs } = response;
   const { requestLimitPerS: ratePerS } = headers;
   if (ratePerS === undefined || !isFrom(endpoint, status, headers)) return;
-  const statement = { ratePerS, sentAtMs, heardAtMs: nowMs() };
-  statedLimits.note(endpoint, statement, "response");
+  const heardAtMs = context.nowMs();
+  context.noteRequestLimit(endpoint, { ratePerS, sentAtMs, heardAtMs });
 }
 
 /** Connecting takes up to half a second, in which an endpoint may be paused. */
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -10,7 +10,7 @@
   createDirectory,
   startDirectoryReader,
 } from "../directory/mod.ts";
-import type { MetadataStore } from "../directory/mod.ts";
+import type { Directory, MetadataStore } from "../directory/mod.ts";
 import { rankByHash } from "../hashing/mod.ts";
 import { listenAt } from "../http/mod.ts";
 import { createRetryBudget, createStatedLimits } from "../limits/mod.ts";
@@ -48,6 +48,8 @@
 import type { GatewayBounds, GatewayContext } from "./gateway_context.ts";
 import { readColdLimit } from "./list_endpoint_views.ts";
 import { createRateLimits } from "./rate_limits.ts";
+import { startRequestLimitExchange } from "./request_limit_exchange.ts";
+import { createRequestPermits } from "./request_permits.ts";
 import { createRefusalTracker } from "./refusal_tracker.ts";
 import type { RefusalTracker } from "./refusal_tracker.ts";
 import { stopCalls } from "./stop_calls.ts";
@@ -174,15 +176,35 @@
     logger,
   });
   const loads = createEndpointLoads(nowMs);
+  const listEntryHosts = () =>
+    mesh.hasMemberList()
+      ? mesh.listEntries().map(({ name }) => name)
+      : undefined;
   const rateLimits = createRateLimits({
     nowMs,
     ownHost: settings.host,
-    listEntryHosts: () =>
-      mesh.hasMemberList()
-        ? mesh.listEntries().map(({ name }) => name)
-        : undefined,
+    listEntryHosts,
   });
   mesh.view.onChange(rateLimits.onEntriesChange);
+  const statedLimits = createStatedLimits({ nowMs, registry, logger });
+  const requestPermits = createRequestPermits({
+    statedLimits,
+    ageMs: clock.nowMs,
+    nowMs,
+    wallMs: Date.now,
+    ownHost: settings.host,
+    listEntryHosts,
+    findAgent: (address) => requestLimits.findAgent(address),
+    mayHaveAgent: ({ service }) => hasEngine(directory, service),
+    registry,
+  });
+  const requestLimits = startRequestLimitExchange({
+    statedLimits,
+    mesh,
+    isReported: loads.isReported,
+    onGrant: requestPermits.onGrant,
+    nowMs,
+  });
   const candidates = createCandidates({
     nowMs,
     random: Math.random,
@@ -198,7 +220,9 @@
     loads,
     health: createEndpointHealth(nowMs),
     availability: createEndpointAvailability({ nowMs, registry, logger }),
-    statedLimits: createStatedLimits({ nowMs, registry, logger }),
+    requestPermits,
+    noteRequestLimit: (endpoint, statement) =>
+      requestLimits.onStatement(endpoint, statement),
     rateLimits,
     candidates,
     connections: createEndpointConnections(registry),
@@ -279,6 +303,7 @@
     const load = notice as EndpointLoadNotice;
     loads.onReport(load, peer);
     rateLimits.onShare(load.address, load.sharePerS, peer);
+    requestLimits.onReport(load, peer);
     if (load.phase !== "down") return;
     const lost = context.attemptsByAddress.get(load.address) ?? [];
     [...lost].forEach((attempt) => attempt.fail("endpoint_down"));
@@ -334,6 +359,14 @@
   };
 }
 
+/** Agents run beside the endpoints of services with model engines. */
+function hasEngine(directory: Directory, service: string): boolean {
+  const services = directory.config()?.services ?? [];
+  return services.some(
+    ({ name, engine }) => name === service && engine !== undefined,
+  );
+}
+
 async function startReadinessServer(
   address: string,
   isReady: () => boolean,
--- a/src/gateway/testing/mod.ts
+++ b/src/gateway/testing/mod.ts
@@ -35,6 +35,7 @@
 import { createCallerServer } from "../caller_server.ts";
 import type { GatewayContext } from "../gateway_context.ts";
 import { createRateLimits } from "../rate_limits.ts";
+import { createRequestPermits } from "../request_permits.ts";
 import { createRefusalTracker } from "../refusal_tracker.ts";
 import { createVersionDeadlines } from "../version_deadlines.ts";
 
@@ -126,6 +127,8 @@
   readonly service?: Partial<CallService>;
   readonly retries?: number;
   readonly storeOutage?: () => OutageSpan | undefined;
+  /** Hosts of the entries that share request limits with this one. */
+  readonly otherEntries?: readonly string[];
 }
 
 export async function startTestGateway(options: TestGatewayOptions) {
@@ -158,6 +161,11 @@
     ownHost: "entry-1",
     listEntryHosts: () => [],
   });
+  const statedLimits = createStatedLimits({
+    nowMs,
+    registry,
+    logger: SILENT_LOGGER,
+  });
   const context: GatewayContext = {
     directory,
     clock,
@@ -168,11 +176,19 @@
       registry,
       logger: SILENT_LOGGER,
     }),
-    statedLimits: createStatedLimits({
+    requestPermits: createRequestPermits({
+      statedLimits,
+      ageMs: nowMs,
       nowMs,
+      wallMs: Date.now,
+      ownHost: "entry-1",
+      listEntryHosts: () => options.otherEntries ?? [],
+      findAgent: () => undefined,
+      mayHaveAgent: () => false,
       registry,
-      logger: SILENT_LOGGER,
     }),
+    noteRequestLimit: (endpoint, statement) =>
+      void statedLimits.note(endpoint, statement, "response"),
     rateLimits,
     candidates: createCandidates({
       nowMs,
--- a/src/limits/mod.ts
+++ b/src/limits/mod.ts
@@ -2,8 +2,20 @@
 
 export { createAccountLimits } from "./account_limits.ts";
 export type { AccountLimits, AccountLimitsOptions } from "./account_limits.ts";
+export {
+  createLimitsNotice,
+  fromLimitRecord,
+  toLimitRecord,
+} from "./limit_records.ts";
 export { mergeStatements } from "./limit_statement.ts";
 export type { LimitStatement } from "./limit_statement.ts";
+export {
+  createPermitLender,
+  MIN_RATE_PER_S,
+  PERMIT_VALID_MS,
+} from "./permit_lender.ts";
+export type { PermitAsk, PermitGrant, PermitLender } from "./permit_lender.ts";
+export { findTurn, isOwnTurn } from "./request_turns.ts";
 export { createRecentRecords } from "./recent_records.ts";
 export type { RecentRecords } from "./recent_records.ts";
 export { createStatedLimits } from "./stated_limits.ts";
--- a/src/sidecar/start_sidecar.ts
+++ b/src/sidecar/start_sidecar.ts
@@ -17,7 +17,7 @@
 import { createFleetState } from "./fleet_state.ts";
 import { startLoadReporter } from "./load_reporter.ts";
 import { createRateLoans } from "./rate_loans.ts";
-import { createReportedLimit } from "./reported_limit.ts";
+import { startRequestLender } from "./request_lender.ts";
 import { createOriginStore } from "./origin_store.ts";
 import { startVersionUpdater } from "./version_updater.ts";
 
@@ -109,17 +109,20 @@
     countPartners: mesh.countPartners,
   });
   const statedLimits = createStatedLimits({ nowMs, registry, logger });
-  const reportedLimit = createReportedLimit({
+  const requestLender = startRequestLender({
     address: settings.endpointAddress,
     statedLimits,
+    mesh,
     nowMs,
+    registry,
+    logger,
   });
   const reporter = startLoadReporter({
     endpoint,
     address: settings.endpointAddress,
     mesh,
     readSharePerS: rateLoans.sharePerS,
-    onReport: reportedLimit.onReport,
+    onReport: requestLender.onReport,
     logger,
   });
   const versionUpdater = startVersionUpdater({
@@ -163,6 +166,7 @@
       versionUpdater.close();
       trafficLog.close();
       reporter.close();
+      requestLender.close();
       await weights.close();
       await endpoint.close();
       await mesh.close();
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -31,6 +31,9 @@
 import { promptPartNoticeSchemas } from "./prompt_part_notices.ts";
 import type { PromptPartNotice } from "./prompt_part_notices.ts";
 
+import { requestLimitNoticeSchemas } from "./request_limit_notices.ts";
+import type { RequestLimitNotice } from "./request_limit_notices.ts";
+
 export const PROTOCOL_VERSION = 1;
 
 const helloSchema = z.object({
@@ -253,6 +256,7 @@
   directoryAskNoticeSchema,
   directoryReplyNoticeSchema,
   ...promptPartNoticeSchemas,
+  ...requestLimitNoticeSchemas,
 ]);
 export type Notice =
   | LoadNotice
@@ -269,7 +273,8 @@
   | FleetNotice
   | DirectoryAskNotice
   | DirectoryReplyNotice
-  | PromptPartNotice;
+  | PromptPartNotice
+  | RequestLimitNotice;
 
 export function parseHello(value: unknown): Hello | undefined {
   const parsed = helloSchema.safeParse(value);
--- a/src/wire/mod.ts
+++ b/src/wire/mod.ts
@@ -28,6 +28,13 @@
   PartQuarantinedNotice,
   PromptPartNotice,
 } from "./prompt_part_notices.ts";
+export { MAX_LIMITS_IN_NOTICE } from "./request_limit_notices.ts";
+export type {
+  PermitAskNotice,
+  PermitGrantNotice,
+  RequestLimitsNotice,
+  StatedLimitRecord,
+} from "./request_limit_notices.ts";
 export { INITIAL_CREDIT_BYTES } from "./stream.ts";
 export type { Stream, StreamEvent, StreamLost } from "./stream.ts";
 export { connectPeer, listenForPeers } from "./transport.ts";
--- a/test/users_platform/request_limit_test.ts
+++ b/test/users_platform/request_limit_test.ts
@@ -87,10 +87,16 @@
   }, 0);
 }
 
+/** Of the named rate, while there is more demand; less is a loss for callers. */
+const MIN_USED_PART = 0.7;
+
 /** What the platform allows in a window. */
 const countAllowed = (limitPerS: number) =>
   1.5 * limitPerS * (WINDOW_MS / 1_000) + 5;
 
+const isServed = ({ status, isWhole }: AttemptResult) =>
+  status === 200 && isWhole;
+
 const ALL_GATEWAYS = Array.from({ length: GATEWAYS }, (_, index) => index);
 
 // Guards against entries that send an endpoint in need as much as before,
@@ -110,13 +116,54 @@
       worker.faults.requestLimit = String(limitPerS);
     });
     const namedAtMs = performance.now();
-    await callSteadily(call, { gateways, forMs: CONTACT_MS + MEASURED_MS });
+    const answers = await callSteadily(call, {
+      gateways,
+      forMs: CONTACT_MS + MEASURED_MS,
+    });
+    const fromMs = namedAtMs + CONTACT_MS;
     const excess = limited.map(
       ({ worker, limitPerS }) =>
-        countMostArrivals(worker, namedAtMs + CONTACT_MS) -
-        countAllowed(limitPerS),
+        countMostArrivals(worker, fromMs) - countAllowed(limitPerS),
     );
     expect(Math.max(...excess)).toBeLessThanOrEqual(0);
+    const usedParts = limited.map(({ worker, limitPerS }) => {
+      const arrivals = worker.arrivalsMs.filter((atMs) => atMs >= fromMs);
+      return arrivals.length / (limitPerS * (MEASURED_MS / 1_000));
+    });
+    expect(Math.min(...usedParts)).toBeGreaterThanOrEqual(MIN_USED_PART);
+    const rejected = answers.filter(({ status }) => status === 503);
+    const served = answers.filter(isServed);
+    expect(served.length + rejected.length).toBe(answers.length);
+    if (limited.length < workers.length) {
+      expect(served.length / answers.length).toBeGreaterThan(0.98);
+    } else {
+      rejected.forEach(({ retryAfterMs }) => {
+        expect(retryAfterMs).toBeGreaterThan(0);
+        expect(retryAfterMs).toBeLessThan(CALL_TIMEOUT_MS);
+      });
+    }
   },
   60_000,
 );
+
+// Guards against an endpoint that is left out for good: an entry without a
+// permit gets no response from which it could hear the end of the limit.
+test("an endpoint gets its share of the requests again after its limit has ended", async () => {
+  const { workers, call } = await startFleet(4);
+  workers.forEach(({ faults }) => (faults.requestLimit = "0"));
+  await callSteadily(call, { gateways: ALL_GATEWAYS, forMs: 3_000 });
+  workers.forEach(({ faults }) => (faults.requestLimit = undefined));
+  // At 0 requests a second each endpoint is tried every 6 s.
+  await callSteadily(call, { gateways: ALL_GATEWAYS, forMs: 8_000 });
+  const before = workers.map(({ arrivalsMs }) => arrivalsMs.length);
+  const answers = await callSteadily(call, {
+    gateways: ALL_GATEWAYS,
+    forMs: 4_000,
+  });
+  const shares = workers.map(
+    ({ arrivalsMs }, index) =>
+      (arrivalsMs.length - before[index]!) / answers.length,
+  );
+  expect(Math.min(...shares)).toBeGreaterThan(0.1);
+  expect(answers.filter(isServed)).toHaveLength(answers.length);
+}, 60_000);
