--- a/bench/emulator/inject_faults.ts
+++ b/bench/emulator/inject_faults.ts
@@ -88,6 +88,14 @@
           () => fleet.workers[fault.index]!.crash(),
           () => (fleet.workers[fault.index]!.faults.isDown = false),
         );
+      case "worker_limited": {
+        const { faults } = fleet.workers[fault.index]!;
+        return scheduleInterval(
+          fault,
+          () => (faults.requestLimit = String(fault.limit_per_s)),
+          () => (faults.requestLimit = undefined),
+        );
+      }
       case "worker_added":
         return scheduleOnce(fault.at_s, () => void fleet.addWorker(undefined));
       case "gateway_killed":
--- a/bench/emulator/scenario.ts
+++ b/bench/emulator/scenario.ts
@@ -58,6 +58,14 @@
     for_s: secondsSchema,
     index: indexSchema,
   }),
+  z.strictObject({
+    kind: z.literal("worker_limited"),
+    at_s: secondsSchema,
+    for_s: secondsSchema,
+    index: indexSchema,
+    /** Requests per second that it names in its answers. */
+    limit_per_s: z.number().min(0).max(10_000),
+  }),
   z.strictObject({ kind: z.literal("worker_added"), at_s: secondsSchema }),
   z.strictObject({
     kind: z.literal("gateway_killed"),
--- a/src/explain/explain_request.ts
+++ b/src/explain/explain_request.ts
@@ -20,6 +20,8 @@
     "every endpoint that could be used had said in a response that it is leaving",
   endpoints_paused:
     "every endpoint that could be used had asked this entry, with a 503, to send nothing for a while",
+  request_limit:
+    "every endpoint that could be used names a request limit that left no request for this entry; refused at once",
   older_version:
     "every endpoint still served an older version of the weights, on which the request might have started after its bound",
   cold: "every usable endpoint already had this entry's share of the requests that a cold endpoint may run",
--- a/src/gateway/request_limit_exchange.ts
+++ b/src/gateway/request_limit_exchange.ts
@@ -90,7 +90,7 @@
     receivers.forEach((peer) => peer.sendNotice(notice));
   }
 
-  /** Passes on what is new here, so that it reaches entries without a connection to the sender. */
+  /** Passes on what is new here to those that the sender may not be connected to. */
   function onLimits(sender: Peer, { limits }: RequestLimitsNotice) {
     const now = nowMs();
     const changed = limits.filter((record) => {
@@ -98,8 +98,10 @@
       return statedLimits.note(endpoint, statement, sender.hello.host);
     });
     changed.forEach((record) => {
+      const { address, ratePerS = Infinity } = record;
+      lastSent.write(address, { ratePerS, atMs: now });
       const notice = { topic: "request_limits", limits: [record] } as const;
-      listReceivers(record.address)
+      listReceivers(address)
         .filter((peer) => peer !== sender)
         .forEach((peer) => peer.sendNotice(notice));
     });
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -167,7 +167,15 @@
 ) {
   const { status, headers, sentAtMs } = response;
   const { requestLimitPerS: ratePerS } = headers;
-  if (ratePerS === undefined || !isFrom(endpoint, status, headers)) return;
+  if (!isFrom(endpoint, status, headers)) return;
+  if (ratePerS === undefined) {
+    return context.registry
+      .counter(
+        "unreadable_request_limits_total",
+        "Responses that name a request limit which is no rate",
+      )
+      .increment();
+  }
   const heardAtMs = context.nowMs();
   context.noteRequestLimit(endpoint, { ratePerS, sentAtMs, heardAtMs });
 }
