Take no endpoint from a peer that a later complete read lacked

Callers could be sent to an endpoint that had left, for good: a process which had read the whole store after a restore took the endpoint's record from a peer that had read the store before and still held the record back. Cause: what the store has removed before a complete read is never reported again, but the read was not compared with older changes that come from peers. The class of fault: a complete state taken for a set of changes. Change: of an update, items of the current era that are older than the own complete read and missing in it are left out, with what the peer knows of them from a former era. What the peer holds back because the copy lacks it still comes.

--- a/src/directory/change_order.ts
+++ b/src/directory/change_order.ts
@@ -22,6 +22,29 @@
   return change.type === "config" || change.type === "weights";
 }
 
+/**
+ * Leaves out items of the current era that were there when a peer read the
+ * store, but no longer at a later complete read of this process, with what the
+ * peer knows of them from a former era.
+ */
+export function dropRemovedSince(
+  changes: readonly DirectoryChange[],
+  completeSince: StorePosition,
+): readonly DirectoryChange[] {
+  const earlier = changes.filter(
+    (change) =>
+      !hasOwnOrder(change) && comparePositions(change, completeSince) <= 0,
+  );
+  const removedKeys = new Set(
+    earlier
+      .filter((change) => !isRemoval(change))
+      .filter((change) => !isOfFormerEra(change, completeSince))
+      .map(keyOf),
+  );
+  const removed = earlier.filter((change) => removedKeys.has(keyOf(change)));
+  return changes.filter((change) => !removed.includes(change));
+}
+
 function isRemoval(change: DirectoryChange): boolean {
   return (
     (change.type === "endpoint" && change.endpoint === undefined) ||
--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -8,6 +8,7 @@
 import type { Logger } from "../logging/mod.ts";
 import type { AgeClock } from "./age_clock.ts";
 import {
+  dropRemovedSince,
   hasOwnOrder,
   isOutdated,
   isRewritten,
@@ -257,7 +258,7 @@
     return clock.nowMs() - confirmedAtMs;
   }
 
-  function apply(changes: readonly DirectoryChange[], upTo: StorePosition) {
+  function applyAll(changes: readonly DirectoryChange[], upTo: StorePosition) {
     const isFirst = eras.completeSince() === undefined;
     const isContinuation =
       isFirst || (!eras.isFormer(upTo) && !eras.isNewEra(upTo));
@@ -268,6 +269,16 @@
     if (applied.length > 0) notify();
   }
 
+  /** What a complete read of this process lacked comes late from a peer. */
+  function apply(changes: readonly DirectoryChange[], upTo: StorePosition) {
+    const completeSince = eras.completeSince();
+    const current =
+      completeSince === undefined
+        ? changes
+        : dropRemovedSince(changes, completeSince);
+    applyAll(current, upTo);
+  }
+
   function confirm(atMs: number) {
     confirmedAtMs = Math.max(confirmedAtMs, atMs);
   }
@@ -299,7 +310,7 @@
             upTo,
           });
       eras.noteCompleteRead(upTo);
-      apply([...removals, ...changes], upTo);
+      applyAll([...removals, ...changes], upTo);
     },
     confirm,
     confirmFromStore(atMs) {
--- a/src/directory/former_era_test.ts
+++ b/src/directory/former_era_test.ts
@@ -96,3 +96,49 @@
   read({ era: 3, revision: 19 }, 19);
   expect(directory.ageMs()).toBe(0);
 });
+
+// Guards against an endpoint that is used for good after it has left: a peer
+// still holds back its record in the current era, and passes it on with what it
+// knows from the former one.
+test.each([
+  { what: "had left before the restore", formerChanges: "removed" },
+  { what: "has left since the restore", formerChanges: "listed" },
+])(
+  "an endpoint that $what does not come from a peer that read the store before",
+  ({ formerChanges }) => {
+    const removal = {
+      type: "endpoint",
+      id: "e1",
+      endpoint: undefined,
+    } as const;
+    const peer = createTestDirectory().directory;
+    peer.replace([list({ era: 1, revision: 4 })], { era: 1, revision: 4 });
+    if (formerChanges === "removed") {
+      peer.apply([{ ...removal, era: 1, revision: 5 }], {
+        era: 1,
+        revision: 5,
+      });
+    }
+    peer.replace([list({ era: 2, revision: 2 })], { era: 2, revision: 2 });
+    const { directory } = createTestDirectory({ schedule: (run) => run() });
+    const held = { era: 2, revision: 3 };
+    directory.replace([], held);
+    const { changes } = peer.createUpdateSince(held);
+    expect(changes).not.toEqual([]);
+    directory.apply(changes, peer.position());
+    expect(directory.endpoints()).toEqual([]);
+  },
+);
+
+// Guards against an entry that starts during a restore and does not use an
+// endpoint that has not written itself again yet.
+test("an endpoint that the copy lacks comes from a peer until it should be back", () => {
+  const peer = createTestDirectory().directory;
+  peer.replace([list({ era: 1, revision: 4 })], { era: 1, revision: 4 });
+  peer.replace([], { era: 2, revision: 2 });
+  const { directory } = createTestDirectory();
+  const held = { era: 2, revision: 2 };
+  directory.replace([], held);
+  directory.apply(peer.createUpdateSince(held).changes, peer.position());
+  expect(directory.endpoints()).toMatchObject([{ id: "e1" }]);
+});
