Let an entry use its turn at a limited endpoint for 1.5 s

Callers would be refused although an endpoint without an agent names a rate above all traffic: of 100 requests, one each 100 ms, 23 found a turn of their entry among four. Cause: a turn could be used only while it lasted, 10 us at that rate, and the turns in which no request came were lost. Change: a turn is a permit that is valid for 1.5 s, as those of the agent.

--- a/src/gateway/choose_endpoint_test.ts
+++ b/src/gateway/choose_endpoint_test.ts
@@ -153,6 +153,19 @@
     views: [view("limited", WITHHELD)],
     expected: "request_limit",
   },
+  {
+    name: "no endpoint that asked for a pause although its request limit has room",
+    views: [view("paused", { requestLimitPerS: 2, pausedMs: 5 })],
+    expected: "endpoints_paused",
+  },
+  {
+    name: "no endpoint above its request limit although its pause is over",
+    views: [
+      view("limited", WITHHELD),
+      view("paused", { requestLimitPerS: 2, pausedMs: 5 }),
+    ],
+    expected: "request_limit",
+  },
   {
     name: "no endpoint beyond its capacity while another one is above its request limit",
     views: [
--- a/src/gateway/request_permits.ts
+++ b/src/gateway/request_permits.ts
@@ -6,14 +6,13 @@
  */
 
 import {
+  claimTurns,
   createRecentRecords,
-  findTurn,
-  isOwnTurn,
   MIN_RATE_PER_S,
   PERMIT_VALID_MS,
   toLimitRecord,
 } from "../limits/mod.ts";
-import type { StatedLimits } from "../limits/mod.ts";
+import type { StatedLimits, TurnPosition } from "../limits/mod.ts";
 import type { Registry } from "../metrics/mod.ts";
 import type { Peer, PermitGrantNotice } from "../wire/mod.ts";
 import { createIncarnationKey } from "./endpoint_availability.ts";
@@ -75,9 +74,8 @@
 interface PermitRecord {
   /** Times until which the permits are valid, the earliest first. */
   permits: readonly number[];
-  /** The last turn that was looked at. */
-  turn: { readonly index: number; readonly isOwn: boolean } | undefined;
-  usedTurn: number | undefined;
+  /** Undefined while permits come from the agent. */
+  turns: TurnPosition | undefined;
   lastAsk: Ask | undefined;
 }
 
@@ -119,48 +117,47 @@
     }
     const created: PermitRecord = {
       permits: [],
-      turn: undefined,
-      usedTurn: undefined,
+      turns: undefined,
       lastAsk: undefined,
     };
     records.write(key, created);
     return created;
   }
 
-  /** The turn in which this entry may send now. */
-  function findOwnTurn(endpoint: Incarnation, record: PermitRecord) {
-    if (options.findAgent(endpoint.address) !== undefined) return undefined;
+  /** Adds permits for the turns of this entry that have begun. */
+  function addTurns(endpoint: Incarnation, record: PermitRecord) {
     const otherHosts = options.listEntryHosts();
+    const hasAgent = options.findAgent(endpoint.address) !== undefined;
     // Without the list this entry could take the turns of all others.
-    if (otherHosts === undefined) return undefined;
+    if (hasAgent || otherHosts === undefined) {
+      record.turns = undefined;
+      return;
+    }
     const part = options.mayHaveAgent(endpoint) ? TURN_PART_BESIDE_AGENT : 1;
-    const ratePerS = Math.max(readLimitPerS(endpoint), MIN_RATE_PER_S) * part;
-    const turn = findTurn(ratePerS, wallMs());
-    if (turn.index === record.usedTurn) return undefined;
-    if (record.turn?.index !== turn.index) {
-      const isOwn = isOwnTurn({
+    const { position, validForMs } = claimTurns(
+      {
         endpoint: endpoint.id,
-        index: turn.index,
+        ratePerS: Math.max(readLimitPerS(endpoint), MIN_RATE_PER_S) * part,
+        wallMs: wallMs(),
         ownHost: options.ownHost,
         otherHosts,
-      });
-      record.turn = { index: turn.index, isOwn };
-    }
-    return record.turn.isOwn ? turn : undefined;
+      },
+      record.turns,
+    );
+    record.turns = position;
+    if (validForMs.length === 0) return;
+    const now = ageMs();
+    const added = validForMs.map((remainingMs) => now + remainingMs);
+    record.permits = [...record.permits, ...added];
   }
 
   /** Returns the time until which the permit is valid. */
   function takeOne(endpoint: Incarnation): number | undefined {
     const record = findRecord(endpoint);
+    addTurns(endpoint, record);
     const [first, ...others] = record.permits;
-    if (first !== undefined) {
-      record.permits = others;
-      return first;
-    }
-    const turn = findOwnTurn(endpoint, record);
-    if (turn === undefined) return undefined;
-    record.usedTurn = turn.index;
-    return ageMs() + turn.remainingMs;
+    record.permits = others;
+    return first;
   }
 
   function dropExpiredAsks(now: number) {
@@ -203,9 +200,8 @@
     isAvailable(endpoint) {
       if (readLimitPerS(endpoint) === Infinity) return true;
       const record = findRecord(endpoint);
-      return (
-        record.permits.length > 0 || findOwnTurn(endpoint, record) !== undefined
-      );
+      addTurns(endpoint, record);
+      return record.permits.length > 0;
     },
     take(endpoint) {
       const isLimited = () => readLimitPerS(endpoint) !== Infinity;
--- a/src/gateway/request_permits_test.ts
+++ b/src/gateway/request_permits_test.ts
@@ -17,8 +17,13 @@
 
 const ENDPOINT = createEndpoint({ startedAtMs: 1_000 });
 
-function createPermits(options: { readonly hasAgent?: boolean } = {}) {
-  const { hasAgent = true } = options;
+function createPermits(
+  options: {
+    readonly hasAgent?: boolean;
+    readonly otherHosts?: readonly string[];
+  } = {},
+) {
+  const { hasAgent = true, otherHosts = [] } = options;
   const time = { nowMs: 50_000 };
   const nowMs = () => time.nowMs;
   const asks: PermitAskNotice[] = [];
@@ -37,7 +42,7 @@
     nowMs,
     wallMs: () => 1e12 + time.nowMs,
     ownHost: "entry-1",
-    listEntryHosts: () => [],
+    listEntryHosts: () => otherHosts,
     findAgent: () => (hasAgent ? agent : undefined),
     mayHaveAgent: () => hasAgent,
     registry,
@@ -127,6 +132,21 @@
     expect(sent.length).toBeGreaterThanOrEqual(20);
     expect(sent.length).toBeLessThanOrEqual(21);
   });
+
+  // Guards against an endpoint that is out of use most of the time because it
+  // names a rate above all traffic.
+  test("are there when a request comes, at a rate above all traffic", () => {
+    const { permits, time, state } = createPermits({
+      hasAgent: false,
+      otherHosts: ["entry-2", "entry-3", "entry-4"],
+    });
+    state(100_000);
+    const sent = Array.from({ length: 100 }, () => {
+      time.nowMs += 100;
+      return permits.isAvailable(ENDPOINT) && permits.take(ENDPOINT).confirm();
+    }).filter(Boolean);
+    expect(sent.length).toBeGreaterThanOrEqual(99);
+  });
 });
 
 async function start(...args: Parameters<typeof startTestFleet>) {
--- a/src/limits/mod.ts
+++ b/src/limits/mod.ts
@@ -15,7 +15,8 @@
   PERMIT_VALID_MS,
 } from "./permit_lender.ts";
 export type { PermitAsk, PermitGrant, PermitLender } from "./permit_lender.ts";
-export { findTurn, isOwnTurn } from "./request_turns.ts";
+export { claimTurns } from "./request_turns.ts";
+export type { ClaimedTurns, TurnPosition } from "./request_turns.ts";
 export { createRecentRecords } from "./recent_records.ts";
 export type { RecentRecords } from "./recent_records.ts";
 export { createStatedLimits } from "./stated_limits.ts";
--- a/src/limits/request_limit_property_test.ts
+++ b/src/limits/request_limit_property_test.ts
@@ -5,19 +5,15 @@
 
 import { describe, expect, test } from "@jest/globals";
 import fc from "fast-check";
-import {
-  createPermitLender,
-  findTurn,
-  isOwnTurn,
-  PERMIT_VALID_MS,
-} from "./mod.ts";
-import type { PermitLender } from "./mod.ts";
+import { claimTurns, createPermitLender, PERMIT_VALID_MS } from "./mod.ts";
+import type { PermitLender, TurnPosition } from "./mod.ts";
 
 const STEP_MS = 10;
 const WINDOW_MS = 4_000;
 /** As in request_permits.ts. */
 const ASK_INTERVAL_MS = 500;
 const TURN_PART = 0.15;
+const MIN_RATE_PER_S = 0.2;
 
 const countAllowed = (ratePerS: number) => 1.5 * ratePerS * 4 + 5;
 
@@ -27,8 +23,7 @@
   /** By the id of the ask. */
   readonly askedAtMs: Map<number, number>;
   askId: number;
-  turn: { readonly index: number; readonly isOwn: boolean } | undefined;
-  usedTurn: number | undefined;
+  turns: TurnPosition | undefined;
   /** It neither acts nor reads notices until then; its clock goes on. */
   frozenUntilMs: number;
   hasContact: boolean;
@@ -45,6 +40,10 @@
   readonly cutPart: number;
   /** Delay of notices in each direction. */
   readonly delayMs: number;
+  /** Part of the rate for entries without contact. */
+  readonly turnPart: number;
+  /** An entry with requests has one in each step of 10 ms with this chance. */
+  readonly demandPerStep: number;
   readonly restartsAgent: boolean;
   readonly freezes: boolean;
   readonly unknownPart: number;
@@ -58,6 +57,7 @@
 function simulate(scenario: Scenario): readonly number[] {
   const { ratePerS, delayMs } = scenario;
   let now = 0;
+  let drawn = 0;
   const hosts = Array.from(
     { length: scenario.entries },
     (_, index) => `entry-${index}`,
@@ -69,14 +69,18 @@
     permits: [],
     askedAtMs: new Map(),
     askId: 0,
-    turn: undefined,
-    usedTurn: undefined,
+    turns: undefined,
     frozenUntilMs: 0,
     hasContact: !isPart(index, scenario.cutPart),
     unknown: new Set(
       hosts.filter((_, other) => isPart(other + index, scenario.unknownPart)),
     ),
   }));
+  /** True with the given chance; even steps of the golden ratio. */
+  const draw = (chance: number) => {
+    drawn = (drawn + 0.618_034) % 1;
+    return drawn < chance;
+  };
   const createLender = (): PermitLender => {
     const created = createPermitLender(() => now);
     created.setLimit(ratePerS);
@@ -94,26 +98,28 @@
     }
     if (entry.hasContact) return false;
     const offsetMs = index % 10 === 0 ? scenario.clockOffsetMs : 0;
-    const turn = findTurn(ratePerS * TURN_PART, 1e12 + now + offsetMs);
-    if (turn.index === entry.usedTurn) return false;
-    if (entry.turn?.index !== turn.index) {
-      const isOwn = isOwnTurn({
+    const { position, validForMs } = claimTurns(
+      {
         endpoint: "e1",
-        index: turn.index,
+        ratePerS: Math.max(ratePerS, MIN_RATE_PER_S) * scenario.turnPart,
+        wallMs: 1e12 + now + offsetMs,
         ownHost: entry.host,
         otherHosts: hosts.filter(
           (host) => host !== entry.host && !entry.unknown.has(host),
         ),
-      });
-      entry.turn = { index: turn.index, isOwn };
-    }
-    if (entry.turn.isOwn) entry.usedTurn = turn.index;
-    return entry.turn.isOwn;
+      },
+      entry.turns,
+    );
+    entry.turns = position;
+    const [first, ...others] = validForMs.map((forMs) => now + forMs);
+    entry.permits.push(...others);
+    return first !== undefined;
   }
 
   function act(entry: EntryModel, index: number) {
     if (entry.frozenUntilMs > now) return;
     if (!isPart(index, scenario.demandPart)) return;
+    if (!draw(scenario.demandPerStep)) return;
     if (takePermit(entry, index)) {
       sentMs.push(now);
       return;
@@ -167,12 +173,16 @@
   demandPart: 1,
   cutPart: 0,
   delayMs: 10,
+  turnPart: TURN_PART,
+  demandPerStep: 1,
   restartsAgent: false,
   freezes: false,
   unknownPart: 0,
   clockOffsetMs: 0,
 };
 
+const WITHOUT_AGENTS = { cutPart: 1, turnPart: 1 };
+
 describe("requests of all entries to an endpoint that names a limit", () => {
   // Guards against shares that are each within the limit and exceed it in sum.
   test("stay within it, whatever is lost, frozen, restarted or unknown", () => {
@@ -184,6 +194,8 @@
           demandPart: fc.constantFrom(0.1, 0.5, 1),
           cutPart: fc.constantFrom(0, 0.5, 1),
           delayMs: fc.constantFrom(0, 10, 300),
+          turnPart: fc.constant(TURN_PART),
+          demandPerStep: fc.constantFrom(0.02, 1),
           restartsAgent: fc.boolean(),
           freezes: fc.boolean(),
           unknownPart: fc.constantFrom(0, 0.2),
@@ -198,6 +210,25 @@
     );
   });
 
+  test.each([1, 4, 35])(
+    "stay within it with %d entries and no agents",
+    (entries) => {
+      [0.2, 1, 1.6, 5, 30].forEach((ratePerS) =>
+        [0.02, 1].forEach((demandPerStep) => {
+          const most = countMost(
+            simulate({
+              ...SOUND,
+              ...WITHOUT_AGENTS,
+              ...{ entries, ratePerS, demandPerStep, unknownPart: 0.2 },
+              clockOffsetMs: 7_000,
+            }),
+          );
+          expect(most).toBeLessThanOrEqual(countAllowed(ratePerS));
+        }),
+      );
+    },
+  );
+
   test("stay within it with 400 entries", () => {
     const scenario = { ...SOUND, ratePerS: 0.2, entries: 400, cutPart: 0.5 };
     expect(countMost(simulate(scenario))).toBeLessThanOrEqual(
@@ -212,6 +243,15 @@
     { what: "61 entries", fields: { entries: 61, ratePerS: 5 } },
     { what: "400 entries", fields: { entries: 400, ratePerS: 5 } },
     { what: "half of the entries", fields: { entries: 10, cutPart: 0.5 } },
+    { what: "four entries without agents", fields: { ...WITHOUT_AGENTS } },
+    {
+      what: "four entries without agents, with few requests more",
+      fields: { ...WITHOUT_AGENTS, demandPerStep: 0.03, ratePerS: 6 },
+    },
+    {
+      what: "35 entries without agents",
+      fields: { ...WITHOUT_AGENTS, entries: 35, ratePerS: 5 },
+    },
     { what: "a slow link", fields: { delayMs: 200, ratePerS: 5 } },
   ])("use most of it through $what", ({ fields }) => {
     const scenario = { ...SOUND, ...fields };
