Try an endpoint with one request after a pause

Cause: the endpoint has no load then and is the best choice for every request until its first refusal is back. The class of fault: a closed circuit breaker that opens for everybody at once. Change: the first request after a pause tries the endpoint; the others follow when it is not refused, or after 0.1 s, since refusals come at once.

--- a/src/gateway/choose_endpoint.ts
+++ b/src/gateway/choose_endpoint.ts
@@ -12,7 +12,10 @@
   readonly isAllowed: boolean;
   /** It has said, here or to its agent, that it takes no further requests. */
   readonly isLeaving: boolean;
-  /** Time for which it has asked this entry for no requests; 0 for none. */
+  /**
+   * Time for which it has asked this entry for no requests, or for which the
+   * first request after that is awaited; 0 for none.
+   */
   readonly pausedMs: number;
   readonly isInBackoff: boolean;
   readonly hasColdCapacity: boolean;
--- a/src/gateway/endpoint_availability.ts
+++ b/src/gateway/endpoint_availability.ts
@@ -27,7 +27,15 @@
   "id" | "address" | "startedAtMs" | "service"
 >;
 
+/**
+ * After a pause one request tries the endpoint. Refusals come at once, so the
+ * others follow after this time.
+ */
+const TRIAL_MS = 100;
+
 export interface EndpointAvailability {
+  /** To be called when a request is about to be sent there. */
+  onSend(endpoint: Incarnation): void;
   /** To be called with the head of each response to a request sent there. */
   onResponse(
     endpoint: Incarnation,
@@ -38,6 +46,8 @@
   isLeaving(endpoint: Incarnation): boolean;
   /** Time for which the endpoint still wants no requests; 0 if it takes them. */
   pausedMs(endpoint: Incarnation): number;
+  /** As `pausedMs`, or for which the first request after a pause is awaited. */
+  closedMs(endpoint: Incarnation): number;
   /** From the request for a pause to its end; 0 if there was none. */
   pauseLengthMs(endpoint: Incarnation): number;
   isAnyPaused(): boolean;
@@ -53,12 +63,17 @@
   readonly isLeaving: boolean;
   readonly pausedSinceMs: number;
   readonly pausedUntilMs: number;
+  /** True if a request was not refused since the pause. */
+  readonly isTried: boolean;
+  readonly trialSentAtMs: number;
 }
 
 const INITIAL_RECORD: AvailabilityRecord = {
   isLeaving: false,
   pausedSinceMs: -Infinity,
   pausedUntilMs: -Infinity,
+  isTried: true,
+  trialSentAtMs: -Infinity,
 };
 
 export function createEndpointAvailability({
@@ -103,7 +118,13 @@
     if (pausedUntilMs <= Math.max(now, record.pausedUntilMs)) return;
     const isExtension = record.pausedUntilMs > now;
     const pausedSinceMs = isExtension ? record.pausedSinceMs : now;
-    write(endpoint, { ...record, pausedSinceMs, pausedUntilMs });
+    write(endpoint, {
+      ...record,
+      pausedSinceMs,
+      pausedUntilMs,
+      isTried: false,
+      trialSentAtMs: -Infinity,
+    });
     lastPauseEndMs = Math.max(lastPauseEndMs, pausedUntilMs);
     const addedMs = pausedUntilMs - record.pausedUntilMs;
     if (isExtension && addedMs < LOGGED_EXTENSION_MS) return;
@@ -114,15 +135,40 @@
     );
   }
 
+  function pausedMs(endpoint: Incarnation): number {
+    return Math.max(0, read(endpoint).pausedUntilMs - nowMs());
+  }
+
+  /** True from the end of the last pause until a request is not refused. */
+  function isUntried({ isTried, pausedUntilMs }: AvailabilityRecord): boolean {
+    return !isTried && nowMs() >= pausedUntilMs;
+  }
+
   return {
+    onSend(endpoint) {
+      const record = read(endpoint);
+      if (!isUntried(record)) return;
+      write(endpoint, { ...record, trialSentAtMs: nowMs() });
+    },
     onResponse(endpoint, status, headers) {
       if (!isFrom(endpoint, status, headers)) return;
       if (headers.isLeaving) noteLeaving(endpoint, status);
       const pauseMs = readPauseMs(status, headers);
-      if (pauseMs > 0) notePause(endpoint, pauseMs, headers.isMarkedNotRun);
+      if (pauseMs > 0) {
+        return notePause(endpoint, pauseMs, headers.isMarkedNotRun);
+      }
+      const record = read(endpoint);
+      if (isUntried(record)) write(endpoint, { ...record, isTried: true });
     },
     isLeaving: (endpoint) => read(endpoint).isLeaving,
-    pausedMs: (endpoint) => Math.max(0, read(endpoint).pausedUntilMs - nowMs()),
+    pausedMs,
+    closedMs(endpoint) {
+      const record = read(endpoint);
+      const trialMs = isUntried(record)
+        ? record.trialSentAtMs + TRIAL_MS - nowMs()
+        : 0;
+      return Math.max(pausedMs(endpoint), trialMs);
+    },
     pauseLengthMs(endpoint) {
       const { pausedSinceMs, pausedUntilMs } = read(endpoint);
       return pausedUntilMs === -Infinity ? 0 : pausedUntilMs - pausedSinceMs;
--- a/src/gateway/endpoint_pause_test.ts
+++ b/src/gateway/endpoint_pause_test.ts
@@ -255,6 +255,56 @@
   },
 );
 
+const ROUND_TRIP_MS = 20;
+
+// Guards against a burst at each end of a pause that goes on: the endpoint has
+// no load then and is the best choice for all requests until its first refusal
+// is back, and each of them takes a retry.
+test("after a pause one request tries the endpoint before others follow", async () => {
+  const { gateway, endpoints } = await start(
+    [
+      (...args) => setTimeout(() => askMarked(...args), ROUND_TRIP_MS),
+      respondCompletely,
+    ],
+    { route: UNSAFE },
+  );
+  await call(gateway.url);
+  gateway.skip(PAUSE_MS);
+  const burst = await Promise.all(
+    Array.from({ length: 6 }, () => call(gateway.url)),
+  );
+  expect(burst.every(({ status }) => status === 200)).toBe(true);
+  expect(endpoints[0]!.requests).toHaveLength(2);
+});
+
+// Guards against an endpoint that stays out of use because the first request
+// after its pause takes long.
+test("requests follow soon if the first one after a pause is not refused", async () => {
+  let isPaused = true;
+  const { gateway, endpoints } = await start(
+    [
+      (request, response, body) => {
+        if (isPaused) return askMarked(request, response, body);
+        return setTimeout(
+          () => respondCompletely(request, response, body),
+          1_000,
+        );
+      },
+    ],
+    { route: UNSAFE },
+  );
+  await call(gateway.url);
+  isPaused = false;
+  gateway.skip(PAUSE_MS);
+  const first = call(gateway.url);
+  await waitUntil(() => endpoints[0]!.requests.length === 2);
+  await wait(150);
+  const second = call(gateway.url);
+  await wait(150);
+  expect(endpoints[0]!.requests).toHaveLength(3);
+  await Promise.all([first, second]);
+});
+
 test("requests go to the other endpoints during a pause, and the caller notices nothing", async () => {
   const { gateway, endpoints } = await start([askMarked, respondCompletely], {
     route: UNSAFE,
--- a/src/gateway/list_endpoint_views.ts
+++ b/src/gateway/list_endpoint_views.ts
@@ -56,7 +56,7 @@
       isLeaving:
         context.availability.isLeaving(endpoint) ||
         load.report?.phase === "leaving",
-      pausedMs: context.availability.pausedMs(endpoint),
+      pausedMs: context.availability.closedMs(endpoint),
       isInBackoff: context.health.isInBackoff(endpoint.id),
       hasColdCapacity:
         context.rateLimits.countFree(endpoint, coldLimitPerS) >= 1,
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -74,6 +74,7 @@
 
   context.rateLimits.count(endpoint, readColdLimit(context, service));
   const permit = context.requestPermits.take(endpoint);
+  context.availability.onSend(endpoint);
   if (state.triedEndpoints.size === 0) logFirstSend(context, options);
   const attempt = startAttempt({
     connections: context.connections,
