Keep the time at which an endpoint left over a second restore of the store

Callers could be sent to an endpoint that has left, for good, after a second restore from the same copy. Cause: a complete read of the first restored store infers that the endpoint is missing, at a revision before all others. This replaced the known removal, so that the copy's record seemed to be later in the next era. The class of fault: an inference that replaces what is known. Change: an inferred removal does not replace a known one. Result: the new test of former_era_test.ts failed before.

--- a/src/directory/change_order.ts
+++ b/src/directory/change_order.ts
@@ -4,6 +4,9 @@
 import { comparePositions, isOfFormerEra } from "./store_position.ts";
 import type { StorePosition } from "./store_position.ts";
 
+/** Before all revisions that the store gives out. */
+const INFERRED_REVISION = 0;
+
 export function keyOf(change: DirectoryChange): string {
   switch (change.type) {
     case "config":
@@ -62,9 +65,16 @@
     const aheadBy = (known.version ?? -1) - change.version;
     if (aheadBy !== 0) return aheadBy > 0;
   }
+  // A known removal tells when the item was removed; this one does not.
+  if (isInferredRemoval(change) && isRemoval(known)) return true;
   return comparePositions(known, change) >= 0;
 }
 
+/** True if the removal was inferred from what a restored store lacks. */
+function isInferredRemoval(change: DirectoryChange): boolean {
+  return isRemoval(change) && change.revision === INFERRED_REVISION;
+}
+
 /** Returns the change that reverts `change`; endpoints and evacuations only. */
 function createRemoval(
   change: DirectoryChange,
@@ -115,7 +125,9 @@
     .map((known) =>
       createRemoval(
         known,
-        isOfFormerEra(known, upTo) ? { ...upTo, revision: 0 } : upTo,
+        isOfFormerEra(known, upTo)
+          ? { ...upTo, revision: INFERRED_REVISION }
+          : upTo,
       ),
     );
 }
--- a/src/directory/former_era_test.ts
+++ b/src/directory/former_era_test.ts
@@ -142,3 +142,19 @@
   directory.apply(peer.createUpdateSince(held).changes, peer.position());
   expect(directory.endpoints()).toMatchObject([{ id: "e1" }]);
 });
+
+// Guards against an endpoint that is used again after it has left, at the second
+// restore: the read of the first restored store only shows that the endpoint is
+// missing, and not when it was removed.
+test("an endpoint that has left stays out of use over two restores", () => {
+  const removal = { type: "endpoint", id: "e1", endpoint: undefined } as const;
+  const { directory } = createTestDirectory();
+  directory.replace([list({ era: 1, revision: 2 })], { era: 1, revision: 2 });
+  directory.replace([], { era: 1, revision: 3 });
+  directory.replace(
+    [list({ era: 1, revision: 2 }), { ...removal, era: 2, revision: 0 }],
+    { era: 2, revision: 3 },
+  );
+  directory.replace([list({ era: 3, revision: 2 })], { era: 3, revision: 2 });
+  expect(directory.endpoints()).toEqual([]);
+});
