Hold a copy's record of an endpoint that has left, whatever its revision

Callers could be sent to an endpoint that has left, for good, after a second restore from a copy of the first era. Cause: a record of the copy counted as later than the removal if its revision was higher. Revisions of different eras do not compare: the record may be of an era before the one in which the endpoint was removed. The class of fault: an order that holds within one era only. Change: the record of the same incarnation is held back for as long as that of one that takes back its notice to leave. Result: the new test of former_era_test.ts failed before.

--- a/src/directory/former_era.ts
+++ b/src/directory/former_era.ts
@@ -69,6 +69,10 @@
   }
   const known = held.endpoint ?? formerRecord;
   if (hasTakenBackNotice(endpoint, known)) return LISTING_HOLD_MS;
+  // Its revision may be of an era before the removal. If the endpoint is back
+  // it writes again.
+  const hasLeft = held.endpoint === undefined;
+  if (hasLeft && isSameIncarnation(endpoint, known)) return LISTING_HOLD_MS;
   if (revision >= held.revision || isLaterIncarnation(endpoint, known)) {
     return 0;
   }
@@ -89,8 +93,17 @@
   return (
     known?.isDraining === true &&
     !endpoint.isDraining &&
+    isSameIncarnation(endpoint, known)
+  );
+}
+
+function isSameIncarnation(
+  endpoint: EndpointRecord,
+  known: EndpointRecord | undefined,
+): boolean {
+  return (
     endpoint.startedAtMs !== undefined &&
-    endpoint.startedAtMs === known.startedAtMs
+    endpoint.startedAtMs === known?.startedAtMs
   );
 }
 
--- a/src/directory/former_era_test.ts
+++ b/src/directory/former_era_test.ts
@@ -158,3 +158,20 @@
   directory.replace([list({ era: 3, revision: 2 })], { era: 3, revision: 2 });
   expect(directory.endpoints()).toEqual([]);
 });
+
+// Guards against an endpoint that is used again after it has left: the copy may
+// be of an era before the removal, in which its record got a higher revision.
+test("an endpoint that left in a restored store stays out of use after a later copy", () => {
+  const removal = { type: "endpoint", id: "e1", endpoint: undefined } as const;
+  const { directory } = createTestDirectory();
+  directory.replace([list({ era: 2, revision: 2 })], { era: 2, revision: 2 });
+  directory.apply([{ ...removal, era: 2, revision: 3 }], {
+    era: 2,
+    revision: 3,
+  });
+  directory.replace([list({ era: 3, revision: 3 })], { era: 3, revision: 4 });
+  expect(directory.endpoints()).toEqual([]);
+  const rewritten = list({ era: 3, revision: 5 });
+  directory.apply([rewritten], { era: 3, revision: 5 });
+  expect(directory.endpoints()).toMatchObject([{ id: "e1" }]);
+});
