Test the request limit of an endpoint whose agent ends, and share a builder

Change: a case with real processes in which the agent is killed while the endpoint names a limit; the builder of reports that three suites repeated.

--- a/src/sidecar/load_reporter_test.ts
+++ b/src/sidecar/load_reporter_test.ts
@@ -10,23 +10,18 @@
   EndpointReport,
 } from "./endpoint_api.ts";
 import { startLoadReporter } from "./load_reporter.ts";
+import { createReport } from "./testing/mod.ts";
 
 const closers: (() => void)[] = [];
 
 afterEach(() => closers.splice(0).forEach((close) => close()));
 
-const REPORT: EndpointReport = {
+const REPORT = createReport({
   running: 1,
-  waiting: 0,
-  acceptedOrders: 0,
-  isBusy: false,
   models: [{ name: "m", version: 1 }],
-  memoryUsedTokens: 0,
   memoryTotalTokens: 1_000,
-  slowdown: 1,
   startedAtMs: 1_000,
-  isLeaving: false,
-};
+});
 
 type ReadResult = Result<EndpointReport, EndpointFailure>;
 
--- a/src/sidecar/reported_limit_test.ts
+++ b/src/sidecar/reported_limit_test.ts
@@ -3,21 +3,9 @@
 import { createStatedLimits } from "../limits/mod.ts";
 import { createRegistry } from "../metrics/mod.ts";
 import { createReportedLimit } from "./reported_limit.ts";
+import { createReport } from "./testing/mod.ts";
 
 const ADDRESS = "10.0.0.1:8000";
-const REPORT = {
-  running: 0,
-  waiting: 0,
-  acceptedOrders: 0,
-  isBusy: false,
-  models: [],
-  memoryUsedTokens: 0,
-  memoryTotalTokens: 0,
-  slowdown: 1,
-  isLeaving: false,
-  startedAtMs: 1_000,
-};
-
 function createLimits() {
   const time = { nowMs: 1_000 };
   const nowMs = () => time.nowMs;
@@ -38,7 +26,7 @@
     statedLimits,
     report(requestLimitPerS: number | undefined, startedAtMs = 1_000) {
       time.nowMs += 150;
-      const report = { ...REPORT, startedAtMs, requestLimitPerS };
+      const report = createReport({ startedAtMs, requestLimitPerS });
       return reported.onReport(report, time.nowMs - 5);
     },
   };
--- a/src/sidecar/request_lender_test.ts
+++ b/src/sidecar/request_lender_test.ts
@@ -5,6 +5,7 @@
 import { createRegistry } from "../metrics/mod.ts";
 import type { Notice, Peer, StatedLimitRecord } from "../wire/mod.ts";
 import { startRequestLender } from "./request_lender.ts";
+import { createReport } from "./testing/mod.ts";
 
 const ADDRESS = "10.0.0.1:8000";
 const START_MS = 2_000;
@@ -146,22 +147,8 @@
 // Guards against the limit of a former start of the endpoint.
 test("a limit of a former incarnation, or of another endpoint, is not taken", () => {
   const { ask, receive, countGranted, lender } = startLender();
-  lender.onReport(
-    {
-      running: 0,
-      waiting: 0,
-      acceptedOrders: 0,
-      isBusy: false,
-      models: [],
-      memoryUsedTokens: 0,
-      memoryTotalTokens: 0,
-      slowdown: 1,
-      isLeaving: false,
-      startedAtMs: START_MS + 1_000,
-      requestLimitPerS: Infinity,
-    },
-    0,
-  );
+  const startedAtMs = START_MS + 1_000;
+  lender.onReport(createReport({ startedAtMs, requestLimitPerS: Infinity }), 0);
   ask("e1");
   receive("e1", {
     topic: "request_limits",
--- a/test/users_platform/request_limit_test.ts
+++ b/test/users_platform/request_limit_test.ts
@@ -167,3 +167,22 @@
   expect(Math.min(...shares)).toBeGreaterThan(0.1);
   expect(answers.filter(isServed)).toHaveLength(answers.length);
 }, 60_000);
+
+// Guards against entries that exceed the limit, or leave the endpoint out, when
+// the agent that counts for them ends.
+test("an endpoint whose agent ends gets no more requests than it names, and some", async () => {
+  const limitPerS = 5;
+  const { workers, processes, call } = await startFleet(2);
+  const [limited] = workers;
+  limited!.faults.requestLimit = String(limitPerS);
+  const namedAtMs = performance.now();
+  const forMs = CONTACT_MS;
+  await callSteadily(call, { gateways: ALL_GATEWAYS, forMs });
+  const agents = processes.filter(({ program }) => program === "sidecar");
+  agents[0]!.child.kill("SIGKILL");
+  await callSteadily(call, { gateways: ALL_GATEWAYS, forMs: 2 * WINDOW_MS });
+  const most = countMostArrivals(limited!, namedAtMs + CONTACT_MS);
+  expect(most).toBeLessThanOrEqual(countAllowed(limitPerS));
+  const lateMs = performance.now() - WINDOW_MS;
+  expect(limited!.arrivalsMs.some((atMs) => atMs > lateMs)).toBe(true);
+}, 60_000);
