--- a/src/gateway/request_permits.ts
+++ b/src/gateway/request_permits.ts
@@ -72,7 +72,7 @@
 }
 
 interface PermitRecord {
-  /** Times until which the permits are valid, the earliest first. */
+  /** Times until which the permits are valid. */
   permits: readonly number[];
   /** Undefined while permits come from the agent. */
   turns: TurnPosition | undefined;
--- a/src/limits/permit_lender.ts
+++ b/src/limits/permit_lender.ts
@@ -12,7 +12,7 @@
  * Part of the named rate that is lent. The rest is for entries without contact
  * to the agent, which send in turns.
  */
-export const LENT_PART = 0.85;
+const LENT_PART = 0.85;
 /** An entry may use a permit for so long after it has asked for it. */
 export const PERMIT_VALID_MS = 1_500;
 /** An ask is served for so long; the entry then asks again. */
