Hold the time of day in tests of a gateway that takes turns

The test gateway used the real time of day, and the test ran over the end of a turn, which allows one request more. Change: in these tests a turn ends only when the test skips time. The tests ask for exactly two requests now, which is stricter.

--- a/src/gateway/request_permits_test.ts
+++ b/src/gateway/request_permits_test.ts
@@ -173,10 +173,10 @@
   const startedAtMs = performance.now();
   const answers = await Promise.all([1, 2, 3].map(() => call(gateway.url)));
   expect(performance.now() - startedAtMs).toBeLessThan(1_000);
-  // The turn in which the test runs allows one request at most.
-  expect(endpoints[0]!.requests.length).toBeLessThanOrEqual(2);
+  // One before the limit is known, and one in the turn in which the test runs.
+  expect(endpoints[0]!.requests).toHaveLength(2);
   const rejected = answers.filter(({ status }) => status === 503);
-  expect(rejected.length).toBeGreaterThanOrEqual(2);
+  expect(rejected).toHaveLength(2);
   rejected.forEach(({ body, headers }) => {
     expect(body).toBe('{"error":"request_limit"}');
     expect(Number(headers["retry-after"])).toBeGreaterThan(0);
@@ -192,7 +192,7 @@
     answers.push(await call(gateway.url));
   }
   expect(answers.every(({ status }) => status === 200)).toBe(true);
-  expect(endpoints[0]!.requests.length).toBeLessThanOrEqual(2);
+  expect(endpoints[0]!.requests).toHaveLength(2);
 });
 
 // Guards against retries that are not counted.
--- a/src/gateway/testing/mod.ts
+++ b/src/gateway/testing/mod.ts
@@ -119,6 +119,8 @@
   return typeof value === "string" && value !== "" ? value : undefined;
 }
 
+const WALL_MS = 1_800_000_000_000;
+
 export interface TestGatewayOptions {
   readonly endpoints: readonly (Partial<EndpointRecord> & {
     readonly address: string;
@@ -180,7 +182,8 @@
       statedLimits,
       ageMs: nowMs,
       nowMs,
-      wallMs: Date.now,
+      // A turn ends only when a test skips time.
+      wallMs: () => WALL_MS + skippedMs,
       ownHost: "entry-1",
       listEntryHosts: () => options.otherEntries ?? [],
       findAgent: () => undefined,
