Order a load only while the check of the staged chunks is recent

Cause: nothing bounded the time between the check and the order. The check starts up to 0.15 s before the order, but a pause of the process makes that any time.

The age of the check is now measured from before its first read, by the clock that also sees pauses and suspensions, and compared right before the order is written to an open connection. An older check is repeated in the next step. The log line of an order has the age of its check.

--- a/src/sidecar/endpoint_api.ts
+++ b/src/sidecar/endpoint_api.ts
@@ -21,7 +21,13 @@
   readonly requestLimitPerS?: number | undefined;
 }
 
-export type EndpointFailure = "timeout" | "connection" | "refused";
+/** Only a request with a condition can be `not_sent`. */
+export type EndpointFailure = "timeout" | "connection" | "refused" | "not_sent";
+
+export interface OrderOptions {
+  /** Called right before the order is sent; false keeps it from being sent. */
+  readonly mayBeSent: () => boolean;
+}
 
 export interface EndpointApi {
   readReport(): Promise<Result<EndpointReport, EndpointFailure>>;
@@ -30,6 +36,7 @@
    */
   startVersion(
     served: ServedModel,
+    options: OrderOptions,
   ): Promise<Result<"begun" | "in_effect" | "conflict", EndpointFailure>>;
   listStaged(
     model: string,
--- a/src/sidecar/start_sidecar.ts
+++ b/src/sidecar/start_sidecar.ts
@@ -4,6 +4,7 @@
  */
 
 import type { Logger } from "../logging/mod.ts";
+import { createAgeClock } from "../directory/mod.ts";
 import { createStatedLimits } from "../limits/mod.ts";
 import { startMesh } from "../mesh/mod.ts";
 import type { Registry } from "../metrics/mod.ts";
@@ -140,6 +141,7 @@
         .map(({ name }) => name),
     switchWithinMs: settings.switchWithinMs,
     nowMs,
+    ageNowMs: createAgeClock().nowMs,
   });
   const trafficLog = startTrafficLog({
     registry,
--- a/src/sidecar/version_updater.ts
+++ b/src/sidecar/version_updater.ts
@@ -27,6 +27,12 @@
 const STALL_TIMEOUT_MS = 1_000;
 /** After this time the next step evaluates the endpoint again. */
 const SWITCH_TIMEOUT_MS = 6_000;
+/**
+ * Staged chunks can turn corrupt after their check, for example while this
+ * process is paused. The platform tolerates 3 s from there to the load; the
+ * endpoint may take up to a second of them to accept the order.
+ */
+const MAX_CHECK_AGE_MS = 2_000;
 
 export interface VersionUpdater {
   /** Manifest digest of the version being fetched. */
@@ -46,6 +52,8 @@
   readonly listMembers: () => readonly string[];
   readonly switchWithinMs: number;
   readonly nowMs: () => number;
+  /** Clock that also advances while this process or its host is paused. */
+  readonly ageNowMs: () => number;
 }
 
 interface ChunkProgress {
@@ -180,8 +188,9 @@
       stagedDigest = manifestDigest;
     }
     if (!isSwitchDue(target)) return;
+    const checkedAtMs = options.ageNowMs();
     if (!(await stageChunks(staging, chunks))) return;
-    await switchTo(target);
+    await switchTo(target, checkedAtMs);
   }
 
   function isSwitchDue(target: TargetVersion): boolean {
@@ -194,14 +203,27 @@
     return options.nowMs() >= target.publishedAtMs + delayMs;
   }
 
-  async function switchTo(target: TargetVersion) {
+  /** `checkedAtMs` is the time before the staged chunks were verified. */
+  async function switchTo(target: TargetVersion, checkedAtMs: number) {
     reporter.setSwitching(true);
     try {
       await sleep(SWITCH_NOTICE_MS);
       const { name, version } = target;
-      const result = await endpoint.startVersion({ name, version });
+      let checkAgeMs = 0;
+      const result = await endpoint.startVersion(
+        { name, version },
+        {
+          mayBeSent() {
+            checkAgeMs = options.ageNowMs() - checkedAtMs;
+            return checkAgeMs <= MAX_CHECK_AGE_MS;
+          },
+        },
+      );
       const outcome = result.isOk() ? result.value : result.error;
-      logger.info({ model: name, version, outcome }, "ordered a switch");
+      logger.info(
+        { model: name, version, outcome, checkAgeMs: Math.round(checkAgeMs) },
+        "ordered a switch",
+      );
       if (outcome === "begun" || outcome === "in_effect") {
         await waitUntilServed(target);
       }
