Verify a load after its order was accepted, and replace unsound weights

Callers could get answers from chunks that turned corrupt, were lost or were overwritten after the order of their load had been written: an endpoint loads what is staged when it accepts the order, and nothing looked at the chunks, or at orders that it accepted late, from then on. A response that was lost let the agent stage chunks again beside a load that had begun; an order of a process that was killed could load chunks of two versions.

Cause: the check ahead of the order was taken to hold for a later moment.

A chunk does not turn sound by itself, so the chunks are now read back after the order was accepted: if all match and none was written since, they were sound then. Until that is shown, entries are told that the endpoint is loading. Orders name the number of orders that they follow, so that a late one is refused; a rise of that number without an order of this process is a load of unknown soundness.

--- a/src/sidecar/endpoint_api.ts
+++ b/src/sidecar/endpoint_api.ts
@@ -25,6 +25,11 @@
 export type EndpointFailure = "timeout" | "connection" | "refused" | "not_sent";
 
 export interface OrderOptions {
+  /**
+   * The endpoint refuses the order as a conflict if it has accepted another
+   * number of orders since it started.
+   */
+  readonly acceptedOrders: number;
   /** Called right before the order is sent; false keeps it from being sent. */
   readonly mayBeSent: () => boolean;
 }
--- a/src/sidecar/load_reporter.ts
+++ b/src/sidecar/load_reporter.ts
@@ -46,6 +46,8 @@
   readonly mesh: Mesh;
   /** Share of an entry in the endpoint's request rate, if it is known. */
   readonly readSharePerS: () => number | undefined;
+  /** False while requests must not run on the weights that are loaded. */
+  readonly isLoadSound: () => boolean;
   /** Called with each report and the time at which it was requested. */
   readonly onReport: (report: EndpointReport, sentAtMs: number) => void;
   readonly logger: Logger;
@@ -71,7 +73,7 @@
     if (hasRestarted) return "down";
     if (report === undefined) return "unknown";
     if (report.isLeaving) return "leaving";
-    if (isSwitching) return "loading";
+    if (isSwitching || !options.isLoadSound()) return "loading";
     if (report.models.length === 0) return report.isBusy ? "loading" : "empty";
     return "warm";
   }
--- a/src/sidecar/load_reporter_test.ts
+++ b/src/sidecar/load_reporter_test.ts
@@ -57,6 +57,7 @@
     } as unknown as Mesh,
     readSharePerS: () => undefined,
     onReport: () => undefined,
+    isLoadSound: () => true,
     logger: SILENT_LOGGER,
   });
   closers.push(reporter.close);
--- a/src/sidecar/staging.ts
+++ b/src/sidecar/staging.ts
@@ -1,6 +1,7 @@
 /**
  * Stages chunks at the endpoint for loading. Staged chunks can be lost or
- * corrupted there, so each is read back and verified before a load is ordered.
+ * corrupted there, so each is read back and verified before a load is ordered,
+ * and again after the order was accepted.
  */
 
 import { computeDigest } from "../weights/mod.ts";
@@ -12,20 +13,36 @@
   readonly chunkDigests: readonly string[];
 }
 
-/** Returns the staged chunks that match their digest, by index. */
-export async function readValidChunks(
+export interface StagedChunks {
+  /** Chunks that match their digest, by index. */
+  readonly valid: ReadonlyMap<number, Uint8Array>;
+  /** False if a chunk could not be read, so that it may be valid or not. */
+  readonly isReadCompletely: boolean;
+}
+
+export async function readStagedChunks(
   options: StagingOptions,
-): Promise<ReadonlyMap<number, Uint8Array>> {
+): Promise<StagedChunks> {
   const { endpoint, model, chunkDigests } = options;
   const valid = new Map<number, Uint8Array>();
   const staged = await endpoint.listStaged(model);
+  let isReadCompletely = staged.isOk();
   const indices = staged.unwrapOr([]).filter((i) => i < chunkDigests.length);
   for (const index of indices) {
-    const bytes = (await endpoint.readStaged(model, index)).unwrapOr(undefined);
+    const result = await endpoint.readStaged(model, index);
+    if (result.isErr()) isReadCompletely = false;
+    const bytes = result.unwrapOr(undefined);
     if (bytes === undefined) continue;
     if (computeDigest(bytes) === chunkDigests[index]) valid.set(index, bytes);
   }
-  return valid;
+  return { valid, isReadCompletely };
+}
+
+/** Returns the staged chunks that match their digest, by index. */
+export async function readValidChunks(
+  options: StagingOptions,
+): Promise<ReadonlyMap<number, Uint8Array>> {
+  return (await readStagedChunks(options)).valid;
 }
 
 /** Writes missing and corrupt chunks; true if all chunks are then verified. */
--- a/src/sidecar/start_sidecar.ts
+++ b/src/sidecar/start_sidecar.ts
@@ -16,6 +16,7 @@
 import type { EndpointApi, WeightOrigin } from "./endpoint_api.ts";
 import { createFleetDocument } from "./fleet_document.ts";
 import { createFleetState } from "./fleet_state.ts";
+import { createLoadVerification } from "./load_verification.ts";
 import { startLoadReporter } from "./load_reporter.ts";
 import { createRateLoans } from "./rate_loans.ts";
 import { startRequestLender } from "./request_lender.ts";
@@ -118,12 +119,17 @@
     registry,
     logger,
   });
+  const verification = createLoadVerification(nowMs);
   const reporter = startLoadReporter({
     endpoint,
     address: settings.endpointAddress,
     mesh,
     readSharePerS: rateLoans.sharePerS,
-    onReport: requestLender.onReport,
+    isLoadSound: () => verification.state() === "sound",
+    onReport(report, requestedAtMs) {
+      verification.onReport(report, requestedAtMs);
+      requestLender.onReport(report, requestedAtMs);
+    },
     logger,
   });
   const versionUpdater = startVersionUpdater({
@@ -131,6 +137,7 @@
     manifests,
     weights,
     endpoint,
+    verification,
     reporter,
     logger,
     ownHost: settings.host,
--- a/src/sidecar/testing/fake_endpoint.ts
+++ b/src/sidecar/testing/fake_endpoint.ts
@@ -5,7 +5,12 @@
  */
 
 import { err, ok } from "neverthrow";
-import type { EndpointApi, EndpointReport } from "../endpoint_api.ts";
+import type { Result } from "neverthrow";
+import type {
+  EndpointApi,
+  EndpointFailure,
+  EndpointReport,
+} from "../endpoint_api.ts";
 import { createReport } from "./mod.ts";
 
 export const MODEL = "m";
@@ -18,26 +23,33 @@
   readonly isSound: boolean;
 }
 
-export function createTestChunk(version: number, index: number): Buffer {
-  return Buffer.from(`${version}.${index}`);
-}
+type OrderResult = Result<"begun" | "in_effect" | "conflict", EndpointFailure>;
 
-export function createFakeEndpoint(options: {
+export interface FakeEndpointOptions {
   readonly version: number;
   /** Called after a check has read the last chunk. */
   readonly onChecked?: () => void;
-}) {
+  /** Called when an order has been sent; `accept` lets it reach the endpoint. */
+  readonly onOrder?: (accept: () => OrderResult) => Promise<OrderResult>;
+}
+
+export type FakeEndpoint = ReturnType<typeof createFakeEndpoint>;
+
+export function createTestChunk(version: number, index: number): Buffer {
+  return Buffer.from(`${version}.${index}`);
+}
+
+export function createFakeEndpoint(options: FakeEndpointOptions) {
   const staged = new Map<number, Uint8Array>();
   const loads: Load[] = [];
-  let version = options.version;
+  let served: Load | undefined = { version: options.version, isSound: true };
+  let startedAtMs = 1;
   let acceptedOrders = 0;
-  let isBusy = false;
+  let loadTimer: NodeJS.Timeout | undefined;
 
-  function stage(stagedVersion: number) {
-    Array.from({ length: CHUNK_COUNT }, (_, index) =>
-      staged.set(index, createTestChunk(stagedVersion, index)),
-    );
-  }
+  Array.from({ length: CHUNK_COUNT }, (_, index) =>
+    staged.set(index, createTestChunk(options.version, index)),
+  );
 
   function isStaged(wanted: number): boolean {
     return Array.from({ length: CHUNK_COUNT }).every((_, index) =>
@@ -47,32 +59,37 @@
     );
   }
 
-  function accept(wanted: number) {
-    if (isBusy) return "conflict" as const;
-    if (wanted === version) return "in_effect" as const;
-    loads.push({ version: wanted, isSound: isStaged(wanted) });
+  function accept(version: number, expectedOrders: number): OrderResult {
+    if (loadTimer !== undefined || expectedOrders !== acceptedOrders) {
+      return ok("conflict");
+    }
+    if (version === served?.version) return ok("in_effect");
+    const load = { version, isSound: isStaged(version) };
+    loads.push(load);
     acceptedOrders += 1;
-    isBusy = true;
-    setTimeout(() => {
-      version = wanted;
-      isBusy = false;
+    loadTimer = setTimeout(() => {
+      served = load;
+      loadTimer = undefined;
     }, LOAD_MS);
-    return "begun" as const;
+    return ok("begun");
   }
 
   function readReport(): EndpointReport {
     return createReport({
-      models: [{ name: MODEL, version }],
+      models:
+        served === undefined ? [] : [{ name: MODEL, version: served.version }],
       acceptedOrders,
-      isBusy,
+      isBusy: loadTimer !== undefined,
+      startedAtMs,
     });
   }
 
   const endpoint: EndpointApi = {
     readReport: () => Promise.resolve(ok(readReport())),
-    startVersion(served, { mayBeSent }) {
+    startVersion({ version }, { acceptedOrders: expected, mayBeSent }) {
       if (!mayBeSent()) return Promise.resolve(err("not_sent" as const));
-      return Promise.resolve(ok(accept(served.version)));
+      const reach = () => accept(version, expected);
+      return options.onOrder?.(reach) ?? Promise.resolve(reach());
     },
     listStaged: () => Promise.resolve(ok([...staged.keys()])),
     readStaged(_, index) {
@@ -86,14 +103,22 @@
     },
     close: () => Promise.resolve(),
   };
-  stage(version);
   return {
     endpoint,
     loads,
-    version: () => version,
+    /** The load that requests run on. */
+    served: () => served,
     readReport,
-    isStaged,
     corruptChunk: (index: number) =>
       void staged.set(index, Buffer.from("????")),
+    loseChunk: (index: number) => void staged.delete(index),
+    /** Starts the endpoint again, without weights. */
+    restart() {
+      clearTimeout(loadTimer);
+      loadTimer = undefined;
+      served = undefined;
+      acceptedOrders = 0;
+      startedAtMs += 1;
+    },
   };
 }
--- a/src/sidecar/version_updater.ts
+++ b/src/sidecar/version_updater.ts
@@ -1,10 +1,13 @@
 /**
  * Updates the endpoint on this host to the wanted version: fetches the manifest
  * and the chunks, stages the chunks, waits for the switch time and switches.
+ * An endpoint whose load cannot be shown to be sound loads another version
+ * first, as an order for the version that it serves has no effect.
  * The state is evaluated again after each step, because a newer version, a
  * crash of the endpoint or a corrupt chunk can occur during any of them.
  */
 
+import type { ServedModel } from "../directory/mod.ts";
 import type { Logger } from "../logging/mod.ts";
 import type { WeightDistributor } from "../weights/mod.ts";
 import type { ConfirmedManifest, ManifestSource } from "./manifest_source.ts";
@@ -13,8 +16,9 @@
 import type { EndpointApi } from "./endpoint_api.ts";
 import type { FleetState, TargetVersion } from "./fleet_state.ts";
 import type { LoadReporter } from "./load_reporter.ts";
+import type { LoadVerification } from "./load_verification.ts";
 import { repeatSteps } from "./repeat_steps.ts";
-import { readValidChunks, stageChunks } from "./staging.ts";
+import { readStagedChunks, readValidChunks, stageChunks } from "./staging.ts";
 
 const STEP_INTERVAL_MS = 50;
 /** Interval between steps while the endpoint is up to date. */
@@ -27,6 +31,8 @@
 const STALL_TIMEOUT_MS = 1_000;
 /** After this time the next step evaluates the endpoint again. */
 const SWITCH_TIMEOUT_MS = 6_000;
+/** Several intervals between two reports of the endpoint. */
+const REPORT_TIMEOUT_MS = 1_000;
 /**
  * Staged chunks can turn corrupt after their check, for example while this
  * process is paused. The platform tolerates 3 s from there to the load; the
@@ -45,6 +51,7 @@
   readonly manifests: ManifestSource;
   readonly weights: WeightDistributor;
   readonly endpoint: EndpointApi;
+  readonly verification: LoadVerification;
   readonly reporter: LoadReporter;
   readonly logger: Logger;
   readonly ownHost: string;
@@ -64,8 +71,15 @@
 export function startVersionUpdater(
   options: VersionUpdaterOptions,
 ): VersionUpdater {
-  const { fleetState, manifests, weights, endpoint, reporter, logger } =
+  const { fleetState, manifests, weights, reporter, logger, verification } =
     options;
+  const endpoint: EndpointApi = {
+    ...options.endpoint,
+    writeStaged(...args) {
+      verification.onWrite();
+      return options.endpoint.writeStaged(...args);
+    },
+  };
   const adoptedDigests = new Set<string>();
   let currentManifest: ConfirmedManifest | undefined;
   const progressByVersion = new Map<number, ChunkProgress>();
@@ -111,10 +125,17 @@
     const targets = fleetState.targets();
     const newest = targets.at(-1);
     if (newest === undefined) return STEP_INTERVAL_MS;
-    const { toFetch, toLoad } = chooseTargets(
-      targets.map(measureProgress),
-      findServedVersion(newest.name),
-    );
+    const served = findServedVersion(newest.name);
+    const progress = targets.map(measureProgress);
+    const { toFetch, toLoad: newer } = chooseTargets(progress, served);
+    if (served !== undefined) {
+      await verifyServed({ name: newest.name, version: served });
+    }
+    const toLoad =
+      newer ??
+      (verification.state() === "unsound"
+        ? findComplete(progress, served)
+        : undefined);
     const hasResponse = await requestManifest(targets, chunkBytes);
     const manifestToFetch = toFetch && manifests.find(toFetch);
     if (manifestToFetch !== undefined) {
@@ -190,11 +211,12 @@
     if (!isSwitchDue(target)) return;
     const checkedAtMs = options.ageNowMs();
     if (!(await stageChunks(staging, chunks))) return;
-    await switchTo(target, checkedAtMs);
+    await switchTo(target, { manifest, checkedAtMs });
   }
 
   function isSwitchDue(target: TargetVersion): boolean {
     if (findServedVersion(target.name) === undefined) return true;
+    if (verification.state() === "unsound") return true;
     const delayMs = computeSwitchDelayMs({
       members: options.listMembers(),
       ownHost: options.ownHost,
@@ -203,17 +225,55 @@
     return options.nowMs() >= target.publishedAtMs + delayMs;
   }
 
-  /** `checkedAtMs` is the time before the staged chunks were verified. */
-  async function switchTo(target: TargetVersion, checkedAtMs: number) {
+  /** Reads the staged chunks back if a load of unknown soundness is served. */
+  async function verifyServed(version: ServedModel) {
+    if (verification.state() !== "unverified") return;
+    if (reporter.report()?.isBusy ?? true) return;
+    const manifest = manifests.find(version);
+    if (manifest !== undefined) await verifyLoad(manifest);
+  }
+
+  /** Call once the endpoint has accepted an order for this version. */
+  async function verifyLoad({ version, chunkDigests }: ConfirmedManifest) {
+    const finishCheck = verification.startCheck();
+    const { valid, isReadCompletely } = await readStagedChunks({
+      endpoint,
+      model: version.name,
+      chunkDigests,
+    });
+    if (!isReadCompletely) return;
+    finishCheck(valid.size === chunkDigests.length);
+    const state = verification.state();
+    const corruptChunks = chunkDigests.length - valid.size;
+    const details = { model: version.name, version: version.version, state };
+    if (state === "sound") logger.info(details, "verified a load");
+    else logger.warn({ ...details, corruptChunks }, "verified a load");
+  }
+
+  interface CheckedVersion {
+    readonly manifest: ConfirmedManifest;
+    /** The time before the staged chunks were verified. */
+    readonly checkedAtMs: number;
+  }
+
+  async function switchTo(
+    target: TargetVersion,
+    { manifest, checkedAtMs }: CheckedVersion,
+  ) {
+    const acceptedOrders = reporter.report()?.acceptedOrders;
+    if (acceptedOrders === undefined) return;
     reporter.setSwitching(true);
     try {
       await sleep(SWITCH_NOTICE_MS);
       const { name, version } = target;
       let checkAgeMs = 0;
+      let sentAtMs = Infinity;
       const result = await endpoint.startVersion(
         { name, version },
         {
+          acceptedOrders,
           mayBeSent() {
+            sentAtMs = options.nowMs();
             checkAgeMs = options.ageNowMs() - checkedAtMs;
             return checkAgeMs <= MAX_CHECK_AGE_MS;
           },
@@ -224,14 +284,25 @@
         { model: name, version, outcome, checkAgeMs: Math.round(checkAgeMs) },
         "ordered a switch",
       );
-      if (outcome === "begun" || outcome === "in_effect") {
-        await waitUntilServed(target);
-      }
+      if (outcome !== "begun") return await waitUntilReported();
+      const order = { acceptedOrders: acceptedOrders + 1, sentAtMs };
+      verification.onOrderAccepted(order);
+      await verifyLoad(manifest);
+      await waitUntilServed(target);
     } finally {
       reporter.setSwitching(false);
     }
   }
 
+  /** The endpoint may have accepted the order all the same, or another one. */
+  async function waitUntilReported() {
+    const startedAtMs = options.nowMs();
+    while (!isClosed && options.nowMs() - startedAtMs < REPORT_TIMEOUT_MS) {
+      await sleep(STEP_INTERVAL_MS);
+      if (verification.lastReportAtMs() >= startedAtMs) return;
+    }
+  }
+
   async function waitUntilServed(target: TargetVersion) {
     const startedAtMs = options.nowMs();
     while (!isClosed && options.nowMs() - startedAtMs < SWITCH_TIMEOUT_MS) {
@@ -255,6 +326,17 @@
   };
 }
 
+/** The newest complete version other than the served one. */
+function findComplete(
+  progress: readonly TargetProgress[],
+  servedVersion: number | undefined,
+): TargetVersion | undefined {
+  return progress.findLast(
+    ({ target, heldShare }) =>
+      heldShare >= 1 && target.version !== servedVersion,
+  )?.target;
+}
+
 function sleep(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
--- a/stand_ins/users_platform/worker.ts
+++ b/stand_ins/users_platform/worker.ts
@@ -122,7 +122,12 @@
   }
 
   function handleOrder(body: string, response: ServerResponse) {
-    const { version: wantedVersion } = JSON.parse(body) as { version: number };
+    const { version: wantedVersion, expect: expectedOrders = acceptedOrders } =
+      JSON.parse(body) as {
+        readonly version: number;
+        readonly expect?: number;
+      };
+    if (expectedOrders !== acceptedOrders) return response.writeHead(409).end();
     if (version === wantedVersion) return response.writeHead(200).end();
     if (loading !== undefined) return response.writeHead(409).end();
     const isStagedCorrectly = Array.from({ length: model.chunkCount }).every(
