Frame answers without length, and confirm their end at the endpoint

Cause: an orderly close does not tell who closed. The former decision passed the ambiguity on, as a crashed endpoint closes in order as well.

Entries now always send a length or chunks. When an answer without length ends, the entry asks the endpoint whether it runs and has not started again; a process that runs has ended its answer itself. Otherwise the answer is lost, and resumed or retried where that is safe. A body that is held whole gets a length too.

--- a/bin/gateway.ts
+++ b/bin/gateway.ts
@@ -1,6 +1,10 @@
 /** The gateway program, which runs on an entry host of the users' platform. */
 
-import { createStoreClient, HEADER_CODEC } from "../platform/mod.ts";
+import {
+  createStartTimeReader,
+  createStoreClient,
+  HEADER_CODEC,
+} from "../platform/mod.ts";
 import { startGateway } from "../src/gateway/mod.ts";
 import { createOutputLogger } from "../src/logging/mod.ts";
 import { createRegistry, startMetricsServer } from "../src/metrics/mod.ts";
@@ -25,6 +29,7 @@
       logger,
     }),
     codec: HEADER_CODEC,
+    readStartTime: createStartTimeReader(),
     registry,
     logger,
   });
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -64,6 +64,11 @@
    */
   readonly findSendObstacle: () => string | undefined;
   readonly isStream: boolean;
+  /**
+   * Called when a response without length ends with its connection; false if it
+   * may have been cut off.
+   */
+  readonly confirmEnd: () => Promise<boolean>;
   /**
    * Called with the complete events of a stream, after `onHead`. False ends the
    * attempt: the events do not continue those of an earlier one.
@@ -121,14 +126,18 @@
   function finish(result: AttemptOutcome, isReusable: boolean) {
     if (isFinished) return;
     isFinished = true;
-    clearTimeout(firstByteTimer);
-    clearTimeout(silenceTimer);
-    clearTimeout(inactivityTimer);
+    clearTimers();
     if (isReusable) connections.release(address, connection);
     else void client.destroy();
     resolveOutcome(result);
   }
 
+  function clearTimers() {
+    clearTimeout(firstByteTimer);
+    clearTimeout(silenceTimer);
+    clearTimeout(inactivityTimer);
+  }
+
   function onTimeout() {
     if (!isSent) return finish({ type: "not_sent", reason: "silent" }, false);
     const reason = head === undefined ? "no_answer" : "silent";
@@ -202,9 +211,20 @@
     if (isBroken || splitter.remainder().length > 0) {
       return finish({ type: "lost", reason: "cut_off" }, false);
     }
-    const { status, headers } = head;
+    if (!isCloseDelimited) return complete(head, true);
+    clearTimers();
+    void options
+      .confirmEnd()
+      .then((isConfirmed) =>
+        isConfirmed
+          ? complete(head!, false)
+          : finish({ type: "lost", reason: "cut_off" }, false),
+      );
+  }
+
+  function complete({ status, headers }: StreamHead, isReusable: boolean) {
     const body = isEventStream ? undefined : Buffer.concat(bodyChunks);
-    finish({ type: "answered", status, headers, body }, !isCloseDelimited);
+    finish({ type: "answered", status, headers, body }, isReusable);
   }
 
   function onError(error: Error) {
--- a/src/gateway/caller_response.ts
+++ b/src/gateway/caller_response.ts
@@ -1,12 +1,12 @@
 /**
- * The response to one caller, complete or as a stream of events. A response of
- * an endpoint that is delimited by the close of the connection is sent on in
- * the same way: a crashed endpoint can also close its connection cleanly, so
- * adding a length or a last chunk could mark a truncated body as complete.
+ * The response to one caller, complete or as a stream of events. It has a length
+ * or chunks even if that of the endpoint has neither: the kernel closes the
+ * connections of a killed process in order, which would mark a response that is
+ * delimited by the close as complete.
  */
 
 import type { ServerResponse } from "node:http";
-import { hasBody, hasCloseDelimitedBody } from "../http/mod.ts";
+import { hasBody } from "../http/mod.ts";
 import type { HttpHeaders } from "../http/mod.ts";
 import type { HeaderCodec } from "./call.ts";
 import { sendRefusal } from "./refusal.ts";
@@ -38,13 +38,12 @@
   readonly onAbort: (reason: string) => void;
 }): CallerResponse {
   let hasStarted = false;
-  let isCloseDelimited = false;
+  // HTTP/1.0 has no chunks.
+  const canSendChunks = response.useChunkedEncodingByDefault;
   const method = response.req.method ?? "GET";
 
   function start(status: number, headers: HttpHeaders, sentHeaders = headers) {
     if (hasStarted) return;
-    isCloseDelimited = hasCloseDelimitedBody({ method, status, headers });
-    if (isCloseDelimited) response.useChunkedEncodingByDefault = false;
     response.writeHead(status, codec.writeResponseHeaders(sentHeaders));
     hasStarted = true;
   }
@@ -58,8 +57,8 @@
   function abort(reason: string) {
     onAbort(reason);
     // Without framing, a clean close would mark the response as complete.
-    if (isCloseDelimited) response.socket?.resetAndDestroy();
-    else response.socket?.destroy();
+    if (canSendChunks) response.socket?.destroy();
+    else response.socket?.resetAndDestroy();
   }
 
   return {
@@ -71,13 +70,6 @@
         response.end();
         return;
       }
-      if (hasCloseDelimitedBody({ method, status, headers })) {
-        start(status, headers);
-        response.flushHeaders();
-        response.write(body);
-        response.end();
-        return;
-      }
       const { "content-length": _, ...otherHeaders } = headers;
       response.writeHead(status, [
         ...codec.writeResponseHeaders(otherHeaders),
@@ -94,14 +86,6 @@
     endStream(status, headers) {
       if (response.destroyed) return;
       startStream(status, headers);
-      const isSourceCloseDelimited = hasCloseDelimitedBody({
-        method,
-        status,
-        headers,
-      });
-      if (isSourceCloseDelimited && !isCloseDelimited) {
-        return abort("framing_changed");
-      }
       response.end();
     },
     refuse: (refusal) => sendRefusal(response, refusal),
--- a/src/gateway/endpoint_connections.ts
+++ b/src/gateway/endpoint_connections.ts
@@ -36,6 +36,8 @@
     address: string,
     options: { readonly needsNewConnection: boolean },
   ): Result<EndpointConnection, string>;
+  /** True if a connection to the address can be opened; closes it at once. */
+  isListening(address: string): Promise<boolean>;
   /** Returns a connection after a complete response. */
   release(address: string, connection: EndpointConnection): void;
   close(): Promise<void>;
@@ -101,6 +103,16 @@
       }
       return open(address);
     },
+    isListening(address) {
+      const { host, port } = splitAddress(address);
+      return new Promise((resolve) =>
+        openSocket(host, port, (_, socket) => {
+          socket?.on("error", () => undefined);
+          socket?.destroy();
+          resolve(socket !== undefined);
+        }),
+      );
+    },
     release(address, connection) {
       if (connection.client.destroyed) return;
       const list = idle.get(address) ?? [];
--- a/src/gateway/gateway_context.ts
+++ b/src/gateway/gateway_context.ts
@@ -10,6 +10,7 @@
 import type { Attempt } from "./attempt.ts";
 import type { HeaderCodec } from "./call.ts";
 import type { Candidates } from "./candidates.ts";
+import type { EndConfirmation } from "./end_confirmation.ts";
 import type {
   EndpointAvailability,
   Incarnation,
@@ -53,6 +54,7 @@
   /** Endpoints to weigh for a call. */
   readonly candidates: Candidates;
   readonly connections: EndpointConnections;
+  readonly endConfirmation: EndConfirmation;
   readonly codec: HeaderCodec;
   readonly bounds: GatewayBounds;
   readonly dataCentre: string;
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -9,6 +9,7 @@
 } from "./call.ts";
 export { chooseEndpoint } from "./choose_endpoint.ts";
 export type { Choice, ChoiceOptions, EndpointView } from "./choose_endpoint.ts";
+export type { ReadStartTime } from "./end_confirmation.ts";
 export { forecastFirstEventMs } from "./forecast_first_event.ts";
 export type { GatewayBounds } from "./gateway_context.ts";
 export { startGateway } from "./start_gateway.ts";
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -100,6 +100,11 @@
       ? findSilenceLimits(call)
       : { beforeFirstByteMs: unlimitedMs, betweenBytesMs: unlimitedMs },
     isStream,
+    confirmEnd: () =>
+      context.endConfirmation.confirm(endpoint, {
+        hasEngine: service.engine !== undefined,
+        callId: call.id,
+      }),
     findSendObstacle: () => findSendObstacle(context, choice, permit),
     onSilence() {
       if (!canRetry) return "wait";
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -39,6 +39,8 @@
   describeFleetContent,
 } from "./create_fleet_notice.ts";
 import { startDirectoryExchange } from "./directory_exchange.ts";
+import { createEndConfirmation } from "./end_confirmation.ts";
+import type { ReadStartTime } from "./end_confirmation.ts";
 import { createEndpointAvailability } from "./endpoint_availability.ts";
 import { createEndpointConnections } from "./endpoint_connections.ts";
 import { createEndpointLoads } from "./endpoint_loads.ts";
@@ -72,6 +74,7 @@
   readonly settings: GatewaySettings;
   readonly store: MetadataStore;
   readonly codec: HeaderCodec;
+  readonly readStartTime: ReadStartTime;
   readonly registry: Registry;
   readonly logger: Logger;
 }
@@ -126,6 +129,7 @@
       settings.seeds.length,
       mesh.hasMemberList() ? 0 : UNKNOWN_ENTRY_COUNT,
     );
+  const connections = createEndpointConnections(registry);
   const retryBudgets = new Map<string, RetryBudget>();
 
   function getRetryBudget(service: string): RetryBudget {
@@ -225,7 +229,12 @@
       requestLimits.onStatement(endpoint, statement),
     rateLimits,
     candidates,
-    connections: createEndpointConnections(registry),
+    connections,
+    endConfirmation: createEndConfirmation({
+      readStartTime: options.readStartTime,
+      isListening: connections.isListening,
+      logger,
+    }),
     codec,
     get bounds() {
       return settings.bounds;
--- a/src/gateway/testing/mod.ts
+++ b/src/gateway/testing/mod.ts
@@ -129,6 +129,8 @@
   readonly service?: Partial<CallService>;
   readonly retries?: number;
   readonly storeOutage?: () => OutageSpan | undefined;
+  /** False if endpoints are found to be gone after a response without length. */
+  readonly isEndConfirmed?: boolean;
   /** Hosts of the entries that share request limits with this one. */
   readonly otherEntries?: readonly string[];
 }
@@ -202,6 +204,9 @@
       isInReserve: () => true,
     }),
     connections: createEndpointConnections(registry),
+    endConfirmation: {
+      confirm: () => Promise.resolve(options.isEndConfirmed ?? true),
+    },
     codec: TEST_CODEC,
     bounds: {
       revokeMs: 5_000,
--- a/stand_ins/users_platform/worker.ts
+++ b/stand_ins/users_platform/worker.ts
@@ -33,12 +33,14 @@
    * `isHung`: no request is answered. `isDown`: connections are closed.
    * `isLeaving`: all answers say that it is leaving; it goes on serving.
    * `pauseS`: requests are refused, and none is wanted for so long.
+   * `isUnframed`: streams have neither a length nor chunks.
    * `requestLimit`: named in all answers; requests above it are served, too.
    */
   readonly faults: {
     isHung: boolean;
     isDown: boolean;
     isLeaving: boolean;
+    isUnframed: boolean;
     pauseS: number | undefined;
     requestLimit: string | undefined;
   };
@@ -79,6 +81,7 @@
     isHung: false,
     isDown: false,
     isLeaving: false,
+    isUnframed: false,
     pauseS: undefined,
     requestLimit: undefined,
   };
@@ -205,6 +208,10 @@
   }: ReceivedAttempt) {
     startedAttemptIds.push(attemptId);
     running += 1;
+    if (faults.isUnframed) {
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+    }
     response.writeHead(200, {
       "Content-Type": "text/event-stream",
       "Response-Seal": `${id}.${attemptId}`,
