Bound the bytes of all answers that an entry holds

An endpoint that sends answers without end could take the entry's memory, and with it the calls of all its callers: each answer was bounded to 16 MiB, but their sum was not.

Cause: one limit for each answer, none for the process. Buffers lie outside of the heap, whose limit does not bound them.

All answers together now have a limit of 48 MiB. Above it the largest is ended and its call retried where that is safe: one that has no end soon is the largest, and small ones are kept. An answer that was sent counts until the caller has read it.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -7,6 +7,7 @@
 import type { Dispatcher } from "undici";
 import { hasCloseDelimitedBody } from "../http/mod.ts";
 import type { HttpHeaders } from "../http/mod.ts";
+import type { BufferBudget } from "./buffer_budget.ts";
 import type { HeaderCodec } from "./call.ts";
 import type { ResponseHeaders } from "./call.ts";
 import type { EndpointConnections } from "./endpoint_connections.ts";
@@ -64,6 +65,7 @@
    */
   readonly findSendObstacle: () => string | undefined;
   readonly isStream: boolean;
+  readonly buffers: BufferBudget;
   /**
    * Called when a response without length ends with its connection; false if it
    * may have been cut off.
@@ -119,6 +121,7 @@
   let receivedBytes = 0;
   const bodyChunks: Buffer[] = [];
   const splitter = createEventSplitter();
+  const share = options.buffers.open(() => onTooLarge("buffers_full"));
   const firstByteTimer = setTimeout(onTimeout, options.firstByteTimeoutMs);
   let silenceTimer = setTimeout(onSilence, options.silence.beforeFirstByteMs);
   let inactivityTimer: NodeJS.Timeout | undefined;
@@ -127,6 +130,7 @@
     if (isFinished) return;
     isFinished = true;
     clearTimers();
+    share.close();
     if (isReusable) connections.release(address, connection);
     else void client.destroy();
     resolveOutcome(result);
@@ -138,6 +142,11 @@
     clearTimeout(inactivityTimer);
   }
 
+  function onTooLarge(reason: "too_large" | "buffers_full") {
+    bodyChunks.splice(0);
+    finish({ type: "lost", reason }, false);
+  }
+
   function onTimeout() {
     if (!isSent) return finish({ type: "not_sent", reason: "silent" }, false);
     const reason = head === undefined ? "no_answer" : "silent";
@@ -185,19 +194,17 @@
     if (receivedBytes === 0) options.onStart();
     receivedBytes += bytes.length;
     if (!isEventStream) {
-      if (receivedBytes > MAX_BUFFERED_BYTES) {
-        return finish({ type: "lost", reason: "too_large" }, false);
-      }
+      if (receivedBytes > MAX_BUFFERED_BYTES) return onTooLarge("too_large");
       bodyChunks.push(bytes);
-      return;
+      return share.hold(receivedBytes);
     }
     const events = splitter.push(bytes);
     if (events !== undefined && !options.onEvents(events, head!)) {
       return finish({ type: "lost", reason: "not_continued" }, false);
     }
-    if (splitter.remainder().length > MAX_EVENT_BYTES) {
-      finish({ type: "lost", reason: "too_large" }, false);
-    }
+    const remainingBytes = splitter.remainder().length;
+    if (remainingBytes > MAX_EVENT_BYTES) return onTooLarge("too_large");
+    share.hold(remainingBytes);
   }
 
   function onEnd() {
--- a/src/gateway/caller_response.ts
+++ b/src/gateway/caller_response.ts
@@ -8,6 +8,7 @@
 import type { ServerResponse } from "node:http";
 import { hasBody } from "../http/mod.ts";
 import type { HttpHeaders } from "../http/mod.ts";
+import type { BufferShare } from "./buffer_budget.ts";
 import type { HeaderCodec } from "./call.ts";
 import { sendRefusal } from "./refusal.ts";
 import type { Refusal } from "./refusal.ts";
@@ -30,13 +31,17 @@
 export function createCallerResponse({
   response,
   codec,
+  openShare,
   onAbort,
 }: {
   readonly response: ServerResponse;
   readonly codec: HeaderCodec;
+  /** Opens a share for what the caller has not read. */
+  readonly openShare: (end: () => void) => BufferShare;
   /** Called before the connection is closed. */
   readonly onAbort: (reason: string) => void;
 }): CallerResponse {
+  const unread = openShare(() => abort("buffers_full"));
   let hasStarted = false;
   // HTTP/1.0 has no chunks.
   const canSendChunks = response.useChunkedEncodingByDefault;
@@ -77,6 +82,7 @@
         String(body.length),
       ]);
       response.end(body);
+      unread.hold(response.writableLength);
     },
     sendEvents(status, headers, bytes) {
       if (response.destroyed) return;
--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -7,6 +7,7 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { RoutingConfig } from "../directory/mod.ts";
+import type { BufferShare } from "./buffer_budget.ts";
 import type { Call } from "./call.ts";
 import { createCallerResponse } from "./caller_response.ts";
 import { createConnectionOrder } from "./connection_order.ts";
@@ -66,6 +67,8 @@
 
 interface OpenCall {
   readonly request: IncomingMessage;
+  /** Closed when the call has ended. */
+  readonly shares: BufferShare[];
   dispatch: Dispatch | undefined;
 }
 
@@ -117,7 +120,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ) {
-    const openCall: OpenCall = { request, dispatch: undefined };
+    const openCall: OpenCall = { request, shares: [], dispatch: undefined };
     openCalls.set(response, openCall);
     response.sendDate = false;
     if (state !== "open") setConnectionClose(response);
@@ -131,7 +134,7 @@
     });
     const turn = order.enter({ request, response, ended });
     try {
-      openCall.dispatch = await acceptCall({ request, response, turn });
+      openCall.dispatch = await acceptCall({ openCall, response, turn });
       await openCall.dispatch?.done;
     } catch (error) {
       context.logger.error(
@@ -147,6 +150,7 @@
   }
 
   function removeCall(response: ServerResponse) {
+    openCalls.get(response)?.shares.forEach((share) => share.close());
     openCalls.delete(response);
     if (openCalls.size === 0) drainHandlers.splice(0).forEach((f) => f());
   }
@@ -201,11 +205,11 @@
    * before it could be sent.
    */
   async function acceptCall({
-    request,
+    openCall: { request, shares },
     response,
     turn,
   }: {
-    readonly request: IncomingMessage;
+    readonly openCall: OpenCall;
     readonly response: ServerResponse;
     readonly turn: Promise<void>;
   }): Promise<Dispatch | undefined> {
@@ -240,6 +244,11 @@
     const callerResponse = createCallerResponse({
       response,
       codec: context.codec,
+      openShare(end) {
+        const unread = context.responseBuffers.open(end);
+        shares.push(unread);
+        return unread;
+      },
       onAbort: (reason) => monitor.noteClose(request, reason),
     });
     return dispatchCall(context, { ...resolved, body }, callerResponse);
--- /dev/null
+++ b/src/gateway/endless_bytes_test.ts
@@ -0,0 +1,73 @@
+/** Endpoints and callers that send without end, or do not read. */
+
+import type { Socket } from "node:net";
+import { afterEach, expect, test } from "@jest/globals";
+import { waitUntil } from "../../test/wait_until.ts";
+import type { CallRoute } from "../directory/mod.ts";
+import { callTestGateway } from "./testing/caller.ts";
+import { respondCompletely, startTestFleet } from "./testing/fleet.ts";
+import type { RequestHandler } from "./testing/fleet.ts";
+
+const closers: (() => unknown)[] = [];
+
+afterEach(() => Promise.all(closers.splice(0).map((close) => close())));
+
+async function start(...args: Parameters<typeof startTestFleet>) {
+  const fleet = await startTestFleet(...args);
+  closers.push(fleet.close);
+  return fleet;
+}
+
+const PLAIN: Partial<CallRoute> = {
+  kind: "idempotent",
+  isResumable: false,
+  maxAttempts: 2,
+};
+const MIB = 1024 * 1024;
+const HEAD = "HTTP/1.1 200 OK\r\nx-attempt: a1\r\n";
+
+/** Sends as fast as the other side reads, until the connection closes. */
+function sendEndlessly(socket: Socket, createBytes: () => string) {
+  function send() {
+    while (!socket.destroyed && socket.write(createBytes()));
+  }
+  socket.on("drain", send);
+  socket.on("error", () => undefined);
+  send();
+}
+
+const sendEndlessBody: RequestHandler = ({ socket }) => {
+  socket.write(`${HEAD}\r\n`);
+  sendEndlessly(socket, () => "x".repeat(64 * 1024));
+};
+
+/** Calls `read` at short intervals until it is stopped, and keeps the maximum. */
+function sampleMaximum(read: () => number) {
+  let maximum = 0;
+  const timer = setInterval(() => (maximum = Math.max(maximum, read())), 5);
+  closers.push(() => clearInterval(timer));
+  return () => maximum;
+}
+
+// Guards against a process that runs out of memory because many endpoints send
+// bodies without end at once, and takes the calls of others with it.
+test("bodies without end stay within the limit together, and others are answered", async () => {
+  const limitBytes = 8 * MIB;
+  const { gateway } = await start([sendEndlessBody, respondCompletely], {
+    route: PLAIN,
+    retries: 1_000,
+    maxBufferedBytes: limitBytes,
+  });
+  const readMaximum = sampleMaximum(gateway.context.responseBuffers.heldBytes);
+  const responses = await Promise.all(
+    Array.from({ length: 40 }, () => callTestGateway(gateway.url)),
+  );
+  expect(responses.map(({ body }) => body)).toEqual(
+    Array.from({ length: 40 }, () => "whole"),
+  );
+  expect(readMaximum()).toBeLessThanOrEqual(limitBytes);
+  await waitUntil(
+    "all buffers are released",
+    () => gateway.context.responseBuffers.heldBytes() === 0,
+  );
+});
--- a/src/gateway/gateway_context.ts
+++ b/src/gateway/gateway_context.ts
@@ -9,6 +9,7 @@
 import type { CrashNotice } from "../wire/mod.ts";
 import type { Attempt } from "./attempt.ts";
 import type { HeaderCodec } from "./call.ts";
+import type { BufferBudget } from "./buffer_budget.ts";
 import type { Candidates } from "./candidates.ts";
 import type { EndConfirmation } from "./end_confirmation.ts";
 import type {
@@ -55,6 +56,8 @@
   readonly candidates: Candidates;
   readonly connections: EndpointConnections;
   readonly endConfirmation: EndConfirmation;
+  /** Bodies of responses, and what callers have not read of them. */
+  readonly responseBuffers: BufferBudget;
   readonly codec: HeaderCodec;
   readonly bounds: GatewayBounds;
   readonly dataCentre: string;
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -100,6 +100,7 @@
       ? findSilenceLimits(call)
       : { beforeFirstByteMs: unlimitedMs, betweenBytesMs: unlimitedMs },
     isStream,
+    buffers: context.responseBuffers,
     confirmEnd: () =>
       context.endConfirmation.confirm(endpoint, {
         hasEngine: service.engine !== undefined,
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -33,6 +33,7 @@
   RateGrantNotice,
 } from "../wire/mod.ts";
 import type { HeaderCodec } from "./call.ts";
+import { createBufferBudget } from "./buffer_budget.ts";
 import { createCandidates } from "./candidates.ts";
 import {
   createFleetNotice,
@@ -86,6 +87,11 @@
   shutDown(): Promise<void>;
 }
 
+/**
+ * Buffers are outside of the heap, whose limit does not bound them. Dropped ones
+ * are freed some time later, so the limits leave room for as much again.
+ */
+const MAX_RESPONSE_BYTES = 48 * 1024 * 1024;
 /** Share of the common retry budget that is used; the rest covers errors. */
 const BUDGET_SHARE = 0.75;
 /** Three, because endpoints also lose connections for other reasons. */
@@ -235,6 +241,10 @@
       isListening: connections.isListening,
       logger,
     }),
+    responseBuffers: createBufferBudget(MAX_RESPONSE_BYTES, {
+      registry,
+      purpose: "response",
+    }),
     codec,
     get bounds() {
       return settings.bounds;
--- a/src/gateway/testing/mod.ts
+++ b/src/gateway/testing/mod.ts
@@ -27,6 +27,7 @@
 } from "../../quarantine/mod.ts";
 import { findFreePorts } from "../../../stand_ins/free_ports.ts";
 import type { HeaderCodec } from "../call.ts";
+import { createBufferBudget } from "../buffer_budget.ts";
 import { createCandidates } from "../candidates.ts";
 import { createEndpointAvailability } from "../endpoint_availability.ts";
 import { createEndpointConnections } from "../endpoint_connections.ts";
@@ -129,6 +130,8 @@
   readonly service?: Partial<CallService>;
   readonly retries?: number;
   readonly storeOutage?: () => OutageSpan | undefined;
+  /** Limit of all bodies of requests, and of all bodies of responses. */
+  readonly maxBufferedBytes?: number;
   /** False if endpoints are found to be gone after a response without length. */
   readonly isEndConfirmed?: boolean;
   /** Hosts of the entries that share request limits with this one. */
@@ -204,6 +207,10 @@
       isInReserve: () => true,
     }),
     connections: createEndpointConnections(registry),
+    responseBuffers: createBufferBudget(options.maxBufferedBytes ?? Infinity, {
+      registry,
+      purpose: "response",
+    }),
     endConfirmation: {
       confirm: () => Promise.resolve(options.isEndConfirmed ?? true),
     },
--- a/stand_ins/users_platform/worker.ts
+++ b/stand_ins/users_platform/worker.ts
@@ -33,6 +33,7 @@
    * `isHung`: no request is answered. `isDown`: connections are closed.
    * `isLeaving`: all answers say that it is leaving; it goes on serving.
    * `pauseS`: requests are refused, and none is wanted for so long.
+   * `endless`: answers, or the events of streams, have no end.
    * `isUnframed`: streams have neither a length nor chunks.
    * `requestLimit`: named in all answers; requests above it are served, too.
    */
@@ -40,6 +41,7 @@
     isHung: boolean;
     isDown: boolean;
     isLeaving: boolean;
+    endless: "answers" | "events" | undefined;
     isUnframed: boolean;
     pauseS: number | undefined;
     requestLimit: string | undefined;
@@ -73,6 +75,26 @@
 const DEFAULT_INTERVAL_MS = 20;
 const DEFAULT_LOAD_MS = 50;
 
+const ENDLESS_BLOCK_BYTES = 64 * 1024;
+
+/** Sends as fast as the other side reads, until the connection closes. */
+function sendEndlessly(response: ServerResponse, what: "answers" | "events") {
+  const block = "x".repeat(ENDLESS_BLOCK_BYTES);
+  let nextId = 1;
+  function send() {
+    const bytes =
+      what === "answers" ? block : `id: ${nextId}\ndata: ${block}\n\n`;
+    nextId += 1;
+    if (!response.destroyed && response.write(bytes)) setImmediate(send);
+  }
+  response.on("drain", send);
+  response.writeHead(200, {
+    "Content-Type": what === "answers" ? "text/plain" : "text/event-stream",
+    "Response-Seal": "endless",
+  });
+  send();
+}
+
 export async function startWorker(
   options: WorkerOptions,
 ): Promise<WorkerStandIn> {
@@ -81,6 +103,7 @@
     isHung: false,
     isDown: false,
     isLeaving: false,
+    endless: undefined,
     isUnframed: false,
     pauseS: undefined,
     requestLimit: undefined,
@@ -182,6 +205,9 @@
     }
     receivedAttemptIds.push(attemptId);
     arrivalsMs.push(performance.now());
+    if (faults.endless !== undefined) {
+      return sendEndlessly(response, faults.endless);
+    }
     if (faults.pauseS !== undefined) {
       const retryAfter = { "Not-Run": "1", "Retry-After": faults.pauseS };
       return response.writeHead(503, retryAfter).end();
--- /dev/null
+++ b/test/users_platform/endless_bytes_test.ts
@@ -0,0 +1,72 @@
+/** The memory of an entry whose endpoints send without end. */
+
+import { readFile } from "node:fs/promises";
+import { afterEach, beforeAll, expect, test } from "@jest/globals";
+import {
+  callGateway,
+  FIRST_KEY,
+  startPlatformFleet,
+} from "../../stand_ins/users_platform/mod.ts";
+import type { PlatformFleet } from "../../stand_ins/users_platform/mod.ts";
+import { buildPrograms } from "../build_programs.ts";
+import { waitUntil } from "../wait_until.ts";
+
+/** As the deployed entries. */
+const NODE_ARGS = ["--max-semi-space-size=4", "--max-old-space-size=200"];
+/** Memory of an entry's host on the users' platform. */
+const HOST_MEMORY_MB = 350;
+const CALLS_AT_ONCE = 200;
+const CALL_TIMEOUT_MS = 6_000;
+
+let fleet: PlatformFleet | undefined;
+
+beforeAll(() => buildPrograms(), 120_000);
+
+afterEach(async () => {
+  await fleet?.close();
+  fleet = undefined;
+});
+
+async function startFleet(workers: number) {
+  const started = await startPlatformFleet({
+    gateways: 1,
+    workers: Array.from({ length: workers }, () => 1),
+    nodeArgs: NODE_ARGS,
+  });
+  fleet = started;
+  const gateway = started.gateways[0]!;
+  const call = (id: string) =>
+    callGateway({
+      url: gateway.callerUrl,
+      attemptId: id,
+      apiKey: FIRST_KEY,
+      remainingMs: CALL_TIMEOUT_MS,
+    });
+  await waitUntil(
+    "the entry answers",
+    async () => (await call("probe")).status === 200,
+  );
+  return { started, gateway, call };
+}
+
+/** Largest resident memory of a process so far. */
+async function readPeakMemoryMb(processId: number): Promise<number> {
+  const status = await readFile(`/proc/${processId}/status`, "utf8");
+  return Number(/^VmHWM:\s+(\d+) kB/m.exec(status)![1]) / 1024;
+}
+
+// Guards against an entry that runs out of memory, and loses the calls of all
+// its callers, because one endpoint sends answers without end.
+test("answers without end at many calls at once stay within the host's memory", async () => {
+  const { started, gateway, call } = await startFleet(2);
+  started.workers[0]!.faults.endless = "answers";
+  const results = await Promise.all(
+    Array.from({ length: CALLS_AT_ONCE }, (_, index) => call(`e${index}`)),
+  );
+  expect(results.filter(({ status }) => status === 0)).toEqual([]);
+  expect(await readPeakMemoryMb(gateway.process.pid!)).toBeLessThan(
+    HOST_MEMORY_MB,
+  );
+  started.workers[0]!.faults.endless = undefined;
+  expect(await call("after")).toMatchObject({ status: 200, isWhole: true });
+}, 60_000);
