Slow an endpoint down while the caller does not read its stream

Events for a caller that had stopped reading piled up in the entry as fast as the endpoint sent them: 30 such callers of an endpoint whose events have no end took an entry process to 860 MB within 4 s, on a host with 350 MB.

Cause: nothing passed the caller's pace on to the endpoint. Node.js queues what is written, and the result of the write was not looked at.

Above 64 KiB that the caller has not read, the connection to the endpoint is paused until it has. The endpoint is not taken for silent meanwhile; the deadline of the call holds on. Streams of the usual size never get there. What is unread counts towards the limit for all answers.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -66,6 +66,10 @@
   readonly findSendObstacle: () => string | undefined;
   readonly isStream: boolean;
   readonly buffers: BufferBudget;
+  /** True while the caller reads more slowly than the endpoint sends. */
+  readonly isCongested: () => boolean;
+  /** Calls the handler once, when the caller has read what it was sent. */
+  readonly onDrained: (handler: () => void) => void;
   /**
    * Called when a response without length ends with its connection; false if it
    * may have been cut off.
@@ -140,6 +144,7 @@
     clearTimeout(firstByteTimer);
     clearTimeout(silenceTimer);
     clearTimeout(inactivityTimer);
+    inactivityTimer = undefined;
   }
 
   function onTooLarge(reason: "too_large" | "buffers_full") {
@@ -207,6 +212,18 @@
     share.hold(remainingBytes);
   }
 
+  /** Passes the caller's pace on to the endpoint, which is not silent then. */
+  function pauseIfCongested(controller: Dispatcher.DispatchController) {
+    if (isFinished || !options.isCongested()) return;
+    controller.pause();
+    clearTimers();
+    options.onDrained(() => {
+      if (isFinished) return;
+      onActivity();
+      controller.resume();
+    });
+  }
+
   function onEnd() {
     if (head === undefined) return;
     // A reset also ends a response without length, but does not complete it.
@@ -260,7 +277,10 @@
       onResponseStart(_controller, status, headers) {
         if (status >= 200) onHeaders(status, headers);
       },
-      onResponseData: (_controller, bytes) => onData(bytes),
+      onResponseData(controller, bytes) {
+        onData(bytes);
+        pauseIfCongested(controller);
+      },
       onResponseEnd: onEnd,
       onResponseError: (_controller, error) => onError(error),
     },
--- a/src/gateway/caller_response.ts
+++ b/src/gateway/caller_response.ts
@@ -13,6 +13,9 @@
 import { sendRefusal } from "./refusal.ts";
 import type { Refusal } from "./refusal.ts";
 
+/** More than a connection holds for a caller that reads at once. */
+const MAX_UNREAD_BYTES = 64 * 1024;
+
 export interface CallerResponse {
   /** True once the head of a stream has been sent. */
   hasStarted(): boolean;
@@ -26,6 +29,10 @@
   abort(reason: string): void;
   /** False once the response is complete or the caller has left. */
   isOpen(): boolean;
+  /** True while the caller has not read much of what was sent. */
+  isCongested(): boolean;
+  /** Calls the handler once, when the caller has read what was sent. */
+  onDrained(handler: () => void): void;
 }
 
 export function createCallerResponse({
@@ -88,6 +95,7 @@
       if (response.destroyed) return;
       startStream(status, headers);
       response.write(bytes);
+      unread.hold(response.writableLength);
     },
     endStream(status, headers) {
       if (response.destroyed) return;
@@ -102,5 +110,13 @@
       !response.destroyed &&
       !response.writableEnded &&
       response.req.socket.writable,
+    isCongested: () =>
+      response.writableNeedDrain && response.writableLength > MAX_UNREAD_BYTES,
+    onDrained(handler) {
+      response.once("drain", () => {
+        unread.hold(response.writableLength);
+        handler();
+      });
+    },
   };
 }
--- a/src/gateway/endless_bytes_test.ts
+++ b/src/gateway/endless_bytes_test.ts
@@ -5,8 +5,16 @@
 import { waitUntil } from "../../test/wait_until.ts";
 import type { CallRoute } from "../directory/mod.ts";
 import { callTestGateway } from "./testing/caller.ts";
-import { respondCompletely, startTestFleet } from "./testing/fleet.ts";
+import {
+  createEvent,
+  respondCompletely,
+  startTestFleet,
+} from "./testing/fleet.ts";
 import type { RequestHandler } from "./testing/fleet.ts";
+import {
+  createRawRequest,
+  openRawConnection,
+} from "./testing/raw_connection.ts";
 
 const closers: (() => unknown)[] = [];
 
@@ -71,3 +79,39 @@
     () => gateway.context.responseBuffers.heldBytes() === 0,
   );
 });
+
+const streamEndlessly: RequestHandler = ({ socket }) => {
+  let id = 0;
+  socket.write(`${HEAD}content-type: text/event-stream\r\n\r\n`);
+  sendEndlessly(socket, () => {
+    id += 1;
+    return createEvent(id).replace("data: ", `data: ${"x".repeat(16_000)}`);
+  });
+};
+
+// Guards against events that pile up in this process for a caller that has
+// stopped reading: the endpoint must be slowed down.
+test("a caller that stops reading holds up its endpoint, not this process", async () => {
+  const { gateway } = await start([streamEndlessly], {
+    route: { maxAttempts: 1 },
+  });
+  const { socket } = await openRawConnection(gateway.url);
+  closers.push(() => socket.destroy());
+  let received = "";
+  socket.removeAllListeners("data");
+  socket.on("data", (bytes: Buffer) => {
+    received = (received + bytes.toString("latin1")).slice(-40_000);
+  });
+  socket.write(createRawRequest("body"));
+  await waitUntil("events arrive", () => received.includes("id: "));
+  socket.pause();
+  const readMaximum = sampleMaximum(gateway.context.responseBuffers.heldBytes);
+  await new Promise((resolve) => setTimeout(resolve, 1_500));
+  expect(readMaximum()).toBeLessThan(MIB);
+  const [lastBefore] = [...received.matchAll(/id: (\d+)/g)].slice(-1);
+  socket.resume();
+  await waitUntil("the stream goes on", () => {
+    const [last] = [...received.matchAll(/id: (\d+)/g)].slice(-1);
+    return Number(last?.[1]) > Number(lastBefore?.[1]) + 1_000;
+  });
+});
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -101,6 +101,8 @@
       : { beforeFirstByteMs: unlimitedMs, betweenBytesMs: unlimitedMs },
     isStream,
     buffers: context.responseBuffers,
+    isCongested: response.isCongested,
+    onDrained: response.onDrained,
     confirmEnd: () =>
       context.endConfirmation.confirm(endpoint, {
         hasEngine: service.engine !== undefined,
--- a/test/users_platform/endless_bytes_test.ts
+++ b/test/users_platform/endless_bytes_test.ts
@@ -1,6 +1,8 @@
 /** The memory of an entry whose endpoints send without end. */
 
 import { readFile } from "node:fs/promises";
+import { connect } from "node:net";
+import type { Socket } from "node:net";
 import { afterEach, beforeAll, expect, test } from "@jest/globals";
 import {
   callGateway,
@@ -16,13 +18,17 @@
 /** Memory of an entry's host on the users' platform. */
 const HOST_MEMORY_MB = 350;
 const CALLS_AT_ONCE = 200;
+const SILENT_CALLERS = 30;
 const CALL_TIMEOUT_MS = 6_000;
+const FLOOD_MS = 4_000;
 
 let fleet: PlatformFleet | undefined;
+const sockets: Socket[] = [];
 
 beforeAll(() => buildPrograms(), 120_000);
 
 afterEach(async () => {
+  sockets.splice(0).forEach((socket) => socket.destroy());
   await fleet?.close();
   fleet = undefined;
 });
@@ -70,3 +76,32 @@
   started.workers[0]!.faults.endless = undefined;
   expect(await call("after")).toMatchObject({ status: 200, isWhole: true });
 }, 60_000);
+
+/** A caller that sends a request and never reads the response. */
+function openSilentCaller(url: string, id: string) {
+  const { hostname, port } = new URL(url);
+  const socket = connect({ host: hostname, port: Number(port) });
+  sockets.push(socket);
+  socket.on("error", () => undefined);
+  socket.pause();
+  socket.write(
+    "POST /a/1 HTTP/1.1\r\nHost: desk.example\r\nModel: m1\r\n" +
+      `Authorization: Bearer ${FIRST_KEY}\r\nAttempt-Id: ${id}\r\n` +
+      `Deadline-Ms: ${CALL_TIMEOUT_MS}\r\nContent-Length: 0\r\n\r\n`,
+  );
+}
+
+// Guards against the same by events for callers that do not read.
+test("events without end for callers that do not read stay within the host's memory", async () => {
+  const { started, gateway, call } = await startFleet(1);
+  started.workers[0]!.faults.endless = "events";
+  Array.from({ length: SILENT_CALLERS }, (_, index) =>
+    openSilentCaller(gateway.callerUrl, `s${index}`),
+  );
+  await new Promise((resolve) => setTimeout(resolve, FLOOD_MS));
+  expect(await readPeakMemoryMb(gateway.process.pid!)).toBeLessThan(
+    HOST_MEMORY_MB,
+  );
+  started.workers[0]!.faults.endless = undefined;
+  expect(await call("after")).toMatchObject({ status: 200, isWhole: true });
+}, 60_000);
