Bound the time and the sum of request bodies

A caller that sent its body slowly held its connection and its part of the body for ever, and many large bodies at once could take the entry's memory: a body was bounded, but not their sum, and the deadline of a call began after its body. The comment at the server said otherwise.

The deadline of a call now holds for its body too: the call is refused with 408, as it has not run. All bodies together have a limit of 48 MiB, above which the largest incomplete one is refused with 503 and a time to return. Bodies that are complete are kept until their calls have ended.

--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -16,12 +16,14 @@
 import type { Dispatch } from "./dispatch_call.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import { readLimitedBody } from "./read_limited_body.ts";
+import type { BodyFailure } from "./read_limited_body.ts";
 import { readPendingEvents } from "./read_pending_events.ts";
 import { createResponseMonitor } from "./response_monitor.ts";
 import {
   sendRefusal,
   STATUS_NOT_RUN,
   STATUS_OUTCOME_UNKNOWN,
+  STATUS_REQUEST_TIMEOUT,
 } from "./refusal.ts";
 import type { Refusal } from "./refusal.ts";
 import { resolveCall } from "./resolve_call.ts";
@@ -40,6 +42,19 @@
 };
 /** Another entry may not have the fault. */
 const FAILED_RETRY_MS = 300;
+/** The bodies of other calls are dropped or complete by then. */
+const BUFFERS_FULL_RETRY_MS = 500;
+const BODY_REFUSALS: Readonly<
+  Record<Exclude<BodyFailure, "incomplete">, Refusal>
+> = {
+  too_large: { status: 413, reason: "body_too_large" },
+  too_slow: { status: STATUS_REQUEST_TIMEOUT, reason: "body_too_slow" },
+  buffers_full: {
+    status: STATUS_NOT_RUN,
+    reason: "buffers_full",
+    retryAfterMs: BUFFERS_FULL_RETRY_MS,
+  },
+};
 /** While draining, idle connections are closed at this interval. */
 const CLOSE_IDLE_INTERVAL_MS = 100;
 /** Until the first configuration sets it. */
@@ -101,7 +116,7 @@
       });
     },
   );
-  // The deadline of the call limits slow bodies instead.
+  // The deadline of the call limits slow bodies.
   server.requestTimeout = 0;
   // Before the next request, whose response announces the idle timeout.
   directory.onChange(() => void getRouteTable());
@@ -225,13 +240,18 @@
       refuse(request, response, LEAVING);
       return undefined;
     }
-    const maxBytes = routeTable!.config.limits.maxBodyBytes;
-    const body = await readLimitedBody(request, maxBytes);
-    if (body === "too_large") {
-      refuse(request, response, { status: 413, reason: "body_too_large" });
+    const read = await readLimitedBody(request, {
+      maxBytes: routeTable!.config.limits.maxBodyBytes,
+      timeoutMs: resolved.deadlineMs - context.nowMs(),
+      buffers: context.requestBuffers,
+    });
+    if (read.type === "incomplete") return undefined;
+    if (read.type !== "complete") {
+      refuse(request, response, BODY_REFUSALS[read.type]);
       return undefined;
     }
-    if (body === "incomplete") return undefined;
+    const { body, share } = read;
+    shares.push(share);
     await turn;
     await readPendingEvents();
     // While it was waiting, the call may have been ended for a shutdown.
--- a/src/gateway/endless_bytes_test.ts
+++ b/src/gateway/endless_bytes_test.ts
@@ -115,3 +115,61 @@
     return Number(last?.[1]) > Number(lastBefore?.[1]) + 1_000;
   });
 });
+
+/** Sends the head of a request whose body is not complete. */
+async function openIncompleteRequest(
+  url: string,
+  { headers = "", body }: { readonly headers?: string; readonly body: string },
+) {
+  const connection = await openRawConnection(url);
+  closers.push(() => connection.socket.destroy());
+  connection.socket.write(
+    "POST /a/1 HTTP/1.1\r\nhost: desk.example\r\nx-key: key-1\r\n" +
+      `x-attempt: a1\r\n${headers}content-length: 60000\r\n\r\n${body}`,
+  );
+  return connection;
+}
+
+// Guards against callers that hold their connection and their part of a body
+// for ever: the deadline of a call began after its body.
+test("a request whose body is not complete by its deadline has not run", async () => {
+  const { gateway, endpoints } = await start([respondCompletely], {
+    route: PLAIN,
+  });
+  const { received } = await openIncompleteRequest(gateway.url, {
+    headers: "x-left: 300\r\n",
+    body: "half",
+  });
+  await waitUntil(
+    "the request is refused",
+    () => received().startsWith("HTTP/1.1 408"),
+    2_000,
+  );
+  expect(endpoints[0]!.requests).toHaveLength(0);
+  expect(gateway.context.requestBuffers.heldBytes()).toBe(0);
+});
+
+// Guards against a process that runs out of memory because many callers send
+// large bodies at once.
+test("bodies of callers stay within the limit together, and small ones are served", async () => {
+  const limitBytes = 200_000;
+  const { gateway } = await start([respondCompletely], {
+    route: PLAIN,
+    maxBufferedBytes: limitBytes,
+  });
+  const readMaximum = sampleMaximum(gateway.context.requestBuffers.heldBytes);
+  const large = await Promise.all(
+    Array.from({ length: 8 }, () =>
+      openIncompleteRequest(gateway.url, { body: "x".repeat(50_000) }),
+    ),
+  );
+  const countRefused = () =>
+    large.filter(
+      ({ received }) =>
+        received().startsWith("HTTP/1.1 503") &&
+        received().includes("retry-after: "),
+    ).length;
+  await waitUntil("four bodies are refused", () => countRefused() === 4);
+  expect(await callTestGateway(gateway.url)).toMatchObject({ status: 200 });
+  expect(readMaximum()).toBeLessThanOrEqual(limitBytes);
+});
--- a/src/gateway/gateway_context.ts
+++ b/src/gateway/gateway_context.ts
@@ -56,6 +56,8 @@
   readonly candidates: Candidates;
   readonly connections: EndpointConnections;
   readonly endConfirmation: EndConfirmation;
+  /** Bodies of requests. */
+  readonly requestBuffers: BufferBudget;
   /** Bodies of responses, and what callers have not read of them. */
   readonly responseBuffers: BufferBudget;
   readonly codec: HeaderCodec;
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -11,6 +11,8 @@
 
 /** States that the request has not run and never will. */
 export const STATUS_NOT_RUN = 503;
+/** The request was not read in time, and has not run. */
+export const STATUS_REQUEST_TIMEOUT = 408;
 /** The request may have run. */
 export const STATUS_OUTCOME_UNKNOWN = 502;
 export const STATUS_TIMEOUT = 504;
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -91,6 +91,7 @@
  * Buffers are outside of the heap, whose limit does not bound them. Dropped ones
  * are freed some time later, so the limits leave room for as much again.
  */
+const MAX_REQUEST_BYTES = 48 * 1024 * 1024;
 const MAX_RESPONSE_BYTES = 48 * 1024 * 1024;
 /** Share of the common retry budget that is used; the rest covers errors. */
 const BUDGET_SHARE = 0.75;
@@ -241,6 +242,10 @@
       isListening: connections.isListening,
       logger,
     }),
+    requestBuffers: createBufferBudget(MAX_REQUEST_BYTES, {
+      registry,
+      purpose: "request",
+    }),
     responseBuffers: createBufferBudget(MAX_RESPONSE_BYTES, {
       registry,
       purpose: "response",
--- a/src/gateway/testing/mod.ts
+++ b/src/gateway/testing/mod.ts
@@ -207,6 +207,10 @@
       isInReserve: () => true,
     }),
     connections: createEndpointConnections(registry),
+    requestBuffers: createBufferBudget(options.maxBufferedBytes ?? Infinity, {
+      registry,
+      purpose: "request",
+    }),
     responseBuffers: createBufferBudget(options.maxBufferedBytes ?? Infinity, {
       registry,
       purpose: "response",
