Read no more than expected from an endpoint and the origin of weights

An agent read up to 32 MiB of each response of its endpoint and of the origin of weights before it gave up, on a host with 218 MB, several at a time.

--- a/src/directory/store.ts
+++ b/src/directory/store.ts
@@ -12,6 +12,7 @@
   | "rate_limited"
   | "malformed"
   | "aborted"
+  | "too_large"
   /** The store came back from an older copy during the read. */
   | "mixed_eras"
   /** The store no longer has the history after the given revision. */
--- a/src/sidecar/endpoint_api.ts
+++ b/src/sidecar/endpoint_api.ts
@@ -22,7 +22,8 @@
 }
 
 /** Only a request with a condition can be `not_sent`. */
-export type EndpointFailure = "timeout" | "connection" | "refused" | "not_sent";
+export type EndpointFailure =
+  "timeout" | "connection" | "refused" | "too_large" | "not_sent";
 
 export interface OrderOptions {
   /**
@@ -50,6 +51,7 @@
   readStaged(
     model: string,
     index: number,
+    limits: { readonly sizeBytes: number },
   ): Promise<Result<Uint8Array | undefined, EndpointFailure>>;
   writeStaged(
     model: string,
@@ -60,7 +62,7 @@
 }
 
 export type OriginFailure =
-  "timeout" | "connection" | "refused" | "malformed" | "aborted";
+  "timeout" | "connection" | "refused" | "malformed" | "aborted" | "too_large";
 
 export interface WeightOrigin {
   /** SHA-256 of each chunk, hexadecimal. */
@@ -70,7 +72,7 @@
   readChunk(
     version: ServedModel,
     index: number,
-    signal: AbortSignal,
+    limits: { readonly sizeBytes: number; readonly signal: AbortSignal },
   ): Promise<Result<Uint8Array, OriginFailure>>;
   close(): Promise<void>;
 }
--- a/src/sidecar/origin_store.ts
+++ b/src/sidecar/origin_store.ts
@@ -30,11 +30,7 @@
       if (kind === "manifests") return { type: "ok", bytes: manifest.bytes };
       const index = manifest.chunkDigests.indexOf(digest);
       const startedAtMs = performance.now();
-      const result = await origin.readChunk(
-        manifest.version,
-        index,
-        limits.signal,
-      );
+      const result = await origin.readChunk(manifest.version, index, limits);
       logger.info(
         {
           model: manifest.version.name,
--- a/src/sidecar/staging.ts
+++ b/src/sidecar/staging.ts
@@ -11,6 +11,8 @@
   readonly endpoint: EndpointApi;
   readonly model: string;
   readonly chunkDigests: readonly string[];
+  /** A staged chunk with more bytes is not read. */
+  readonly chunkBytes: number;
 }
 
 export interface StagedChunks {
@@ -23,13 +25,15 @@
 export async function readStagedChunks(
   options: StagingOptions,
 ): Promise<StagedChunks> {
-  const { endpoint, model, chunkDigests } = options;
+  const { endpoint, model, chunkDigests, chunkBytes } = options;
   const valid = new Map<number, Uint8Array>();
   const staged = await endpoint.listStaged(model);
   let isReadCompletely = staged.isOk();
   const indices = staged.unwrapOr([]).filter((i) => i < chunkDigests.length);
   for (const index of indices) {
-    const result = await endpoint.readStaged(model, index);
+    const result = await endpoint.readStaged(model, index, {
+      sizeBytes: chunkBytes,
+    });
     if (result.isErr()) isReadCompletely = false;
     const bytes = result.unwrapOr(undefined);
     if (bytes === undefined) continue;
--- a/src/sidecar/staging_test.ts
+++ b/src/sidecar/staging_test.ts
@@ -32,7 +32,10 @@
 }
 
 function stage(endpoint: EndpointApi) {
-  return stageChunks({ endpoint, model: "m", chunkDigests: DIGESTS }, CHUNKS);
+  return stageChunks(
+    { endpoint, model: "m", chunkDigests: DIGESTS, chunkBytes: 4 },
+    CHUNKS,
+  );
 }
 
 test("only missing and corrupt chunks are written", async () => {
--- a/src/sidecar/version_updater.ts
+++ b/src/sidecar/version_updater.ts
@@ -19,6 +19,7 @@
 import type { LoadVerification } from "./load_verification.ts";
 import { repeatSteps } from "./repeat_steps.ts";
 import { readStagedChunks, readValidChunks, stageChunks } from "./staging.ts";
+import type { StagingOptions } from "./staging.ts";
 
 const STEP_INTERVAL_MS = 50;
 /** Interval between steps while the endpoint is up to date. */
@@ -169,6 +170,15 @@
     return hasResponse;
   }
 
+  function describeStaging({
+    version,
+    wanted,
+    chunkDigests,
+  }: ConfirmedManifest): StagingOptions {
+    const chunkBytes = wanted.sizeBytes / chunkDigests.length;
+    return { endpoint, model: version.name, chunkDigests, chunkBytes };
+  }
+
   /** Chunks already staged at the endpoint need not be fetched again. */
   async function adoptStagedChunks(manifest: ConfirmedManifest) {
     const { manifestDigest } = manifest.wanted;
@@ -176,11 +186,7 @@
     adoptedDigests.add(manifestDigest);
     const { name: model } = manifest.version;
     const { chunkDigests } = manifest;
-    const validChunks = await readValidChunks({
-      endpoint,
-      model,
-      chunkDigests,
-    });
+    const validChunks = await readValidChunks(describeStaging(manifest));
     const kept = weights.importChunks(manifest.wanted, manifest.bytes, [
       ...validChunks.values(),
     ]);
@@ -202,8 +208,7 @@
     const { manifestDigest } = manifest.wanted;
     const chunks = weights.readChunks(manifestDigest);
     if (chunks === undefined) return;
-    const { chunkDigests } = manifest;
-    const staging = { endpoint, model: target.name, chunkDigests };
+    const staging = describeStaging(manifest);
     if (stagedDigest !== manifestDigest) {
       if (!(await stageChunks(staging, chunks))) return;
       stagedDigest = manifestDigest;
@@ -234,13 +239,12 @@
   }
 
   /** Call once the endpoint has accepted an order for this version. */
-  async function verifyLoad({ version, chunkDigests }: ConfirmedManifest) {
+  async function verifyLoad(manifest: ConfirmedManifest) {
+    const { version, chunkDigests } = manifest;
     const finishCheck = verification.startCheck();
-    const { valid, isReadCompletely } = await readStagedChunks({
-      endpoint,
-      model: version.name,
-      chunkDigests,
-    });
+    const { valid, isReadCompletely } = await readStagedChunks(
+      describeStaging(manifest),
+    );
     if (!isReadCompletely) return;
     finishCheck(valid.size === chunkDigests.length);
     const state = verification.state();
