--- a/src/explain/explain_request.ts
+++ b/src/explain/explain_request.ts
@@ -13,7 +13,7 @@
 /** Cause for each reason of a refusal or failure. */
 const CAUSES: Readonly<Record<string, string>> = {
   too_busy:
-    "every endpoint would have answered later than the latency objective; refused at once",
+    "every endpoint would have answered later than the latency objective, behind other requests; refused at once",
   no_endpoint:
     "no endpoint of the service could be used: draining, evacuated, or switching weights",
   endpoints_leaving:
@@ -41,6 +41,9 @@
   unknown_service: "the route's service is not in the configuration",
   headers_too_large: "the headers exceed the configured limit",
   body_too_large: "the body exceeds the configured limit",
+  body_too_slow: "the body was not complete by the deadline of the call",
+  buffers_full:
+    "all bodies that the entry held together were too large, and this one was the largest",
   not_sent: "no connection to any endpoint tried could be opened",
   not_run: "the endpoints tried refused the request without running it",
   failed:
