Admit late requests by their wait behind others, not by their own size

Cause: a request was refused if its forecast was later than its objective, and the forecast contains the reading of its own prompt. On a slow engine that alone is too long, so idle engines refused large requests, each time they came back.

A request that will be late is now admitted as long as it waits for others no longer than three quarters of what one of the usual size may, and if it can be answered before its caller leaves. What will be on time is admitted as before.

--- a/src/gateway/bounds_test.ts
+++ b/src/gateway/bounds_test.ts
@@ -2,7 +2,6 @@
 
 import { expect, test } from "@jest/globals";
 import fc from "fast-check";
-import type { EndpointLoadNotice } from "../wire/mod.ts";
 import { createRouteTable, chooseService } from "./route_table.ts";
 import { createEndpointHealth } from "./endpoint_health.ts";
 import { createEndpointLoads } from "./endpoint_loads.ts";
@@ -13,6 +12,7 @@
   startsInTime,
 } from "./weight_versions.ts";
 import { createConfig, createRoute } from "../directory/testing/mod.ts";
+import { createReport } from "./testing/load_report.ts";
 
 test("no request starts on an older version after its bound", () => {
   const wanted = [
@@ -29,20 +29,6 @@
   expect(at(3, 99_000)).toBe(true);
 });
 
-function createReport(): EndpointLoadNotice {
-  return {
-    topic: "endpoint_load",
-    address: "e",
-    phase: "warm",
-    models: [],
-    running: 3,
-    waiting: 1,
-    memoryUsedTokens: 0,
-    memoryTotalTokens: 0,
-    slowdown: 1,
-  };
-}
-
 // Guards against requests that start on an older version after its bound. One
 // sent 1 s before the bound arrived after it, because it was queued behind
 // chunks on the host's link.
--- a/src/gateway/choose_endpoint.ts
+++ b/src/gateway/choose_endpoint.ts
@@ -1,6 +1,7 @@
 /** Chooses the endpoint for a request, or gives the reason for having none. */
 
 import type { CallService, ListedEndpoint } from "../directory/mod.ts";
+import { mayWait } from "./admit_by_wait.ts";
 import type { EndpointLoad } from "./endpoint_loads.ts";
 import { forecastFirstEventMs } from "./forecast_first_event.ts";
 import { startsInTime } from "./weight_versions.ts";
@@ -44,6 +45,8 @@
   readonly promptTokens: number;
   /** Time left until the latency objective. */
   readonly timeToObjectiveMs: number;
+  /** Time left until the caller stops waiting. */
+  readonly timeLeftMs: number;
   /** In [0, 1). */
   readonly random: () => number;
 }
@@ -87,12 +90,6 @@
   region: 12,
   other_region: 25,
 } as const;
-/**
- * The forecast is a median: 90% of the requests get their first event within
- * about twice the forecast, and two thirds within this factor.
- */
-const FORECAST_SPREAD = 1.25;
-const FORECAST_MARGIN_MS = 20;
 /**
  * Added for an endpoint that fails every request: the delay that a failed
  * request costs its caller. A single failure shifts hardly any load.
@@ -164,13 +161,14 @@
   const isBetterWithheld = (withheld?.costMs ?? Infinity) < best.costMs;
   const result = { withheld: isBetterWithheld ? withheld?.view : undefined };
   const { engine } = options.service;
-  const maxForecastMs =
-    (options.timeToObjectiveMs - FORECAST_MARGIN_MS) / FORECAST_SPREAD;
-  if (engine !== undefined && best.forecastMs > maxForecastMs) {
-    const { forecastMs } = best;
+  const { view, forecastMs } = best;
+  const { load } = view;
+  if (
+    engine !== undefined &&
+    !mayWait({ ...options, engine, load, forecastMs })
+  ) {
     return { ...noEndpoint, ...result, reason: "too_busy", forecastMs };
   }
-  const { view, forecastMs } = best;
   return { ...result, type: "send", view, forecastMs };
 }
 
--- a/src/gateway/choose_endpoint_test.ts
+++ b/src/gateway/choose_endpoint_test.ts
@@ -42,6 +42,7 @@
     service: SERVICE,
     promptTokens: 979,
     timeToObjectiveMs,
+    timeLeftMs: Math.max(timeToObjectiveMs, 6_000),
     random: () => 0,
   });
 }
--- a/src/gateway/dispatch_call.ts
+++ b/src/gateway/dispatch_call.ts
@@ -204,9 +204,10 @@
   const { triedEndpoints, weightVersion } = state;
   const now = context.nowMs();
   const isUnsent = state.runs + state.notRunAttempts === 0;
+  const timeLeftMs = call.deadlineMs - now;
   const timeToObjectiveMs = isUnsent
     ? call.route.objectiveMs - (now - call.receivedAtMs)
-    : call.deadlineMs - now;
+    : timeLeftMs;
   const choice = chooseEndpoint(
     listEndpointViews(context, {
       call,
@@ -218,6 +219,7 @@
       service,
       promptTokens: call.headers.promptTokens ?? 0,
       timeToObjectiveMs,
+      timeLeftMs,
       random: context.random,
     },
   );
