--- a/src/sidecar/load_verification.ts
+++ b/src/sidecar/load_verification.ts
@@ -45,7 +45,7 @@
   let lastReport: EndpointReport | undefined;
   let lastRequestedAtMs = -Infinity;
   /** Number of accepted orders with the load that `state` describes. */
-  let loadOrders: number | undefined;
+  let loadOrders = 0;
   let loads = 0;
   /** No earlier than this, the endpoint has accepted the unverified load. */
   let acceptedAfterMs = -Infinity;
@@ -76,7 +76,9 @@
       if (hasUnknownLoad(report)) {
         startLoad(lastRequestedAtMs, report.acceptedOrders);
       }
-      if (holdsNothing) state = "sound";
+      // A report from before the order says nothing about its load.
+      const isOlder = report.acceptedOrders < loadOrders;
+      if (holdsNothing && !isOlder) state = "sound";
       lastReport = report;
       lastRequestedAtMs = requestedAtMs;
     },
