--- a/src/gateway/choose_endpoint_test.ts
+++ b/src/gateway/choose_endpoint_test.ts
@@ -1,11 +1,8 @@
 import { expect, test } from "@jest/globals";
-import {
-  createEndpoint,
-  createService,
-  ENGINE,
-} from "../directory/testing/mod.ts";
+import { createService, ENGINE } from "../directory/testing/mod.ts";
 import { chooseEndpoint } from "./mod.ts";
 import type { EndpointView } from "./mod.ts";
+import { createEndpointView } from "./testing/endpoint_view.ts";
 
 const SERVICE = createService({ engine: ENGINE });
 
@@ -14,25 +11,8 @@
   fields: Partial<EndpointView> & { readonly requests?: number } = {},
 ): EndpointView {
   const { requests = 4, ...rest } = fields;
-  return {
-    endpoint: {
-      ...createEndpoint({ id }),
-      firstSeenAtMs: 0,
-      listedAtMs: 0,
-    },
-    load: { report: undefined, requests, unreadTokens: 0, roundTripMs: 0 },
-    isAllowed: true,
-    isLeaving: false,
-    pausedMs: 0,
-    isInBackoff: false,
-    hasColdCapacity: true,
-    requestLimitPerS: Infinity,
-    hasPermit: true,
-    failureRate: 0,
-    distance: "data_centre",
-    weightVersion: 1,
-    ...rest,
-  };
+  const load = { report: undefined, requests, unreadTokens: 0, roundTripMs: 0 };
+  return createEndpointView(id, { load, ...rest });
 }
 
 const WITHHELD = { requestLimitPerS: 2, hasPermit: false };
--- a/src/gateway/testing/simulate_engines.ts
+++ b/src/gateway/testing/simulate_engines.ts
@@ -3,15 +3,12 @@
  * works in passes, which read prompts between the decode steps.
  */
 
-import {
-  createEndpoint,
-  createService,
-  ENGINE,
-} from "../../directory/testing/mod.ts";
-import { createReport } from "./load_report.ts";
+import { createService, ENGINE } from "../../directory/testing/mod.ts";
 import { chooseEndpoint } from "../choose_endpoint.ts";
 import type { EndpointView } from "../choose_endpoint.ts";
 import { computePassMs } from "../forecast_first_event.ts";
+import { createEndpointView } from "./endpoint_view.ts";
+import { createReport } from "./load_report.ts";
 
 const ENGINES = 6;
 const MEAN_PROMPT_TOKENS = 1_290;
@@ -105,29 +102,13 @@
   }
 
   function viewEngine({ requests }: Engine, index: number): EndpointView {
-    return {
-      endpoint: {
-        ...createEndpoint({ id: String(index) }),
-        firstSeenAtMs: 0,
-        listedAtMs: 0,
-      },
-      load: {
-        report: createReport({ slowdown }),
-        requests: requests.length,
-        unreadTokens: requests.reduce((sum, r) => sum + r.unreadTokens, 0),
-        roundTripMs: 0,
-      },
-      isAllowed: true,
-      isLeaving: false,
-      pausedMs: 0,
-      isInBackoff: false,
-      hasColdCapacity: true,
-      requestLimitPerS: Infinity,
-      hasPermit: true,
-      failureRate: 0,
-      distance: "data_centre",
-      weightVersion: 1,
+    const load = {
+      report: createReport({ slowdown }),
+      requests: requests.length,
+      unreadTokens: requests.reduce((sum, r) => sum + r.unreadTokens, 0),
+      roundTripMs: 0,
     };
+    return createEndpointView(String(index), { load });
   }
 
   /** A request that is refused comes back once. */
