Soak the loading of weights beside pauses, kills and corrupt chunks

Reproduces the users' run of WHOLE as far as it is known: workers and agents as processes, versions in quick succession, pauses that often follow a check, kills, and chunks that turn corrupt.

--- a/stand_ins/users_platform/platform_fleet.ts
+++ b/stand_ins/users_platform/platform_fleet.ts
@@ -50,6 +50,8 @@
   readonly graceS?: number;
   /** Options of every worker. */
   readonly worker?: Partial<WorkerOptions>;
+  /** Called after a worker's last staged chunk has been read. */
+  readonly onStagedRead?: (index: number) => void;
   readonly objectiveMs?: number;
   /** Indexes of the gateways that cannot reach the store. */
   readonly gatewaysWithoutStore?: readonly number[];
@@ -58,6 +60,10 @@
   const origin = await startOrigin(MODEL);
   const directory = await mkdtemp(join(tmpdir(), "zinniaspur-"));
   const processes: FleetProcess[] = [];
+  const sidecars: {
+    process: FleetProcess;
+    readonly startSidecar: () => Promise<FleetProcess>;
+  }[] = [];
   const versionMs = options.versionMs ?? 2_000;
   const gatewayPorts = await findFreePorts(options.gateways * 4);
   const seeds = gatewayPorts
@@ -129,23 +135,26 @@
   ): Promise<WorkerStandIn> {
     const worker = await startWorker({
       ...options.worker,
+      onStagedRead: () => options.onStagedRead?.(index),
       id: `w${index}`,
       model: MODEL,
       version,
     });
     const [peer, metrics] = await findFreePorts(2);
-    await startProgram("sidecar", `side-${index}`, {
-      host: `side-${index}`,
-      data_centre: index % 2 === 0 ? "kol-a" : "sil-a",
-      service: SERVICE,
-      peer_address: `127.0.0.1:${peer}`,
-      metrics_address: `127.0.0.1:${metrics}`,
-      endpoint_address: worker.address,
-      seeds,
-      regions: REGIONS,
-      host_mbit_per_s: 100,
-      switch_within_ms: versionMs,
-    });
+    const startSidecar = () =>
+      startProgram("sidecar", `side-${index}`, {
+        host: `side-${index}`,
+        data_centre: index % 2 === 0 ? "kol-a" : "sil-a",
+        service: SERVICE,
+        peer_address: `127.0.0.1:${peer}`,
+        metrics_address: `127.0.0.1:${metrics}`,
+        endpoint_address: worker.address,
+        seeds,
+        regions: REGIONS,
+        host_mbit_per_s: 100,
+        switch_within_ms: versionMs,
+      });
+    sidecars[index] = { process: await startSidecar(), startSidecar };
     registerWorker(worker, version);
     return worker;
   }
@@ -197,6 +206,11 @@
     async restartGateway(index: number) {
       gateways[index] = await startGateway(index);
     },
+    sidecarOf: (index: number) => sidecars[index]!.process.child,
+    /** Starts a sidecar again after its process ended. */
+    async restartSidecar(index: number) {
+      sidecars[index]!.process = await sidecars[index]!.startSidecar();
+    },
     async addWorker(version: number | undefined) {
       const worker = await startWorkerWithSidecar(workers.length, version);
       workers.push(worker);
--- a/stand_ins/users_platform/worker.ts
+++ b/stand_ins/users_platform/worker.ts
@@ -24,6 +24,8 @@
   readonly maxWaiting?: number;
   /** Time from the start of a request to its first event. */
   readonly firstEventMs?: number;
+  /** Called after the last staged chunk has been read. */
+  readonly onStagedRead?: () => void;
 }
 
 export interface WorkerStandIn {
@@ -59,6 +61,11 @@
   corruptStagedChunk(index: number): void;
   /** Versions whose load started with a missing or corrupt chunk. */
   readonly corruptLoads: readonly number[];
+  /**
+   * Ids of the attempts that ran on weights with a chunk which, when they were
+   * loaded, was missing, of another version, or corrupt for over 3 s.
+   */
+  readonly unsoundRuns: readonly string[];
   /** Closes every connection, and new ones until `isDown` is false. */
   crash(): void;
   close(): void;
@@ -74,6 +81,8 @@
 const DEFAULT_EVENTS = 5;
 const DEFAULT_INTERVAL_MS = 20;
 const DEFAULT_LOAD_MS = 50;
+/** The platform's rule excuses chunks that turned corrupt just before a load. */
+const EXCUSED_CORRUPTION_MS = 3_000;
 
 const ENDLESS_BLOCK_BYTES = 64 * 1024;
 
@@ -113,6 +122,11 @@
   const arrivalsMs: number[] = [];
   const startedAttemptIds: string[] = [];
   const corruptLoads: number[] = [];
+  const unsoundRuns: string[] = [];
+  /** Monotonic times, by the index of the chunk. */
+  const corruptedAtMs = new Map<number, number>();
+  let isSound = true;
+  let isLoadSound = true;
   const eventCount = options.eventCount ?? DEFAULT_EVENTS;
   const intervalMs = options.eventIntervalMs ?? DEFAULT_INTERVAL_MS;
   let version = options.version;
@@ -156,12 +170,19 @@
     if (expectedOrders !== acceptedOrders) return response.writeHead(409).end();
     if (version === wantedVersion) return response.writeHead(200).end();
     if (loading !== undefined) return response.writeHead(409).end();
-    const isStagedCorrectly = Array.from({ length: model.chunkCount }).every(
-      (_, index) =>
-        staged.get(index)?.equals(createChunk(model, wantedVersion, index)) ??
-        false,
+    const wrong = Array.from(
+      { length: model.chunkCount },
+      (_, index) => index,
+    ).filter(
+      (index) =>
+        staged.get(index)?.equals(createChunk(model, wantedVersion, index)) !==
+        true,
+    );
+    if (wrong.length > 0) corruptLoads.push(wantedVersion);
+    const excusedFromMs = performance.now() - EXCUSED_CORRUPTION_MS;
+    isLoadSound = wrong.every(
+      (index) => (corruptedAtMs.get(index) ?? -Infinity) >= excusedFromMs,
     );
-    if (!isStagedCorrectly) corruptLoads.push(wantedVersion);
     acceptedOrders += 1;
     loading = wantedVersion;
     loadWhenIdle();
@@ -174,6 +195,7 @@
     setTimeout(() => {
       version = loading;
       loading = undefined;
+      isSound = isLoadSound;
     }, options.loadMs ?? DEFAULT_LOAD_MS);
   }
 
@@ -181,6 +203,7 @@
     const chunkIndex = url.searchParams.get("chunk-count");
     if (request.method === "PUT") {
       staged.set(Number(chunkIndex), body);
+      corruptedAtMs.delete(Number(chunkIndex));
       return { status: 200, bytes: Buffer.alloc(0) };
     }
     if (chunkIndex === null) {
@@ -188,6 +211,7 @@
       return { status: 200, bytes: Buffer.from(JSON.stringify(held)) };
     }
     const bytes = staged.get(Number(chunkIndex));
+    if (Number(chunkIndex) === model.chunkCount - 1) options.onStagedRead?.();
     return { status: bytes ? 200 : 404, bytes: bytes ?? Buffer.alloc(0) };
   }
 
@@ -233,6 +257,7 @@
     arrivedAtMs,
   }: ReceivedAttempt) {
     startedAttemptIds.push(attemptId);
+    if (!isSound) unsoundRuns.push(attemptId);
     running += 1;
     if (faults.isUnframed) {
       response.useChunkedEncodingByDefault = false;
@@ -297,10 +322,12 @@
     startedAttemptIds,
     firstEventsMs,
     corruptLoads,
+    unsoundRuns,
     corruptStagedChunk(index) {
       const bytes = Buffer.from(staged.get(index)!);
       bytes[0]! ^= 0xff;
       staged.set(index, bytes);
+      corruptedAtMs.set(index, performance.now());
     },
     crash() {
       faults.isDown = true;
