--- a/test/users_platform/endless_bytes_test.ts
+++ b/test/users_platform/endless_bytes_test.ts
@@ -4,14 +4,10 @@
 import { connect } from "node:net";
 import type { Socket } from "node:net";
 import { afterEach, beforeAll, expect, test } from "@jest/globals";
-import {
-  callGateway,
-  FIRST_KEY,
-  startPlatformFleet,
-} from "../../stand_ins/users_platform/mod.ts";
+import { FIRST_KEY } from "../../stand_ins/users_platform/mod.ts";
 import type { PlatformFleet } from "../../stand_ins/users_platform/mod.ts";
 import { buildPrograms } from "../build_programs.ts";
-import { waitUntil } from "../wait_until.ts";
+import { startServingFleet } from "./serving_fleet.ts";
 
 /** As the deployed entries. */
 const NODE_ARGS = ["--max-semi-space-size=4", "--max-old-space-size=200"];
@@ -34,25 +30,16 @@
 });
 
 async function startFleet(workers: number) {
-  const started = await startPlatformFleet({
-    gateways: 1,
-    workers: Array.from({ length: workers }, () => 1),
-    nodeArgs: NODE_ARGS,
-  });
-  fleet = started;
-  const gateway = started.gateways[0]!;
-  const call = (id: string) =>
-    callGateway({
-      url: gateway.callerUrl,
-      attemptId: id,
-      apiKey: FIRST_KEY,
-      remainingMs: CALL_TIMEOUT_MS,
-    });
-  await waitUntil(
-    "the entry answers",
-    async () => (await call("probe")).status === 200,
+  const { fleet: started, call } = await startServingFleet(
+    {
+      gateways: 1,
+      workers: Array.from({ length: workers }, () => 1),
+      nodeArgs: NODE_ARGS,
+      callTimeoutMs: CALL_TIMEOUT_MS,
+    },
+    (created) => (fleet = created),
   );
-  return { started, gateway, call };
+  return { started, gateway: started.gateways[0]!, call };
 }
 
 /** Largest resident memory of a process so far. */
--- a/test/users_platform/unframed_stream_test.ts
+++ b/test/users_platform/unframed_stream_test.ts
@@ -1,14 +1,9 @@
 /** Streams without length or chunks, and the death of a process midway. */
 
 import { afterEach, beforeAll, expect, test } from "@jest/globals";
-import {
-  callGateway,
-  FIRST_KEY,
-  startPlatformFleet,
-} from "../../stand_ins/users_platform/mod.ts";
 import type { PlatformFleet } from "../../stand_ins/users_platform/mod.ts";
 import { buildPrograms } from "../build_programs.ts";
-import { waitUntil } from "../wait_until.ts";
+import { startServingFleet } from "./serving_fleet.ts";
 
 const CALL_TIMEOUT_MS = 6_000;
 const STREAMS = 6;
@@ -31,22 +26,14 @@
 });
 
 async function startFleet() {
-  const started = await startPlatformFleet({
-    gateways: 1,
-    workers: [1, 1],
-    worker: { eventCount: EVENTS, eventIntervalMs: EVENT_INTERVAL_MS },
-  });
-  fleet = started;
-  const call = (id: string) =>
-    callGateway({
-      url: started.gateways[0]!.callerUrl,
-      attemptId: id,
-      apiKey: FIRST_KEY,
-      remainingMs: CALL_TIMEOUT_MS,
-    });
-  await waitUntil(
-    "the entry answers",
-    async () => (await call("probe")).status === 200,
+  const { fleet: started, call } = await startServingFleet(
+    {
+      gateways: 1,
+      workers: [1, 1],
+      worker: { eventCount: EVENTS, eventIntervalMs: EVENT_INTERVAL_MS },
+      callTimeoutMs: CALL_TIMEOUT_MS,
+    },
+    (created) => (fleet = created),
   );
   started.workers.forEach(({ faults }) => {
     faults.isUnframed = true;
--- a/test/users_platform/weights_soak_test.ts
+++ b/test/users_platform/weights_soak_test.ts
@@ -6,14 +6,9 @@
  */
 
 import { afterEach, beforeAll, expect, test } from "@jest/globals";
-import {
-  callGateway,
-  FIRST_KEY,
-  startPlatformFleet,
-} from "../../stand_ins/users_platform/mod.ts";
 import type { PlatformFleet } from "../../stand_ins/users_platform/mod.ts";
 import { buildPrograms } from "../build_programs.ts";
-import { waitUntil } from "../wait_until.ts";
+import { startServingFleet } from "./serving_fleet.ts";
 
 const SEEDS = (process.env["SOAK_SEEDS"] ?? "3").split(",").map(Number);
 const DURATION_MS = Number(process.env["SOAK_S"] ?? "25") * 1_000;
@@ -69,37 +64,30 @@
 
     async function pause(index: number) {
       if (paused.has(index) || fleet === undefined) return;
+      const { sidecarOf, workers } = fleet;
       paused.add(index);
       pauses += 1;
-      const child = started.sidecarOf(index);
+      const child = sidecarOf(index);
       child.kill("SIGSTOP");
       const pauseMs = draw(PAUSE_MS);
       await wait(CORRUPTION_DELAY_MS);
       const chunk = Math.floor(random() * CHUNKS);
-      started.workers[index]!.corruptStagedChunk(chunk);
+      workers[index]!.corruptStagedChunk(chunk);
       await wait(pauseMs - CORRUPTION_DELAY_MS);
       child.kill("SIGCONT");
       paused.delete(index);
     }
 
-    const started = await startPlatformFleet({
-      gateways: 1,
-      workers: Array.from({ length: WORKERS }, () => 1),
-      onStagedRead(index) {
-        if (random() < PAUSE_SHARE) setTimeout(() => void pause(index), 5);
+    const { fleet: started, call } = await startServingFleet(
+      {
+        gateways: 1,
+        workers: Array.from({ length: WORKERS }, () => 1),
+        callTimeoutMs: CALL_TIMEOUT_MS,
+        onStagedRead(index) {
+          if (random() < PAUSE_SHARE) setTimeout(() => void pause(index), 5);
+        },
       },
-    });
-    fleet = started;
-    const call = (id: string) =>
-      callGateway({
-        url: started.gateways[0]!.callerUrl,
-        attemptId: id,
-        apiKey: FIRST_KEY,
-        remainingMs: CALL_TIMEOUT_MS,
-      });
-    await waitUntil(
-      "the entry answers",
-      async () => (await call("probe")).status === 200,
+      (created) => (fleet = created),
     );
     let isRunning = true;
     stoppers.push(() => (isRunning = false));
