Move the decisions under load into a room of their own

The choice of an endpoint, admission by wait, the forecast, loads, health, candidates, return delays and the time left on older weights decide over plain values, but stood among the modules that handle the course of a call.

They are moved to src/scheduling/, which knows no network. Their text is the same but for imports; the pure part of return_delay.ts is split off.

--- a/bench/mechanisms.ts
+++ b/bench/mechanisms.ts
@@ -300,7 +300,7 @@
   {
     guarantee: 7,
     name: "no request to an endpoint whose answers say that it is leaving",
-    file: "src/gateway/choose_endpoint.ts",
+    file: "src/scheduling/choose_endpoint.ts",
     find: "const staying = allowed.filter(({ isLeaving }) => !isLeaving);",
     replace: "const staying = allowed;",
     testFile: "src/gateway/endpoint_availability_test.ts",
@@ -309,7 +309,7 @@
   {
     guarantee: 7,
     name: "no request to an endpoint that asked for a pause",
-    file: "src/gateway/choose_endpoint.ts",
+    file: "src/scheduling/choose_endpoint.ts",
     find: "const open = staying.filter(({ pausedMs }) => pausedMs === 0);",
     replace: "const open = staying;",
     testFile: "src/gateway/endpoint_pause_test.ts",
--- a/src/gateway/bounds_test.ts
+++ b/src/gateway/bounds_test.ts
@@ -3,16 +3,16 @@
 import { expect, test } from "@jest/globals";
 import fc from "fast-check";
 import { createRouteTable, chooseService } from "./route_table.ts";
-import { createEndpointHealth } from "./endpoint_health.ts";
-import { createEndpointLoads } from "./endpoint_loads.ts";
 import { createEventSplitter } from "./event_splitter.ts";
+import { createConfig, createRoute } from "../directory/testing/mod.ts";
 import {
   ABORT_DELAY_MS,
   computeStartWindowMs,
+  createEndpointHealth,
+  createEndpointLoads,
   startsInTime,
-} from "./weight_versions.ts";
-import { createConfig, createRoute } from "../directory/testing/mod.ts";
-import { createReport } from "./testing/load_report.ts";
+} from "../scheduling/mod.ts";
+import { createReport } from "../scheduling/testing/load_report.ts";
 
 test("no request starts on an older version after its bound", () => {
   const wanted = [
--- a/src/gateway/call_state.ts
+++ b/src/gateway/call_state.ts
@@ -1,10 +1,10 @@
 /** State of one call over its attempts. */
 
 import type { CallService } from "../directory/mod.ts";
+import type { Choice } from "../scheduling/mod.ts";
 import type { AttemptOutcome } from "./attempt.ts";
 import type { Call } from "./call.ts";
 import type { CallerResponse } from "./caller_response.ts";
-import type { Choice } from "./choose_endpoint.ts";
 import { createSentEventIds } from "./sent_event_ids.ts";
 import type { SentEventIds } from "./sent_event_ids.ts";
 
--- a/src/gateway/dispatch_call.ts
+++ b/src/gateway/dispatch_call.ts
@@ -7,13 +7,13 @@
 
 import type { CallService } from "../directory/mod.ts";
 import { createFingerprint } from "../quarantine/mod.ts";
+import { chooseEndpoint } from "../scheduling/mod.ts";
+import type { Choice } from "../scheduling/mod.ts";
 import type { Attempt, AttemptOutcome } from "./attempt.ts";
 import type { Call } from "./call.ts";
 import { createCallState } from "./call_state.ts";
 import type { PendingCall } from "./call_state.ts";
 import type { CallerResponse } from "./caller_response.ts";
-import { chooseEndpoint } from "./choose_endpoint.ts";
-import type { Choice } from "./choose_endpoint.ts";
 import {
   endExpired,
   endWithFailure,
--- a/src/gateway/end_call.ts
+++ b/src/gateway/end_call.ts
@@ -1,5 +1,7 @@
 /** Final responses made by the gateway itself, and the log lines of a call. */
 
+import { DEFAULT_RETRY_DELAY_MS, spreadDelay } from "../scheduling/mod.ts";
+import type { ReturnDelay } from "../scheduling/mod.ts";
 import type { AttemptOutcome } from "./attempt.ts";
 import type { Call } from "./call.ts";
 import type { ActiveCall, NoEndpoint, FinishedAttempt } from "./call_state.ts";
@@ -10,13 +12,10 @@
   STATUS_OUTCOME_UNKNOWN,
 } from "./refusal.ts";
 import {
-  DEFAULT_RETRY_DELAY_MS,
   drawDelayMs,
   findReturnDelay,
   replaceRetryAfter,
-  spreadDelay,
 } from "./return_delay.ts";
-import type { ReturnDelay } from "./return_delay.ts";
 
 /** Ends a call for which no endpoint is available. */
 export function endWithoutEndpoint(
--- a/src/gateway/find_send_obstacle.ts
+++ b/src/gateway/find_send_obstacle.ts
@@ -4,14 +4,14 @@
  * what allowed the choice of the endpoint may no longer hold.
  */
 
+import type { EndpointView } from "../scheduling/mod.ts";
+import { startsInTime } from "../scheduling/mod.ts";
 import type { ChosenEndpoint } from "./call_state.ts";
-import type { EndpointView } from "./choose_endpoint.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import { findStartWindowMs } from "./list_endpoint_views.ts";
 import { REQUEST_LIMIT_REASON } from "./request_permits.ts";
 import type { RequestPermit } from "./request_permits.ts";
 import { VERSION_EXPIRED_REASON } from "./version_deadlines.ts";
-import { startsInTime } from "./weight_versions.ts";
 
 /** The endpoint leaves, or its data centre is evacuated. */
 export const WITHDRAWN_REASON = "endpoint_withdrawn";
--- a/src/gateway/gateway_context.ts
+++ b/src/gateway/gateway_context.ts
@@ -5,23 +5,25 @@
 import type { LimitStatement, RetryBudget } from "../limits/mod.ts";
 import type { Registry } from "../metrics/mod.ts";
 import type { PromptPartQuarantine, Quarantine } from "../quarantine/mod.ts";
+import type {
+  Candidates,
+  EndpointHealth,
+  EndpointLoads,
+  RefusalTracker,
+} from "../scheduling/mod.ts";
 import type { TrafficCounters } from "../traffic/mod.ts";
 import type { CrashNotice } from "../wire/mod.ts";
 import type { Attempt } from "./attempt.ts";
 import type { HeaderCodec } from "./call.ts";
 import type { BufferBudget } from "./buffer_budget.ts";
-import type { Candidates } from "./candidates.ts";
 import type { EndConfirmation } from "./end_confirmation.ts";
 import type {
   EndpointAvailability,
   Incarnation,
 } from "./endpoint_availability.ts";
 import type { EndpointConnections } from "./endpoint_connections.ts";
-import type { EndpointLoads } from "./endpoint_loads.ts";
-import type { EndpointHealth } from "./endpoint_health.ts";
 import type { RateLimits } from "./rate_limits.ts";
 import type { RequestPermits } from "./request_permits.ts";
-import type { RefusalTracker } from "./refusal_tracker.ts";
 import type { VersionDeadlines } from "./version_deadlines.ts";
 
 /** Bounds from the platform's settings. */
--- a/src/gateway/list_endpoint_views.ts
+++ b/src/gateway/list_endpoint_views.ts
@@ -5,12 +5,11 @@
   ListedEndpoint,
   ServedModel,
 } from "../directory/mod.ts";
+import type { EndpointLoad, EndpointView } from "../scheduling/mod.ts";
+import { computeStartWindowMs } from "../scheduling/mod.ts";
 import type { Call } from "./call.ts";
-import type { EndpointView } from "./choose_endpoint.ts";
-import type { EndpointLoad } from "./endpoint_loads.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import { computeColdLimit } from "./rate_limits.ts";
-import { computeStartWindowMs } from "./weight_versions.ts";
 
 export interface ViewOptions {
   readonly call: Call;
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -7,10 +7,10 @@
   ForwardOptions,
   HeaderCodec,
 } from "./call.ts";
-export { chooseEndpoint } from "./choose_endpoint.ts";
-export type { Choice, ChoiceOptions, EndpointView } from "./choose_endpoint.ts";
+export { chooseEndpoint } from "../scheduling/mod.ts";
+export type { Choice, ChoiceOptions, EndpointView } from "../scheduling/mod.ts";
 export type { ReadStartTime } from "./end_confirmation.ts";
-export { forecastFirstEventMs } from "./forecast_first_event.ts";
+export { forecastFirstEventMs } from "../scheduling/mod.ts";
 export type { GatewayBounds } from "./gateway_context.ts";
 export { startGateway } from "./start_gateway.ts";
 export type { Gateway, GatewaySettings } from "./start_gateway.ts";
--- a/src/gateway/reserve_retry.ts
+++ b/src/gateway/reserve_retry.ts
@@ -5,8 +5,8 @@
  * reject it.
  */
 
+import type { Choice } from "../scheduling/mod.ts";
 import type { ActiveCall, CallState, ChosenEndpoint } from "./call_state.ts";
-import type { Choice } from "./choose_endpoint.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import { mayRetry } from "./handle_outcome.ts";
 
--- a/src/gateway/response_time.ts
+++ b/src/gateway/response_time.ts
@@ -7,9 +7,9 @@
  */
 
 import type { CallService, EngineProfile } from "../directory/mod.ts";
+import { computePassMs } from "../scheduling/mod.ts";
 import type { Call } from "./call.ts";
 import { isRetryable } from "./call_state.ts";
-import { computePassMs } from "./forecast_first_event.ts";
 
 /** Few responses take longer than this many times their latency objective. */
 const OBJECTIVE_FACTOR = 3;
--- a/src/gateway/return_delay.ts
+++ b/src/gateway/return_delay.ts
@@ -1,59 +1,20 @@
 /**
- * The time after which a caller should come back while the endpoints have asked
- * this entry for a pause. Callers are spread, so that they do not fill the
- * endpoints again in the moment at which the pause ends.
+ * Finds the time after which a caller should come back while the endpoints have
+ * asked this entry for a pause.
  */
 
 import type { HttpHeaders } from "../http/mod.ts";
+import {
+  computeReturnDelay,
+  DEFAULT_RETRY_DELAY_MS,
+  spreadDelay,
+} from "../scheduling/mod.ts";
+import type { ReturnDelay } from "../scheduling/mod.ts";
 import type { Call } from "./call.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import { listEndpointViews } from "./list_endpoint_views.ts";
 import { formatRetryAfter, STATUS_NOT_RUN } from "./refusal.ts";
 
-/** Without a pause: another entry or endpoint may accept the call. */
-export const DEFAULT_RETRY_DELAY_MS = 300;
-/** Jitter as a share of the retry delay, so that callers retry spread out. */
-const RETRY_JITTER_SHARE = 0.5;
-/** After a pause that is shorter than the usual retry delay. */
-const MIN_SPREAD_MS = 300;
-/** Clients honour Retry-After up to this share of the time that they have left. */
-const MAX_WAIT_SHARE = 1 / 3;
-
-export interface ReturnDelay {
-  readonly retryAfterMs: number;
-  /** The caller's delay is longer by a random part of this. */
-  readonly spreadMs: number;
-}
-
-export function spreadDelay(retryAfterMs: number): ReturnDelay {
-  return { retryAfterMs, spreadMs: retryAfterMs * RETRY_JITTER_SHARE };
-}
-
-export function computeReturnDelay(options: {
-  /** What is left of the pause, and its whole length. */
-  readonly pausedMs: number;
-  readonly pauseLengthMs: number;
-  /** Time that the caller has left. */
-  readonly callerWaitMs: number;
-}): ReturnDelay {
-  const { pausedMs, pauseLengthMs, callerWaitMs } = options;
-  const maxWaitMs = callerWaitMs * MAX_WAIT_SHARE;
-  if (pausedMs < maxWaitMs) {
-    // By the whole length, since callers that are refused late in the pause
-    // come back together with those that were refused early.
-    const spreadMs = Math.max(
-      pauseLengthMs * RETRY_JITTER_SHARE,
-      MIN_SPREAD_MS,
-    );
-    return {
-      retryAfterMs: pausedMs,
-      spreadMs: Math.min(spreadMs, maxWaitMs - pausedMs),
-    };
-  }
-  // The caller comes back sooner in any case, and its next entry may be free.
-  return spreadDelay(maxWaitMs / (1 + RETRY_JITTER_SHARE));
-}
-
 /** Undefined if an endpoint takes requests now, or none will after a pause. */
 export function findReturnDelay(
   context: GatewayContext,
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -4,19 +4,19 @@
  * until then, up to its deadline, the attempt goes on.
  */
 
+import type { EndpointView } from "../scheduling/mod.ts";
+import { ABORT_DELAY_MS } from "../scheduling/mod.ts";
 import { startAttempt } from "./attempt.ts";
 import type { Attempt, AttemptOptions, AttemptOutcome } from "./attempt.ts";
 import type { Call, ResponseHeaders } from "./call.ts";
 import { isRetryable, PAUSED_REASON } from "./call_state.ts";
 import type { ChosenEndpoint, PendingCall } from "./call_state.ts";
 import type { CallerResponse } from "./caller_response.ts";
-import type { EndpointView } from "./choose_endpoint.ts";
 import { isFrom } from "./endpoint_availability.ts";
 import { findSendObstacle, findTimeToBoundMs } from "./find_send_obstacle.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import { readColdLimit } from "./list_endpoint_views.ts";
 import { VERSION_EXPIRED_REASON } from "./version_deadlines.ts";
-import { ABORT_DELAY_MS } from "./weight_versions.ts";
 
 /** An endpoint that takes longer to send the first event may have stalled. */
 const FIRST_EVENT_SILENCE_MS = 1_200;
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -22,6 +22,13 @@
   createPromptPartQuarantine,
   createQuarantine,
 } from "../quarantine/mod.ts";
+import {
+  createCandidates,
+  createEndpointHealth,
+  createEndpointLoads,
+  createRefusalTracker,
+} from "../scheduling/mod.ts";
+import type { RefusalTracker } from "../scheduling/mod.ts";
 import { createTrafficCounters, startTrafficLog } from "../traffic/mod.ts";
 import { PROMPT_PART_TOPICS } from "../wire/mod.ts";
 import type {
@@ -34,7 +41,6 @@
 } from "../wire/mod.ts";
 import type { HeaderCodec } from "./call.ts";
 import { createBufferBudget } from "./buffer_budget.ts";
-import { createCandidates } from "./candidates.ts";
 import {
   createFleetNotice,
   describeFleetContent,
@@ -44,8 +50,6 @@
 import type { ReadStartTime } from "./end_confirmation.ts";
 import { createEndpointAvailability } from "./endpoint_availability.ts";
 import { createEndpointConnections } from "./endpoint_connections.ts";
-import { createEndpointLoads } from "./endpoint_loads.ts";
-import { createEndpointHealth } from "./endpoint_health.ts";
 import { createCallerServer } from "./caller_server.ts";
 import { areApiKeysStale } from "./resolve_call.ts";
 import type { GatewayBounds, GatewayContext } from "./gateway_context.ts";
@@ -53,8 +57,6 @@
 import { createRateLimits } from "./rate_limits.ts";
 import { startRequestLimitExchange } from "./request_limit_exchange.ts";
 import { createRequestPermits } from "./request_permits.ts";
-import { createRefusalTracker } from "./refusal_tracker.ts";
-import type { RefusalTracker } from "./refusal_tracker.ts";
 import { stopCalls } from "./stop_calls.ts";
 import { createVersionDeadlines } from "./version_deadlines.ts";
 
--- a/src/gateway/testing/mod.ts
+++ b/src/gateway/testing/mod.ts
@@ -26,18 +26,20 @@
   createQuarantine,
 } from "../../quarantine/mod.ts";
 import { findFreePorts } from "../../../stand_ins/free_ports.ts";
+import {
+  createCandidates,
+  createEndpointHealth,
+  createEndpointLoads,
+  createRefusalTracker,
+} from "../../scheduling/mod.ts";
 import type { HeaderCodec } from "../call.ts";
 import { createBufferBudget } from "../buffer_budget.ts";
-import { createCandidates } from "../candidates.ts";
 import { createEndpointAvailability } from "../endpoint_availability.ts";
 import { createEndpointConnections } from "../endpoint_connections.ts";
-import { createEndpointLoads } from "../endpoint_loads.ts";
-import { createEndpointHealth } from "../endpoint_health.ts";
 import { createCallerServer } from "../caller_server.ts";
 import type { GatewayContext } from "../gateway_context.ts";
 import { createRateLimits } from "../rate_limits.ts";
 import { createRequestPermits } from "../request_permits.ts";
-import { createRefusalTracker } from "../refusal_tracker.ts";
 import { createVersionDeadlines } from "../version_deadlines.ts";
 
 type RequestHandler = (
