--- a/src/gateway/bounds_test.ts
+++ b/src/gateway/bounds_test.ts
@@ -57,14 +57,26 @@
   let isClosed = false;
   const loads = createEndpointLoads(() => nowMs);
   const notice = createReport();
-  expect(loads.read(notice.address, 0).roundTripMs).toBe(0);
+  expect(
+    loads.read(notice.address, { usualPromptTokens: 0, urgency: 0 })
+      .roundTripMs,
+  ).toBe(0);
   loads.onReport(notice, { roundTripMs: () => 700, isClosed: () => isClosed });
-  expect(loads.read(notice.address, 0).roundTripMs).toBe(700);
+  expect(
+    loads.read(notice.address, { usualPromptTokens: 0, urgency: 0 })
+      .roundTripMs,
+  ).toBe(700);
   nowMs += 10_000;
-  expect(loads.read(notice.address, 0).roundTripMs).toBe(700);
+  expect(
+    loads.read(notice.address, { usualPromptTokens: 0, urgency: 0 })
+      .roundTripMs,
+  ).toBe(700);
   expect(loads.readRoundTripMs(notice.address)).toBe(700);
   isClosed = true;
-  expect(loads.read(notice.address, 0).roundTripMs).toBe(0);
+  expect(
+    loads.read(notice.address, { usualPromptTokens: 0, urgency: 0 })
+      .roundTripMs,
+  ).toBe(0);
   expect(loads.readRoundTripMs(notice.address)).toBe(0);
 });
 
@@ -96,19 +108,27 @@
 test("the load includes other entries' requests and counts own requests once", () => {
   let now = 0;
   const loads = createEndpointLoads(() => now);
-  loads.trackRequest("e", 500);
+  loads.trackRequest("e", { promptTokens: 500, urgency: 0 });
   now += 100;
   loads.onReport(createReport());
-  const later = loads.trackRequest("e", 700);
-  expect(loads.read("e", 900).requests).toBe(5);
-  expect(loads.read("e", 900).unreadTokens).toBe(500 + 700);
+  const later = loads.trackRequest("e", { promptTokens: 700, urgency: 0 });
+  expect(loads.read("e", { usualPromptTokens: 900, urgency: 0 }).requests).toBe(
+    5,
+  );
+  expect(
+    loads.read("e", { usualPromptTokens: 900, urgency: 0 }).unreadTokens,
+  ).toBe(500 + 700);
   later.markStarted();
-  expect(loads.read("e", 900).unreadTokens).toBe(500);
+  expect(
+    loads.read("e", { usualPromptTokens: 900, urgency: 0 }).unreadTokens,
+  ).toBe(500);
   now += 4_000;
-  expect(loads.read("e", 900)).toMatchObject({
-    report: undefined,
-    requests: 2,
-  });
+  expect(loads.read("e", { usualPromptTokens: 900, urgency: 0 })).toMatchObject(
+    {
+      report: undefined,
+      requests: 2,
+    },
+  );
 });
 
 // Guards against events that are held back or cut because their lines end with
--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -2,6 +2,7 @@
 
 import type { AccountRecord, CallRoute } from "../directory/mod.ts";
 import type { HttpHeaders } from "../http/mod.ts";
+import type { Urgency } from "../scheduling/mod.ts";
 
 /** Values read from the headers of a request. */
 export interface CallHeaders {
@@ -77,6 +78,7 @@
   readonly route: CallRoute;
   readonly service: string;
   readonly account: AccountRecord | undefined;
+  readonly urgency: Urgency;
   readonly configVersion: number;
   readonly receivedAtMs: number;
   /** Monotonic time by which the caller must have the final response. */
--- a/src/gateway/dispatch_faults_test.ts
+++ b/src/gateway/dispatch_faults_test.ts
@@ -112,7 +112,10 @@
   const { gateway, endpoints } = await start([loseFirst, streamAll]);
   await call(gateway.url);
   const loads = Array.from({ length: 8 }, () =>
-    gateway.context.loads.trackRequest(endpoints[1]!.address, 0),
+    gateway.context.loads.trackRequest(endpoints[1]!.address, {
+      promptTokens: 0,
+      urgency: 0,
+    }),
   );
   expect((await call(gateway.url)).status).toBe(200);
   loads.forEach((load) => load.end());
--- a/src/gateway/list_endpoint_views.ts
+++ b/src/gateway/list_endpoint_views.ts
@@ -29,7 +29,10 @@
   const coldLimitPerS = readColdLimit(context, service);
   const usualPromptTokens = service.engine?.usualPromptTokens ?? 0;
   return context.candidates.list(service).map((endpoint) => {
-    const load = context.loads.read(endpoint.address, usualPromptTokens);
+    const load = context.loads.read(endpoint.address, {
+      usualPromptTokens,
+      urgency: call.urgency.rank,
+    });
     const served =
       service.engine && findServedModel(endpoint, load, call.headers.model);
     const model = served?.name;
--- a/src/gateway/malformed_endpoint_test.ts
+++ b/src/gateway/malformed_endpoint_test.ts
@@ -22,7 +22,10 @@
     closers.push(() => gateway.close(), endpoint.close);
     expect((await call(gateway.url)).status).toBe(200);
     expect(gateway.context.health.isInBackoff("e0")).toBe(true);
-    expect(gateway.context.loads.read(address, 0).requests).toBe(0);
+    expect(
+      gateway.context.loads.read(address, { usualPromptTokens: 0, urgency: 0 })
+        .requests,
+    ).toBe(0);
   },
 );
 
--- a/src/gateway/older_version_test.ts
+++ b/src/gateway/older_version_test.ts
@@ -169,7 +169,7 @@
   expect((await call(url, { "x-model": "m" })).status).toBe(200);
   const { address } = fleet.endpoints[0]!;
   const queued = Array.from({ length: 12 }, () =>
-    context.loads.trackRequest(address, 400),
+    context.loads.trackRequest(address, { promptTokens: 400, urgency: 0 }),
   );
   const response = await call(url, { "x-model": "m" });
   expect(response.status).toBe(503);
--- a/src/gateway/resolve_call.ts
+++ b/src/gateway/resolve_call.ts
@@ -87,6 +87,7 @@
     headers.remainingMs ?? route.timeoutMs,
     route.timeoutMs,
   );
+  const service = chooseService(route, context.random()) ?? "";
   return {
     id: headers.attemptId ?? "",
     method: request.method ?? "GET",
@@ -94,8 +95,9 @@
     rawHeaders: request.rawHeaders,
     headers,
     route,
-    service: chooseService(route, context.random()) ?? "",
+    service,
     account,
+    urgency: routeTable.urgencyRanks.find(service, route, account),
     configVersion: routeTable.config.version,
     receivedAtMs,
     deadlineMs: receivedAtMs + timeoutMs,
--- a/src/gateway/route_table.ts
+++ b/src/gateway/route_table.ts
@@ -5,12 +5,15 @@
   CallRoute,
   RoutingConfig,
 } from "../directory/mod.ts";
+import { createUrgencyRanks } from "../scheduling/mod.ts";
+import type { UrgencyRanks } from "../scheduling/mod.ts";
 
 export interface RouteTable {
   readonly config: RoutingConfig;
   /** Finds the route of this host with the longest matching path prefix. */
   findRoute(host: string, path: string): CallRoute | undefined;
   findAccount(apiKey: string): AccountRecord | undefined;
+  readonly urgencyRanks: UrgencyRanks;
 }
 
 export function createRouteTable(config: RoutingConfig): RouteTable {
@@ -33,6 +36,7 @@
     findRoute: (host, path) =>
       byHost.get(host)?.find((route) => path.startsWith(route.pathPrefix)),
     findAccount: (apiKey) => accounts.get(apiKey),
+    urgencyRanks: createUrgencyRanks(config),
   };
 }
 
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -50,10 +50,10 @@
   const canRetry = isRetryable(call) && state.runs + 1 < route.maxAttempts;
   const unlimitedMs = remainingMs + AFTER_DEADLINE_MS;
   let isSilent = false;
-  const trackedRequest = context.loads.trackRequest(
-    endpoint.address,
-    headers.promptTokens ?? 0,
-  );
+  const trackedRequest = context.loads.trackRequest(endpoint.address, {
+    promptTokens: headers.promptTokens ?? 0,
+    urgency: call.urgency.rank,
+  });
   const { sentEventIds } = state;
   // Events of two runs are joined only if the second run goes on where the
   // first one broke off.
--- a/src/scheduling/endpoint_loads.ts
+++ b/src/scheduling/endpoint_loads.ts
@@ -14,6 +14,8 @@
 export interface RequestRecord {
   readonly sentAtMs: number;
   readonly promptTokens: number;
+  /** 0 is the most urgent. */
+  readonly urgency: number;
   /** True once the response head has arrived. */
   hasStarted: boolean;
 }
@@ -34,15 +36,24 @@
 
 export interface EndpointLoads {
   onReport(notice: EndpointLoadNotice, sender?: ReportSender): void;
-  read(address: string, usualPromptTokens: number): EndpointLoad;
+  /** The load that a request of this urgency finds. */
+  read(address: string, options: LoadReadOptions): EndpointLoad;
   /** As `roundTripMs` of a load. */
   readRoundTripMs(address: string): number;
   /** True if the endpoint's agent has reported within the last seconds. */
   isReported(address: string): boolean;
   /** Counts a request as in flight there until `end` is called. */
-  trackRequest(address: string, promptTokens: number): TrackedRequest;
+  trackRequest(address: string, request: SentRequest): TrackedRequest;
 }
 
+export interface LoadReadOptions {
+  /** Stands for the prompts of requests whose size is not known. */
+  readonly usualPromptTokens: number;
+  readonly urgency: number;
+}
+
+export type SentRequest = Pick<RequestRecord, "promptTokens" | "urgency">;
+
 /** The agent that sends an endpoint's reports. */
 export type ReportSender = Pick<Peer, "roundTripMs"> &
   Partial<Pick<Peer, "isClosed">>;
@@ -114,7 +125,7 @@
         notice.waiting - unstarted.length,
       );
     },
-    read(address, usualPromptTokens) {
+    read(address, { usualPromptTokens }) {
       const record = records.get(address);
       if (record === undefined) {
         return {
@@ -143,11 +154,12 @@
     },
     readRoundTripMs,
     isReported,
-    trackRequest(address, promptTokens) {
+    trackRequest(address, { promptTokens, urgency }) {
       const record = findOrCreate(address);
       const request: RequestRecord = {
         sentAtMs: nowMs(),
         promptTokens,
+        urgency,
         hasStarted: false,
       };
       record.ownRequests.add(request);
--- a/src/scheduling/mod.ts
+++ b/src/scheduling/mod.ts
@@ -21,6 +21,8 @@
   spreadDelay,
 } from "./return_delay.ts";
 export type { ReturnDelay } from "./return_delay.ts";
+export { createUrgencyRanks } from "./urgency.ts";
+export type { Urgency, UrgencyRanks } from "./urgency.ts";
 export {
   ABORT_DELAY_MS,
   computeStartWindowMs,
