--- a/src/engine/dispatch_request.ts
+++ b/src/engine/dispatch_request.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Dispatcher } from "undici";
+import { isFinalStatus, isInformationalStatus } from "../http/mod.ts";
 
 /** Above this size, the connection is paused until the reader catches up. */
 const MAX_BUFFERED_BYTES = 64 * 1024;
@@ -99,8 +100,16 @@
         }
         if (signal.aborted) onAbort();
       },
-      onResponseStart(_started, statusCode, headers) {
-        if (statusCode < 200) return;
+      onResponseStart(started, statusCode, headers) {
+        if (isInformationalStatus(statusCode)) return;
+        if (!isFinalStatus(statusCode)) {
+          const error = Object.assign(
+            new Error("The status of the response is invalid"),
+            { code: "invalid_status" },
+          );
+          settle(error);
+          return started.abort(error);
+        }
         const body = { [Symbol.asyncIterator]: () => iterator };
         resolve({ statusCode, headers, body });
       },
--- a/src/engine/endpoint_client_test.ts
+++ b/src/engine/endpoint_client_test.ts
@@ -100,3 +100,27 @@
     }
   },
 );
+
+// Guards against a body that is relayed as an answer with an impossible status.
+test.each(["000", "0", "099", "20", "2000", "101", "600", "999"])(
+  "a response with status %s counts as none, of a request that may have run",
+  async (status) => {
+    const endpoint = await startRawEndpoint(({ socket }) => {
+      socket.write(`HTTP/1.1 ${status} OK\r\ncontent-length: 5\r\n\r\nwrong`);
+    });
+    const client = createEndpointClient(`http://${endpoint.address}`);
+    closers.push(endpoint.close, () => client.close());
+    const response = await client.send({
+      method: "POST",
+      path: "/",
+      headers: {},
+      body: Buffer.from("request"),
+      signal: AbortSignal.timeout(2_000),
+      isRepeatable: false,
+    });
+    expect(response.isErr() && response.error.mayHaveRun).toBe(true);
+    expect(response.isErr() && response.error.reason).not.toMatch(
+      /abort|time/i,
+    );
+  },
+);
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -5,7 +5,11 @@
  */
 
 import type { Dispatcher } from "undici";
-import { hasCloseDelimitedBody } from "../http/mod.ts";
+import {
+  hasCloseDelimitedBody,
+  isFinalStatus,
+  isInformationalStatus,
+} from "../http/mod.ts";
 import type { HttpHeaders } from "../http/mod.ts";
 import type { BufferBudget } from "./buffer_budget.ts";
 import type { HeaderCodec } from "./call.ts";
@@ -104,6 +108,7 @@
   fail(reason: string): void;
 }
 
+const INVALID_STATUS_REASON = "invalid_status";
 const STATUS_MISDIRECTED = 421;
 const SILENCE_CHECK_INTERVAL_MS = 100;
 
@@ -275,7 +280,9 @@
         controller.abort(new Error(obstacle));
       },
       onResponseStart(_controller, status, headers) {
-        if (status >= 200) onHeaders(status, headers);
+        if (isInformationalStatus(status)) return;
+        if (isFinalStatus(status)) return onHeaders(status, headers);
+        finish({ type: "lost", reason: INVALID_STATUS_REASON }, false);
       },
       onResponseData(controller, bytes) {
         onData(bytes);
