--- a/src/scheduling/weight_versions.ts
+++ b/src/scheduling/weight_versions.ts
@@ -13,8 +13,12 @@
  */
 const START_SPREAD = 1.5;
 const START_MARGIN_MS = 700;
-/** Minimum delay until an abort reaches the endpoint. */
-export const ABORT_DELAY_MS = 100;
+/**
+ * Until an abort takes effect. The engine sees it after the pass in progress,
+ * which takes up to 350 ms while prompts are read, and may begin the request
+ * with the pass that follows.
+ */
+export const ABORT_DELAY_MS = 400;
 
 export interface VersionLimits {
   /** How long requests may start on an older version; 0 means no limit. */
