Send urgent requests before others, and admit them by what is before them

Endpoints admit requests by Request-Priority, which no request carried, and the forecast of an urgent request counted everything that waited at an endpoint. During a burst of the least urgent kind, urgent requests were refused as often as others.

Where a service has several urgencies, the header names the rank: twice the rank for up to five ranks; with more, the least urgent ranks keep a level for late requests. The part of a queue that is ahead is taken from the time for which this entry's own requests wait, by priority. Services with one urgency are decided as before.

Run: npm run check; jest src/scheduling src/gateway platform/platform_test.ts, 571 and 146 tests passed. The test of a response that is longer than expected timed out once beside other work and passed in the next run.

--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -30,6 +30,8 @@
   readonly account?: string | undefined;
   readonly weightVersion?: number | undefined;
   readonly lastEventId?: string | undefined;
+  /** From 0 to 9; endpoints admit requests of lower values first. */
+  readonly priority?: number | undefined;
 }
 
 export interface ResponseHeaders {
--- a/src/gateway/dispatch_call.ts
+++ b/src/gateway/dispatch_call.ts
@@ -7,8 +7,8 @@
 
 import type { CallService } from "../directory/mod.ts";
 import { createFingerprint } from "../quarantine/mod.ts";
-import { chooseEndpoint } from "../scheduling/mod.ts";
-import type { Choice } from "../scheduling/mod.ts";
+import { chooseEndpoint, computeRequestPriority } from "../scheduling/mod.ts";
+import type { Choice, RequestOrder } from "../scheduling/mod.ts";
 import type { Attempt, AttemptOutcome } from "./attempt.ts";
 import type { Call } from "./call.ts";
 import { createCallState } from "./call_state.ts";
@@ -220,6 +220,7 @@
       promptTokens: call.headers.promptTokens ?? 0,
       timeToObjectiveMs,
       timeLeftMs,
+      order: findOrder(context, call),
       random: context.random,
     },
   );
@@ -228,3 +229,15 @@
   }
   return choice;
 }
+
+function findOrder(
+  { getQueueMix }: GatewayContext,
+  { urgency, service }: Call,
+): RequestOrder | undefined {
+  const priority = computeRequestPriority(urgency, false);
+  if (priority === undefined) return undefined;
+  return {
+    priority,
+    shareAhead: getQueueMix(service).readShareAhead(priority),
+  };
+}
--- a/src/gateway/end_call.ts
+++ b/src/gateway/end_call.ts
@@ -135,6 +135,7 @@
       unreadTokens: load.unreadTokens,
       promptTokens: call.headers.promptTokens,
       forecastMs: Math.round(choice.forecastMs),
+      priority: choice.priority,
       headMs: state.headMs,
       weightVersion,
       ...(Number.isFinite(startWindowMs) && {
@@ -170,6 +171,7 @@
       route: call.route.name,
       service: call.service,
       account: call.account?.name,
+      ...(call.urgency.rankCount > 1 && { urgency: call.urgency.rank }),
       ...details,
       elapsedMs: Math.round(context.nowMs() - call.receivedAtMs),
     },
--- a/src/gateway/gateway_context.ts
+++ b/src/gateway/gateway_context.ts
@@ -9,6 +9,7 @@
   Candidates,
   EndpointHealth,
   EndpointLoads,
+  QueueMix,
   RefusalTracker,
 } from "../scheduling/mod.ts";
 import type { TrafficCounters } from "../traffic/mod.ts";
@@ -72,6 +73,8 @@
   readonly sendCrashNotice: (notice: CrashNotice) => void;
   /** Prompt parts that crash the endpoints which answer requests with them. */
   readonly promptPartQuarantine: PromptPartQuarantine;
+  /** How the requests that wait at a service's endpoints divide by priority. */
+  readonly getQueueMix: (service: string) => QueueMix;
   /** Refusals of a service. */
   readonly getRefusalTracker: (service: string) => RefusalTracker;
   readonly getRetryBudget: (service: string) => RetryBudget;
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -54,6 +54,10 @@
     promptTokens: headers.promptTokens ?? 0,
     urgency: call.urgency.rank,
   });
+  const stopWaiting =
+    choice.priority === undefined
+      ? undefined
+      : context.getQueueMix(service.name).track(choice.priority);
   const { sentEventIds } = state;
   // Events of two runs are joined only if the second run goes on where the
   // first one broke off.
@@ -89,6 +93,7 @@
       account: call.account?.name,
       weightVersion,
       lastEventId: state.sentEventIds.lastId(),
+      priority: choice.priority,
     }),
     body: call.body,
     // Only the id tells a late response to an earlier request on the connection
@@ -126,6 +131,7 @@
       });
       withdrawUnsentIfPaused(context, endpoint);
       trackedRequest.markStarted();
+      stopWaiting?.();
       headAtMs = context.nowMs();
       state.headMs = Math.round(context.nowMs() - sentAtMs);
     },
@@ -154,6 +160,7 @@
   void attempt.outcome.then((outcome) => {
     versionDeadline.close();
     trackedRequest.end();
+    stopWaiting?.();
     if (outcome.type === "not_sent") permit.release();
     const isSuccess = outcome.type === "answered" && outcome.status < 400;
     if (isSuccess) recordSurvival();
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -14,7 +14,6 @@
 import { rankByHash } from "../hashing/mod.ts";
 import { listenAt } from "../http/mod.ts";
 import { createRetryBudget, createStatedLimits } from "../limits/mod.ts";
-import type { RetryBudget } from "../limits/mod.ts";
 import type { Logger } from "../logging/mod.ts";
 import { startMesh } from "../mesh/mod.ts";
 import type { Registry } from "../metrics/mod.ts";
@@ -26,9 +25,9 @@
   createCandidates,
   createEndpointHealth,
   createEndpointLoads,
+  createQueueMix,
   createRefusalTracker,
 } from "../scheduling/mod.ts";
-import type { RefusalTracker } from "../scheduling/mod.ts";
 import { createTrafficCounters, startTrafficLog } from "../traffic/mod.ts";
 import { PROMPT_PART_TOPICS } from "../wire/mod.ts";
 import type {
@@ -45,6 +44,7 @@
   createFleetNotice,
   describeFleetContent,
 } from "./create_fleet_notice.ts";
+import { createPerService } from "./create_per_service.ts";
 import { startDirectoryExchange } from "./directory_exchange.ts";
 import { createEndConfirmation } from "./end_confirmation.ts";
 import type { ReadStartTime } from "./end_confirmation.ts";
@@ -139,30 +139,13 @@
       mesh.hasMemberList() ? 0 : UNKNOWN_ENTRY_COUNT,
     );
   const connections = createEndpointConnections(registry);
-  const retryBudgets = new Map<string, RetryBudget>();
-
-  function getRetryBudget(service: string): RetryBudget {
-    const found = retryBudgets.get(service);
-    if (found !== undefined) return found;
-    const created = createRetryBudget(nowMs, {
+  const getRetryBudget = createPerService(() =>
+    createRetryBudget(nowMs, {
       retryRatio: settings.bounds.budgetRatio * BUDGET_SHARE,
       getMinimum: () =>
         (settings.bounds.budgetExtra * BUDGET_SHARE) / countEntries(),
-    });
-    retryBudgets.set(service, created);
-    return created;
-  }
-
-  const refusalTrackers = new Map<string, RefusalTracker>();
-
-  function getRefusalTracker(service: string): RefusalTracker {
-    const found = refusalTrackers.get(service);
-    if (found !== undefined) return found;
-    const created = createRefusalTracker(nowMs);
-    refusalTrackers.set(service, created);
-    return created;
-  }
-
+    }),
+  );
   const quarantine = createQuarantine({
     wallMs: Date.now,
     crashesToQuarantine: CRASHES_TO_QUARANTINE,
@@ -261,7 +244,8 @@
     quarantine,
     sendCrashNotice: (notice) => sendToEntries(notice),
     promptPartQuarantine,
-    getRefusalTracker,
+    getQueueMix: createPerService(() => createQueueMix(nowMs)),
+    getRefusalTracker: createPerService(() => createRefusalTracker(nowMs)),
     getRetryBudget,
     countEntries,
     attemptsByAddress: new Map(),
--- a/src/gateway/testing/mod.ts
+++ b/src/gateway/testing/mod.ts
@@ -13,6 +13,7 @@
   SILENT_LOGGER,
 } from "../../directory/testing/mod.ts";
 import type {
+  AccountRecord,
   CallRoute,
   CallService,
   EndpointRecord,
@@ -30,6 +31,7 @@
   createCandidates,
   createEndpointHealth,
   createEndpointLoads,
+  createQueueMix,
   createRefusalTracker,
 } from "../../scheduling/mod.ts";
 import type { HeaderCodec } from "../call.ts";
@@ -97,6 +99,9 @@
     ...(options.lastEventId === undefined
       ? []
       : ["x-last", options.lastEventId]),
+    ...(options.priority === undefined
+      ? []
+      : ["x-priority", String(options.priority)]),
     ...["x-attempt", "a1"],
   ],
   readResponseHeaders: (headers) => ({
@@ -130,6 +135,7 @@
   })[];
   readonly route?: Partial<CallRoute>;
   readonly service?: Partial<CallService>;
+  readonly accounts?: readonly AccountRecord[];
   readonly retries?: number;
   readonly storeOutage?: () => OutageSpan | undefined;
   /** Limit of all bodies of requests, and of all bodies of responses. */
@@ -155,6 +161,7 @@
         config: createConfig({
           routes: [createRoute(options.route)],
           services: [createService(options.service)],
+          ...(options.accounts && { accounts: options.accounts }),
         }),
       },
       ...options.endpoints.map((endpoint, index) =>
@@ -164,6 +171,7 @@
     { revision: 1 },
   );
   directory.confirm(clock.nowMs());
+  const queueMix = createQueueMix(nowMs);
   const refusalTracker = createRefusalTracker(nowMs);
   const rateLimits = createRateLimits({
     nowMs,
@@ -243,6 +251,7 @@
       schedule: (handle, delayMs) => void setTimeout(handle, delayMs),
       logger: SILENT_LOGGER,
     }),
+    getQueueMix: () => queueMix,
     getRefusalTracker: () => refusalTracker,
     getRetryBudget: () =>
       createRetryBudget(nowMs, { getMinimum: () => options.retries ?? 10 }),
--- a/src/scheduling/admit_by_wait.ts
+++ b/src/scheduling/admit_by_wait.ts
@@ -35,7 +35,7 @@
 
 export interface WaitOptions {
   readonly engine: EngineProfile;
-  /** Of the endpoint with the forecast. */
+  /** Ahead of the request at the endpoint with the forecast. */
   readonly load: EndpointLoad;
   readonly forecastMs: number;
   readonly promptTokens: number;
--- a/src/scheduling/choose_endpoint.ts
+++ b/src/scheduling/choose_endpoint.ts
@@ -1,8 +1,16 @@
 /** Chooses the endpoint for a request, or gives the reason for having none. */
 
-import type { CallService, ListedEndpoint } from "../directory/mod.ts";
+import type {
+  CallService,
+  EngineProfile,
+  ListedEndpoint,
+} from "../directory/mod.ts";
 import { mayWait } from "./admit_by_wait.ts";
 import type { EndpointLoad } from "./endpoint_loads.ts";
+import {
+  estimateLoadAhead,
+  forecastByUrgencyMs,
+} from "./forecast_by_urgency.ts";
 import { forecastFirstEventMs } from "./forecast_first_event.ts";
 import { startsInTime } from "./weight_versions.ts";
 
@@ -47,15 +55,27 @@
   readonly timeToObjectiveMs: number;
   /** Time left until the caller stops waiting. */
   readonly timeLeftMs: number;
+  /** Absent if the service has a single urgency. */
+  readonly order?: RequestOrder | undefined;
   /** In [0, 1). */
   readonly random: () => number;
 }
 
+/** The place of a request in the endpoints' queues. */
+export interface RequestOrder {
+  /** Sent as `Request-Priority`. */
+  readonly priority: number;
+  /** Share of a queue that an endpoint admits before the request. */
+  readonly shareAhead: number;
+}
+
 export type Choice =
   | {
       readonly type: "send";
       readonly view: EndpointView;
       readonly forecastMs: number;
+      /** As in the order of the options. */
+      readonly priority?: number | undefined;
       /** A better endpoint, for which this entry has no permit. */
       readonly withheld?: EndpointView | undefined;
     }
@@ -161,15 +181,28 @@
   const isBetterWithheld = (withheld?.costMs ?? Infinity) < best.costMs;
   const result = { withheld: isBetterWithheld ? withheld?.view : undefined };
   const { engine } = options.service;
-  const { view, forecastMs } = best;
-  const { load } = view;
-  if (
-    engine !== undefined &&
-    !mayWait({ ...options, engine, load, forecastMs })
-  ) {
+  const { view } = best;
+  const priority = options.order?.priority;
+  if (engine === undefined) {
+    const { forecastMs } = best;
+    return { ...result, type: "send", view, forecastMs, priority };
+  }
+  const { load, forecastMs } = findWaitAhead(best, engine, options);
+  if (!mayWait({ ...options, engine, load, forecastMs })) {
     return { ...noEndpoint, ...result, reason: "too_busy", forecastMs };
   }
-  return { ...result, type: "send", view, forecastMs };
+  return { ...result, type: "send", view, forecastMs, priority };
+}
+
+/** A request waits only for what the endpoint admits before it. */
+function findWaitAhead(
+  { view, forecastMs }: CostedView,
+  engine: EngineProfile,
+  { order, promptTokens }: ChoiceOptions,
+) {
+  if (order === undefined) return { load: view.load, forecastMs };
+  const load = estimateLoadAhead(engine, view.load, order.shareAhead);
+  return { load, forecastMs: forecastByUrgencyMs(engine, load, promptTokens) };
 }
 
 function findCheapest(
--- a/src/scheduling/choose_endpoint_test.ts
+++ b/src/scheduling/choose_endpoint_test.ts
@@ -212,3 +212,28 @@
     minRetryAfterMs: 250,
   });
 });
+
+function chooseInOrder(shareAhead: number, timeToObjectiveMs: number) {
+  const load = {
+    report: undefined,
+    requests: ENGINE.slots + 8,
+    unreadTokens: 8 * ENGINE.usualPromptTokens,
+    roundTripMs: 0,
+  };
+  return chooseEndpoint([view("full", { load })], {
+    service: SERVICE,
+    promptTokens: 787,
+    timeToObjectiveMs,
+    timeLeftMs: 6_000,
+    order: { priority: 0, shareAhead },
+    random: () => 0,
+  });
+}
+
+// Guards against urgent requests that are refused because of less urgent ones,
+// which the endpoint would admit after them.
+test("a request is admitted by what the endpoint admits before it", () => {
+  expect(chooseInOrder(0.05, 402)).toMatchObject({ type: "send", priority: 0 });
+  expect(chooseInOrder(0.9, 402)).toMatchObject({ reason: "too_busy" });
+  expect(chooseInOrder(1, 1_002)).toMatchObject({ reason: "too_busy" });
+});
--- a/src/scheduling/mod.ts
+++ b/src/scheduling/mod.ts
@@ -7,12 +7,19 @@
 export { createCandidates, MAX_WEIGHED } from "./candidates.ts";
 export type { Candidates } from "./candidates.ts";
 export { chooseEndpoint } from "./choose_endpoint.ts";
-export type { Choice, ChoiceOptions, EndpointView } from "./choose_endpoint.ts";
+export type {
+  Choice,
+  ChoiceOptions,
+  EndpointView,
+  RequestOrder,
+} from "./choose_endpoint.ts";
 export { createEndpointHealth } from "./endpoint_health.ts";
 export type { EndpointHealth } from "./endpoint_health.ts";
 export { createEndpointLoads } from "./endpoint_loads.ts";
 export type { EndpointLoad, EndpointLoads } from "./endpoint_loads.ts";
 export { computePassMs, forecastFirstEventMs } from "./forecast_first_event.ts";
+export { createQueueMix } from "./queue_mix.ts";
+export type { QueueMix } from "./queue_mix.ts";
 export { createRefusalTracker } from "./refusal_tracker.ts";
 export type { RefusalTracker } from "./refusal_tracker.ts";
 export {
@@ -21,7 +28,7 @@
   spreadDelay,
 } from "./return_delay.ts";
 export type { ReturnDelay } from "./return_delay.ts";
-export { createUrgencyRanks } from "./urgency.ts";
+export { computeRequestPriority, createUrgencyRanks } from "./urgency.ts";
 export type { Urgency, UrgencyRanks } from "./urgency.ts";
 export {
   ABORT_DELAY_MS,
--- a/src/scheduling/urgency.ts
+++ b/src/scheduling/urgency.ts
@@ -26,6 +26,9 @@
   ): Urgency;
 }
 
+/** Values of `Request-Priority`, from 0, the first. */
+export const PRIORITY_LEVELS = 10;
+
 const SINGLE_RANK: Urgency = { rank: 0, rankCount: 1 };
 
 interface PriorityPair {
@@ -76,6 +79,27 @@
   };
 }
 
+/**
+ * The `Request-Priority` of a request; undefined if the service has a single
+ * rank. Ranks are kept apart first. The levels that are left separate late
+ * requests from those on time, for the least urgent ranks first, since most late
+ * requests are theirs: with six ranks the values are 0, 1, 2 or 3, 4 or 5, 6 or
+ * 7, 8 or 9. With more ranks than levels, neighbouring ranks share one.
+ */
+export function computeRequestPriority(
+  { rank, rankCount }: Urgency,
+  isLate: boolean,
+): number | undefined {
+  if (rankCount <= 1) return undefined;
+  if (rankCount > PRIORITY_LEVELS) {
+    return Math.floor((rank * PRIORITY_LEVELS) / rankCount);
+  }
+  const firstSplitRank = Math.max(0, 2 * rankCount - PRIORITY_LEVELS);
+  const splitBefore = Math.max(0, rank - firstSplitRank);
+  const lateStep = isLate && rank >= firstSplitRank ? 1 : 0;
+  return rank + splitBefore + lateStep;
+}
+
 function createPair(
   route: Pick<CallRoute, "priority">,
   account: Pick<AccountRecord, "priority"> | undefined,
--- a/src/scheduling/urgency_test.ts
+++ b/src/scheduling/urgency_test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from "@jest/globals";
 import { createRoute } from "../directory/testing/mod.ts";
-import { createUrgencyRanks } from "./urgency.ts";
+import { computeRequestPriority, createUrgencyRanks } from "./urgency.ts";
 
 function createAccount(priority: number | undefined) {
   return { name: `a${priority}`, apiKeys: [], allowedRegions: [], priority };
@@ -50,3 +50,32 @@
   expect(ranks.find("unknown", urgent, undefined)).toEqual(single);
   expect(ranks.find(service, usual, undefined)).toEqual(single);
 });
+
+function listPriorities(rankCount: number) {
+  return Array.from({ length: rankCount }, (_, rank) =>
+    [false, true].map((isLate) =>
+      computeRequestPriority({ rank, rankCount }, isLate),
+    ),
+  );
+}
+
+test("requests of a service with a single rank have no priority of their own", () => {
+  expect(listPriorities(1)).toEqual([[undefined, undefined]]);
+});
+
+// Guards against late requests that are admitted before more urgent ones.
+test("the priority separates ranks first and then late requests", () => {
+  expect(listPriorities(3).flat()).toEqual([0, 1, 2, 3, 4, 5]);
+  expect(listPriorities(6).flat()).toEqual([
+    0, 0, 1, 1, 2, 3, 4, 5, 6, 7, 8, 9,
+  ]);
+  expect(listPriorities(9).flat()).toEqual(
+    [0, 1, 2, 3, 4, 5, 6, 7].flatMap((value) => [value, value]).concat([8, 9]),
+  );
+});
+
+test.each([10, 11, 40])("%d ranks stay in order within ten levels", (count) => {
+  const values = listPriorities(count).map(([onTime]) => onTime!);
+  expect(values).toEqual([...values].sort((a, b) => a - b));
+  expect([values[0], values.at(-1)]).toEqual([0, 9]);
+});
