--- a/src/scheduling/admit_by_wait_test.ts
+++ b/src/scheduling/admit_by_wait_test.ts
@@ -2,18 +2,10 @@
 import { ENGINE } from "../directory/testing/mod.ts";
 import { mayWait } from "./admit_by_wait.ts";
 import { forecastFirstEventMs } from "./mod.ts";
+import { createRandom } from "./testing/create_random.ts";
 import { createReport } from "./testing/load_report.ts";
 import { simulateEngines } from "./testing/simulate_engines.ts";
 
-/** Numbers in [0, 1) from a linear congruential generator. */
-function createRandom(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (state * 1_664_525 + 1_013_904_223) >>> 0;
-    return state / 2 ** 32;
-  };
-}
-
 const loads = [45, 75, 105].flatMap((requestsPerS) =>
   [1, 1.5, 2, 4].map((slowdown) => ({
     requestsPerS: requestsPerS / slowdown,
