Measure the decisions under load on simulated time

No measurement of the project runs the decisions of src/scheduling/ under a burst without starting a fleet of processes, so a change of a rule could be judged by single runs of minutes only.

--- /dev/null
+++ b/bench/load/current_policy.ts
@@ -0,0 +1,172 @@
+/**
+ * The decisions of `src/scheduling/` as the gateway combines them. Only this
+ * module of the benchmark depends on their interfaces.
+ */
+
+import type { CallService } from "../../src/directory/mod.ts";
+import {
+  chooseEndpoint,
+  createCandidates,
+  createEndpointHealth,
+  createEndpointLoads,
+  createRefusalTracker,
+  createUrgencyRanks,
+  DEFAULT_RETRY_DELAY_MS,
+  spreadDelay,
+} from "../../src/scheduling/mod.ts";
+import type { EndpointView } from "../../src/scheduling/mod.ts";
+import type { RouteFigures } from "./deployments.ts";
+import { computeDistance } from "./entry_policy.ts";
+import type {
+  EntryPolicy,
+  EntryPolicyOptions,
+  PendingRequest,
+} from "./entry_policy.ts";
+import {
+  createEndpointId,
+  createRoute,
+  createServices,
+  listEndpoint,
+  MODEL_NAME,
+} from "./published_state.ts";
+
+const DISTANCES = ["data_centre", "region", "other_region"] as const;
+
+export function createCurrentPolicy(options: EntryPolicyOptions): EntryPolicy {
+  const { deployment, nowMs, random, endpoints } = options;
+  const services = createServices(deployment);
+  const routes = new Map(
+    deployment.routes.map((route) => [route.name, createRoute(route)]),
+  );
+  const ranks = createUrgencyRanks({ routes: [...routes.values()] });
+  const listed = endpoints.map(listEndpoint);
+  const known = new Map(
+    listed.map(({ id }, position) => [id, endpoints[position]!]),
+  );
+  const listedByService = {
+    model: listed.filter(({ service }) => service === "model"),
+    plain: listed.filter(({ service }) => service === "plain"),
+  };
+  const loads = createEndpointLoads(nowMs);
+  const health = createEndpointHealth(nowMs);
+  const trackers = {
+    model: createRefusalTracker(nowMs),
+    plain: createRefusalTracker(nowMs),
+  };
+  const candidates = createCandidates({
+    nowMs,
+    random,
+    dataCentre: `dc-${options.dataCentre}`,
+    listEndpoints: (service) =>
+      listedByService[service as RouteFigures["service"]],
+    isInContact: ({ address }) => loads.isReported(address),
+    isInReserve: ({ id }) => options.isReachable(known.get(id)!.index),
+  });
+
+  function findUrgency({ name, service }: RouteFigures) {
+    return ranks.find(service, routes.get(name)!, undefined);
+  }
+
+  function listViews(
+    service: CallService,
+    { route, triedEndpoints }: PendingRequest,
+  ): readonly EndpointView[] {
+    const usualPromptTokens = service.engine?.usualPromptTokens ?? 0;
+    const urgency = findUrgency(route).rank;
+    return candidates.list(service).map((endpoint) => {
+      const { index, dataCentre } = known.get(endpoint.id)!;
+      const load = loads.read(endpoint.address, { usualPromptTokens, urgency });
+      const isModel = service.engine !== undefined;
+      return {
+        endpoint,
+        load,
+        isAllowed:
+          !triedEndpoints.has(index) &&
+          (!isModel || load.report?.phase !== "loading"),
+        isLeaving: false,
+        pausedMs: 0,
+        isInBackoff: health.isInBackoff(endpoint.id),
+        hasColdCapacity: options.hasColdCapacity(index),
+        requestLimitPerS: Infinity,
+        hasPermit: true,
+        failureRate: health.failureRate(endpoint.id),
+        distance:
+          DISTANCES[
+            computeDistance(deployment, options.dataCentre, dataCentre)
+          ],
+        model: isModel ? MODEL_NAME : undefined,
+        weightVersion: isModel ? 1 : undefined,
+        startWindowMs: Infinity,
+      };
+    });
+  }
+
+  function drawDelayMs(retryAfterMs: number): number {
+    const delay = spreadDelay(retryAfterMs);
+    return Math.round(delay.retryAfterMs + delay.spreadMs * random());
+  }
+
+  return {
+    onReport({ endpoint, isOpen, running, waiting, slowdown }) {
+      loads.onReport({
+        topic: "endpoint_load",
+        address: createEndpointId(endpoint),
+        phase: isOpen ? "warm" : "loading",
+        models: [{ name: MODEL_NAME, version: 1 }],
+        running,
+        waiting,
+        memoryUsedTokens: 0,
+        memoryTotalTokens: 0,
+        slowdown,
+      });
+    },
+    decide(request) {
+      const { route, promptTokens, deadlineMs, triedEndpoints } = request;
+      const service = services[route.service];
+      const tracker = trackers[route.service];
+      const timeLeftMs = deadlineMs - nowMs();
+      const elapsedMs = nowMs() - request.arrivedAtMs;
+      const choice = chooseEndpoint(listViews(service, request), {
+        service,
+        promptTokens,
+        timeToObjectiveMs:
+          triedEndpoints.size === 0
+            ? route.objectiveMs - elapsedMs
+            : timeLeftMs,
+        timeLeftMs,
+        random,
+      });
+      if (choice.type === "none") {
+        tracker.countRefused();
+        const retryAfterMs = drawDelayMs(
+          Math.max(choice.minRetryAfterMs ?? 0, tracker.computeRetryDelayMs()),
+        );
+        return { type: "refuse", retryAfterMs };
+      }
+      tracker.countAdmitted();
+      return {
+        type: "send",
+        endpoint: known.get(choice.view.endpoint.id)!.index,
+      };
+    },
+    onSend({ route, promptTokens }, endpoint) {
+      const id = createEndpointId(endpoint);
+      const tracked = loads.trackRequest(id, {
+        promptTokens,
+        urgency: findUrgency(route).rank,
+      });
+      return {
+        onHead: () => tracked.markStarted(),
+        onEnd(isServed) {
+          tracked.end();
+          if (isServed) health.onSuccess(id);
+        },
+        onNotRun() {
+          tracked.markStarted();
+          tracked.end();
+        },
+      };
+    },
+    drawRetryDelayMs: () => drawDelayMs(DEFAULT_RETRY_DELAY_MS),
+  };
+}
