--- a/bench/load/endpoints.ts
+++ b/bench/load/endpoints.ts
@@ -10,7 +10,7 @@
 import type { KnownEndpoint, LoadStatement } from "./entry_policy.ts";
 import type { EventQueue } from "./event_queue.ts";
 import { createPlainModel } from "./plain_model.ts";
-import { COLD_OVERAGE, COLD_SLACK } from "./published_state.ts";
+import { computeColdLimitPerS, listEndpoint } from "./published_state.ts";
 
 /** Factor of an endpoint's times as it starts; falls to 1 while it is cold. */
 const START_SLOWDOWN = 3;
@@ -63,7 +63,7 @@
 function createEndpoint(options: EndpointOptions): SimulatedEndpoint {
   const { index, service, deployment, queue } = options;
   const { nowMs } = queue;
-  const coldLimit = deployment.coldRequestsPerS * COLD_OVERAGE + COLD_SLACK;
+  const coldLimit = computeColdLimitPerS(deployment);
   const handlers: (() => void)[] = [];
   let isOpen = true;
   let coldUntilMs = -Infinity;
@@ -104,11 +104,13 @@
   const model = engine ?? createPlainModel(deployment.plain, modelOptions);
   const { slots } = service === "model" ? deployment.engine : deployment.plain;
 
+  const dataCentre = index % deployment.dataCentres;
   return {
     index,
     service,
-    dataCentre: index % deployment.dataCentres,
+    dataCentre,
     slots,
+    listed: listEndpoint({ index, service, dataCentre, slots }),
     model,
     engine,
     isOpen: () => isOpen,
--- a/bench/load/entry_policy.ts
+++ b/bench/load/entry_policy.ts
@@ -1,5 +1,6 @@
 /** What an entry asks of the policy that is measured. */
 
+import type { ListedEndpoint } from "../../src/directory/mod.ts";
 import type { Random } from "../random.ts";
 import type { Deployment, RouteFigures } from "./deployments.ts";
 
@@ -26,6 +27,8 @@
   readonly service: RouteFigures["service"];
   readonly dataCentre: number;
   readonly slots: number;
+  /** As the platform lists it; the id contains the index. */
+  readonly listed: ListedEndpoint;
 }
 
 /** A request as an entry sees it. */
--- a/bench/load/upper_bound.ts
+++ b/bench/load/upper_bound.ts
@@ -19,6 +19,9 @@
 /** Between the events of a request, with all slots in use and prompts read. */
 const EVENT_INTERVAL_MS = 110;
 
+/** Of one scheduler. */
+const MAX_ENDPOINTS = 128;
+
 interface HeldRequest {
   readonly visit: Visit;
   readonly endsInTimeAtMs: number;
@@ -37,7 +40,39 @@
   readonly isRunning: () => boolean;
 }
 
+/**
+ * Large fleets are divided among several schedulers, which take calls in turn:
+ * one costs a time that grows with the square of the fleet, and gains little
+ * from more endpoints.
+ */
 export function createUpperBound(options: UpperBoundOptions) {
+  const { endpoints } = options;
+  const count = Math.ceil(endpoints.length / MAX_ENDPOINTS);
+  const schedulers = Array.from({ length: count }, (_, part) =>
+    createScheduler({
+      ...options,
+      endpoints: selectPart(endpoints, part, count),
+    }),
+  );
+  let calls = 0;
+  return {
+    handle(visit: Visit) {
+      schedulers[calls % count]!.handle(visit);
+      calls += 1;
+    },
+  };
+}
+
+/** Every part has its share of the plain endpoints, which are listed last. */
+function selectPart(
+  endpoints: readonly SimulatedEndpoint[],
+  part: number,
+  count: number,
+) {
+  return endpoints.filter((_, index) => index % count === part);
+}
+
+function createScheduler(options: UpperBoundOptions) {
   const { queue, endpoints, isRunning } = options;
   const { nowMs } = queue;
   const plains = endpoints.filter(({ service }) => service === "plain");
