Measure requests ordered by urgency

src/scheduling/ now gives a request its Request-Priority and forecasts its wait by the share of the queue that is admitted before it; the benchmark passes both on.

--- a/bench/load/current_policy.ts
+++ b/bench/load/current_policy.ts
@@ -6,15 +6,17 @@
 import type { CallService } from "../../src/directory/mod.ts";
 import {
   chooseEndpoint,
+  computeRequestPriority,
   createCandidates,
   createEndpointHealth,
   createEndpointLoads,
+  createQueueMix,
   createRefusalTracker,
   createUrgencyRanks,
   DEFAULT_RETRY_DELAY_MS,
   spreadDelay,
 } from "../../src/scheduling/mod.ts";
-import type { EndpointView } from "../../src/scheduling/mod.ts";
+import type { EndpointView, RequestOrder } from "../../src/scheduling/mod.ts";
 import type { RouteFigures } from "./deployments.ts";
 import { computeDistance } from "./entry_policy.ts";
 import type {
@@ -50,6 +52,10 @@
     model: createRefusalTracker(nowMs),
     plain: createRefusalTracker(nowMs),
   };
+  const queueMixes = {
+    model: createQueueMix(nowMs),
+    plain: createQueueMix(nowMs),
+  };
   const candidates = createCandidates({
     nowMs,
     random,
@@ -64,6 +70,13 @@
     return ranks.find(service, routes.get(name)!, undefined);
   }
 
+  function findOrder(route: RouteFigures): RequestOrder | undefined {
+    const priority = computeRequestPriority(findUrgency(route), false);
+    if (priority === undefined) return undefined;
+    const shareAhead = queueMixes[route.service].readShareAhead(priority);
+    return { priority, shareAhead };
+  }
+
   function listViews(
     service: CallService,
     { route, triedEndpoints }: PendingRequest,
@@ -131,6 +144,7 @@
             ? route.objectiveMs - elapsedMs
             : timeLeftMs,
         timeLeftMs,
+        order: findOrder(route),
         random,
       });
       if (choice.type === "none") {
@@ -144,23 +158,33 @@
       return {
         type: "send",
         endpoint: readEndpointIndex(choice.view.endpoint.id),
+        priority: choice.priority,
       };
     },
-    onSend({ route, promptTokens }, endpoint) {
+    onSend({ route, promptTokens }, { endpoint, priority }) {
       const id = createEndpointId(endpoint);
       const tracked = loads.trackRequest(id, {
         promptTokens,
         urgency: findUrgency(route).rank,
       });
+      const stopWaiting =
+        priority === undefined
+          ? undefined
+          : queueMixes[route.service].track(priority);
       return {
-        onHead: () => tracked.markStarted(),
+        onHead() {
+          tracked.markStarted();
+          stopWaiting?.();
+        },
         onEnd(isServed) {
           tracked.end();
+          stopWaiting?.();
           if (isServed) health.onSuccess(id);
         },
         onNotRun() {
           tracked.markStarted();
           tracked.end();
+          stopWaiting?.();
         },
       };
     },
--- a/bench/load/entry.ts
+++ b/bench/load/entry.ts
@@ -7,7 +7,11 @@
 import type { Visit } from "./calls.ts";
 import type { EndpointRequest } from "./endpoint_model.ts";
 import type { EndpointOffer } from "./network.ts";
-import type { EntryPolicy, PendingRequest } from "./entry_policy.ts";
+import type {
+  EntryPolicy,
+  PendingRequest,
+  SendDecision,
+} from "./entry_policy.ts";
 import type { EventQueue } from "./event_queue.ts";
 
 /** As in the gateway. */
@@ -66,12 +70,8 @@
     }
   }
 
-  function send(
-    visit: Visit,
-    request: PendingRequest,
-    to: { readonly endpoint: number; readonly priority?: number | undefined },
-  ) {
-    const sent = policy.onSend(request, to.endpoint);
+  function send(visit: Visit, request: PendingRequest, to: SendDecision) {
+    const sent = policy.onSend(request, to);
     options.countSent(to.endpoint);
     let firstEventAtMs = 0;
     const { promptTokens, events, workMs } = visit.request;
--- a/bench/load/entry_policy.ts
+++ b/bench/load/entry_policy.ts
@@ -41,13 +41,15 @@
   readonly triedEndpoints: ReadonlySet<number>;
 }
 
+export interface SendDecision {
+  readonly type: "send";
+  readonly endpoint: number;
+  /** The request header; absent without an urgency. */
+  readonly priority?: number | undefined;
+}
+
 export type Decision =
-  | {
-      readonly type: "send";
-      readonly endpoint: number;
-      /** The request header; absent without an urgency. */
-      readonly priority?: number | undefined;
-    }
+  | SendDecision
   /** The entry holds the request and asks again, until this time. */
   | { readonly type: "hold"; readonly untilMs: number }
   | { readonly type: "refuse"; readonly retryAfterMs: number };
@@ -62,7 +64,7 @@
 export interface EntryPolicy {
   onReport(report: LoadReport): void;
   decide(request: PendingRequest): Decision;
-  onSend(request: PendingRequest, endpoint: number): SentRequest;
+  onSend(request: PendingRequest, to: SendDecision): SentRequest;
   /** For a request that endpoints have refused and that is not sent again. */
   drawRetryDelayMs(): number;
 }
--- a/bench/load/former_policy.ts
+++ b/bench/load/former_policy.ts
@@ -182,7 +182,7 @@
       );
       return { type: "refuse", retryAfterMs };
     },
-    onSend({ promptTokens }, endpoint) {
+    onSend({ promptTokens }, { endpoint }) {
       const { own } = records.get(endpoint)!;
       const request = { sentAtMs: nowMs(), promptTokens, hasStarted: false };
       own.add(request);
