--- a/src/scheduling/queued_request.ts
+++ b/src/scheduling/queued_request.ts
@@ -9,6 +9,11 @@
 
 /** Urgent requests that arrive later are admitted first. */
 const MAX_WAIT_TO_FORECAST = 4;
+/**
+ * A full queue of an engine takes about 3 s. Less urgent requests wait this long
+ * behind a burst that no forecast could include.
+ */
+const MIN_WAIT_LIMIT_MS = 3_000;
 
 export interface WaitingRequest {
   /** Current load of the request's endpoint. */
@@ -26,5 +31,9 @@
   forecastMs,
 }: WaitingRequest): boolean {
   if (report === undefined || report.phase !== "warm") return false;
-  return report.waiting > 0 && waitedMs <= forecastMs * MAX_WAIT_TO_FORECAST;
+  const limitMs = Math.max(
+    MIN_WAIT_LIMIT_MS,
+    forecastMs * MAX_WAIT_TO_FORECAST,
+  );
+  return report.waiting > 0 && waitedMs <= limitMs;
 }
