Estimate loads between reports, and compare few endpoints for each request

Requests of other entries are expected to approach the mean of all endpoints while nothing is heard. Each request is compared at four near and two far endpoints, with a load drawn from its spread.

--- a/src/scheduling/admit_by_wait.ts
+++ b/src/scheduling/admit_by_wait.ts
@@ -11,6 +11,7 @@
  */
 
 import type { EngineProfile } from "../directory/mod.ts";
+import { NO_LOAD } from "./endpoint_loads.ts";
 import type { EndpointLoad } from "./endpoint_loads.ts";
 import { forecastFirstEventMs } from "./forecast_first_event.ts";
 
@@ -24,14 +25,7 @@
  * Less than all, as a late request is worth less to its caller than the smaller
  * ones that could have the endpoint's time.
  */
-const LATE_WAIT_SHARE = 0.75;
-
-const IDLE: EndpointLoad = {
-  report: undefined,
-  requests: 0,
-  unreadTokens: 0,
-  roundTripMs: 0,
-};
+const LATE_WAIT_SHARE = 0.9;
 
 export interface WaitOptions {
   readonly engine: EngineProfile;
@@ -50,10 +44,19 @@
   const onTimeMs = computeMaxForecastMs(options.timeToObjectiveMs);
   if (forecastMs <= onTimeMs) return true;
   if (forecastMs > computeMaxForecastMs(options.timeLeftMs)) return false;
-  const unloaded = { ...load, requests: 0, unreadTokens: 0 };
+  const unloaded = {
+    ...load,
+    requests: 0,
+    requestsAhead: 0,
+    unreadTokens: 0,
+  };
   const waitMs =
     forecastMs - forecastFirstEventMs(engine, unloaded, promptTokens);
-  const usualMs = forecastFirstEventMs(engine, IDLE, engine.usualPromptTokens);
+  const usualMs = forecastFirstEventMs(
+    engine,
+    NO_LOAD,
+    engine.usualPromptTokens,
+  );
   return waitMs <= Math.max(0, onTimeMs - usualMs) * LATE_WAIT_SHARE;
 }
 
--- a/src/scheduling/candidates.ts
+++ b/src/scheduling/candidates.ts
@@ -5,6 +5,7 @@
  */
 
 import type { CallService, ListedEndpoint } from "../directory/mod.ts";
+import { sample } from "./sample.ts";
 
 /** With more endpoints a random sample is weighed for each call. */
 export const MAX_WEIGHED = 64;
@@ -90,20 +91,3 @@
     },
   };
 }
-
-/** A random selection without repetition (partial Fisher-Yates shuffle). */
-function sample<T>(
-  items: readonly T[],
-  count: number,
-  random: () => number,
-): readonly T[] {
-  if (items.length <= count) return items;
-  const shuffled = [...items];
-  return Array.from({ length: count }, (_, index) => {
-    const other = index + Math.floor(random() * (shuffled.length - index));
-    const item = shuffled[other]!;
-    shuffled[other] = shuffled[index]!;
-    shuffled[index] = item;
-    return item;
-  });
-}
--- a/src/scheduling/choose_endpoint.ts
+++ b/src/scheduling/choose_endpoint.ts
@@ -3,6 +3,7 @@
 import type { CallService, ListedEndpoint } from "../directory/mod.ts";
 import { mayWait } from "./admit_by_wait.ts";
 import type { EndpointLoad } from "./endpoint_loads.ts";
+import { findCheapest } from "./find_cheapest.ts";
 import { forecastFirstEventMs } from "./forecast_first_event.ts";
 import { startsInTime } from "./weight_versions.ts";
 
@@ -79,32 +80,8 @@
       readonly withheld?: EndpointView | undefined;
     };
 
-/**
- * Cost of the network distance. Preferring near endpoints also makes entries
- * choose different ones, because they decide concurrently and see each other's
- * requests only in reports. Lower than the cost of one more queued prompt, so
- * that load still spreads to distant endpoints.
- */
-const DISTANCE_COST_MS = {
-  data_centre: 0,
-  region: 12,
-  other_region: 25,
-} as const;
-/**
- * Added for an endpoint that fails every request: the delay that a failed
- * request costs its caller. A single failure shifts hardly any load.
- */
-const FAILURE_COST_MS = 400;
 /** Callers would not wait longer; the limit may have ended by then. */
 const MAX_PERMIT_INTERVAL_MS = 5_000;
-/** Cost of a plain endpoint whose slots are all in use. */
-const FULL_COST_MS = 200;
-
-interface CostedView {
-  readonly view: EndpointView;
-  readonly forecastMs: number;
-  readonly costMs: number;
-}
 
 export function chooseEndpoint(
   views: readonly EndpointView[],
@@ -172,18 +149,6 @@
   return { ...result, type: "send", view, forecastMs };
 }
 
-function findCheapest(
-  views: readonly EndpointView[],
-  options: ChoiceOptions,
-): CostedView | undefined {
-  return views
-    .map((view) => ({ view, ...estimateCost(view, options) }))
-    .reduce<CostedView | undefined>(
-      (a, b) => (a !== undefined && a.costMs <= b.costMs ? a : b),
-      undefined,
-    );
-}
-
 /** Time in which these endpoints take one request from all entries together. */
 function computePermitIntervalMs(views: readonly EndpointView[]): number {
   const perS = views.reduce((sum, view) => sum + view.requestLimitPerS, 0);
@@ -207,19 +172,3 @@
     models.reduce((most, { warmUpS }) => Math.max(most, warmUpS), 0) * 1_000
   );
 }
-
-function estimateCost(view: EndpointView, options: ChoiceOptions) {
-  const { service, promptTokens, random } = options;
-  const { engine } = service;
-  const { load, endpoint } = view;
-  const forecastMs =
-    engine === undefined
-      ? (load.requests / Math.max(1, endpoint.slots)) * FULL_COST_MS
-      : forecastFirstEventMs(engine, load, promptTokens);
-  const costMs =
-    forecastMs +
-    DISTANCE_COST_MS[view.distance] +
-    view.failureRate * FAILURE_COST_MS +
-    random();
-  return { forecastMs, costMs };
-}
--- a/src/scheduling/mod.ts
+++ b/src/scheduling/mod.ts
@@ -10,9 +10,18 @@
 export type { Choice, ChoiceOptions, EndpointView } from "./choose_endpoint.ts";
 export { createEndpointHealth } from "./endpoint_health.ts";
 export type { EndpointHealth } from "./endpoint_health.ts";
-export { createEndpointLoads } from "./endpoint_loads.ts";
-export type { EndpointLoad, EndpointLoads } from "./endpoint_loads.ts";
-export { computePassMs, forecastFirstEventMs } from "./forecast_first_event.ts";
+export { createEndpointLoads, NO_LOAD } from "./endpoint_loads.ts";
+export type {
+  EndpointLoad,
+  EndpointLoads,
+  LoadStatement,
+} from "./endpoint_loads.ts";
+export {
+  computePassMs,
+  forecastEndMs,
+  forecastFirstEventMs,
+} from "./forecast_first_event.ts";
+export type { RequestSize } from "./forecast_first_event.ts";
 export { createRefusalTracker } from "./refusal_tracker.ts";
 export type { RefusalTracker } from "./refusal_tracker.ts";
 export {
--- a/src/scheduling/testing/endpoint_view.ts
+++ b/src/scheduling/testing/endpoint_view.ts
@@ -2,6 +2,7 @@
 
 import { createEndpoint } from "../../directory/testing/mod.ts";
 import type { EndpointView } from "../choose_endpoint.ts";
+import { NO_LOAD } from "../endpoint_loads.ts";
 
 /** A usable endpoint of the own data centre, without load. */
 export function createEndpointView(
@@ -14,7 +15,7 @@
       firstSeenAtMs: 0,
       listedAtMs: 0,
     },
-    load: { report: undefined, requests: 0, unreadTokens: 0, roundTripMs: 0 },
+    load: NO_LOAD,
     isAllowed: true,
     isLeaving: false,
     pausedMs: 0,
--- a/src/scheduling/testing/load_report.ts
+++ b/src/scheduling/testing/load_report.ts
@@ -1,6 +1,8 @@
-/** Builder for the load reports that agents send to entries. */
+/** Builders for the load of endpoints and the reports that agents send. */
 
 import type { EndpointLoadNotice } from "../../wire/mod.ts";
+import { NO_LOAD } from "../endpoint_loads.ts";
+import type { EndpointLoad } from "../endpoint_loads.ts";
 
 export function createReport(
   fields: Partial<EndpointLoadNotice> = {},
@@ -18,3 +20,11 @@
     ...fields,
   };
 }
+
+/** The load that a request of the least urgent kind finds. */
+export function createLoad(
+  requests: number,
+  fields: Partial<EndpointLoad> = {},
+): EndpointLoad {
+  return { ...NO_LOAD, requests, requestsAhead: requests, ...fields };
+}
--- a/src/scheduling/testing/simulate_engines.ts
+++ b/src/scheduling/testing/simulate_engines.ts
@@ -8,7 +8,7 @@
 import type { EndpointView } from "../choose_endpoint.ts";
 import { computePassMs } from "../forecast_first_event.ts";
 import { createEndpointView } from "./endpoint_view.ts";
-import { createReport } from "./load_report.ts";
+import { createLoad, createReport } from "./load_report.ts";
 
 const ENGINES = 6;
 const MEAN_PROMPT_TOKENS = 1_290;
@@ -102,12 +102,11 @@
   }
 
   function viewEngine({ requests }: Engine, index: number): EndpointView {
-    const load = {
+    const load = createLoad(requests.length, {
       report: createReport({ slowdown }),
-      requests: requests.length,
       unreadTokens: requests.reduce((sum, r) => sum + r.unreadTokens, 0),
-      roundTripMs: 0,
-    };
+      slowdown,
+    });
     return createEndpointView(String(index), { load });
   }
 
