Use the load header of responses, with three or four figures

It was decoded and not used, and a fourth figure made it unreadable. It now counts as a statement on the endpoint's load beside the agent's report. Values out of range are counted, logged at most once a minute and ignored.

--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -2,7 +2,7 @@
 
 import type { AccountRecord, CallRoute } from "../directory/mod.ts";
 import type { HttpHeaders } from "../http/mod.ts";
-import type { Urgency } from "../scheduling/mod.ts";
+import type { LoadStatement, Urgency } from "../scheduling/mod.ts";
 
 /** Values read from the headers of a request. */
 export interface CallHeaders {
@@ -47,11 +47,10 @@
   readonly requestLimitPerS?: number | undefined;
   /** Id of the endpoint that responds, if it names itself. */
   readonly endpointId?: string | undefined;
-  readonly load?: {
-    readonly running: number;
-    readonly waiting: number;
-    readonly slots: number;
-  };
+  /** Load of the endpoint when it sent the response. */
+  readonly load?: LoadStatement;
+  /** True if it states a load that is out of range. */
+  readonly isLoadInvalid?: boolean;
   readonly weightVersion?: number;
 }
 
--- a/src/gateway/gateway_context.ts
+++ b/src/gateway/gateway_context.ts
@@ -1,7 +1,7 @@
 /** Dependencies and state of an entry that all calls share. */
 
 import type { AgeClock, Directory } from "../directory/mod.ts";
-import type { Logger } from "../logging/mod.ts";
+import type { InvalidValues, Logger } from "../logging/mod.ts";
 import type { LimitStatement, RetryBudget } from "../limits/mod.ts";
 import type { Registry } from "../metrics/mod.ts";
 import type { PromptPartQuarantine, Quarantine } from "../quarantine/mod.ts";
@@ -80,6 +80,8 @@
   readonly attemptsByAddress: Map<string, Set<Attempt>>;
   readonly versionDeadlines: VersionDeadlines;
   readonly traffic: TrafficCounters;
+  /** Counts what endpoints and callers state out of range. */
+  readonly invalidValues: InvalidValues;
   readonly registry: Registry;
   readonly logger: Logger;
   readonly nowMs: () => number;
--- a/src/gateway/list_endpoint_views.ts
+++ b/src/gateway/list_endpoint_views.ts
@@ -32,6 +32,7 @@
     const load = context.loads.read(endpoint.address, {
       usualPromptTokens,
       urgency: call.urgency.rank,
+      slots: endpoint.slots,
     });
     const served =
       service.engine && findServedModel(endpoint, load, call.headers.model);
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -33,6 +33,12 @@
 /** Beyond the deadline, at which the call ends. */
 const AFTER_DEADLINE_MS = 1_000;
 
+interface ResponseHead {
+  readonly status: number;
+  readonly headers: ResponseHeaders;
+  readonly sentAtMs: number;
+}
+
 export function sendAttempt(
   context: GatewayContext,
   options: PendingCall & {
@@ -126,6 +132,11 @@
       });
       withdrawUnsentIfPaused(context, endpoint);
       trackedRequest.markStarted();
+      noteLoad(context, endpoint, {
+        status,
+        headers: responseHeaders,
+        sentAtMs,
+      });
       headAtMs = context.nowMs();
       state.headMs = Math.round(context.nowMs() - sentAtMs);
     },
@@ -168,13 +179,8 @@
 function noteRequestLimit(
   context: GatewayContext,
   endpoint: EndpointView["endpoint"],
-  response: {
-    readonly status: number;
-    readonly headers: ResponseHeaders;
-    readonly sentAtMs: number;
-  },
+  { status, headers, sentAtMs }: ResponseHead,
 ) {
-  const { status, headers, sentAtMs } = response;
   const { requestLimitPerS: ratePerS } = headers;
   if (!isFrom(endpoint, status, headers)) return;
   if (ratePerS === undefined) {
@@ -189,6 +195,19 @@
   context.noteRequestLimit(endpoint, { ratePerS, sentAtMs, heardAtMs });
 }
 
+function noteLoad(
+  context: GatewayContext,
+  endpoint: EndpointView["endpoint"],
+  { status, headers, sentAtMs }: ResponseHead,
+) {
+  const { id, address } = endpoint;
+  if (headers.isLoadInvalid === true) {
+    context.invalidValues.note("load_header", { endpoint: id, address });
+  }
+  if (headers.load === undefined || !isFrom(endpoint, status, headers)) return;
+  context.loads.onResponse(address, headers.load, sentAtMs);
+}
+
 /** Connecting takes up to half a second, in which an endpoint may be paused. */
 function withdrawUnsentIfPaused(
   { availability, attemptsByAddress }: GatewayContext,
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -15,6 +15,7 @@
 import { listenAt } from "../http/mod.ts";
 import { createRetryBudget, createStatedLimits } from "../limits/mod.ts";
 import type { RetryBudget } from "../limits/mod.ts";
+import { createInvalidValues } from "../logging/mod.ts";
 import type { Logger } from "../logging/mod.ts";
 import { startMesh } from "../mesh/mod.ts";
 import type { Registry } from "../metrics/mod.ts";
@@ -267,6 +268,7 @@
     attemptsByAddress: new Map(),
     versionDeadlines: createVersionDeadlines(directory),
     traffic: createTrafficCounters(registry),
+    invalidValues: createInvalidValues({ nowMs, registry, logger }),
     registry,
     logger,
     nowMs,
--- a/src/gateway/testing/mod.ts
+++ b/src/gateway/testing/mod.ts
@@ -19,6 +19,7 @@
   OutageSpan,
 } from "../../directory/mod.ts";
 import { createRetryBudget, createStatedLimits } from "../../limits/mod.ts";
+import { createInvalidValues } from "../../logging/mod.ts";
 import { createRegistry } from "../../metrics/mod.ts";
 import { createTrafficCounters } from "../../traffic/mod.ts";
 import {
@@ -250,6 +251,11 @@
     attemptsByAddress: new Map(),
     versionDeadlines: createVersionDeadlines(directory),
     traffic: createTrafficCounters(registry),
+    invalidValues: createInvalidValues({
+      nowMs,
+      registry,
+      logger: SILENT_LOGGER,
+    }),
     registry,
     logger: SILENT_LOGGER,
     nowMs,
--- a/src/logging/mod.ts
+++ b/src/logging/mod.ts
@@ -4,6 +4,8 @@
 import { createBoundedOutput } from "./bounded_output.ts";
 
 export { createBoundedOutput } from "./bounded_output.ts";
+export { createInvalidValues } from "./invalid_values.ts";
+export type { InvalidValues } from "./invalid_values.ts";
 export type { LogOutput, LogSink } from "./bounded_output.ts";
 
 export type Logger = Pick<
