--- a/src/explain/explain_test.ts
+++ b/src/explain/explain_test.ts
@@ -69,11 +69,11 @@
 test("each reason of a refusal is explained here and on the operators' page", () => {
   const page = readFileSync("docs/OPERATIONS.md", "utf8");
   const sources = [
-    "caller_server",
-    "dispatch_call",
-    "end_call",
-    "choose_endpoint",
-  ].map((name) => readFileSync(`src/gateway/${name}.ts`, "utf8"));
+    "gateway/caller_server",
+    "gateway/dispatch_call",
+    "gateway/end_call",
+    "scheduling/choose_endpoint",
+  ].map((name) => readFileSync(`src/${name}.ts`, "utf8"));
   const used = sources.flatMap((text) =>
     [...text.matchAll(/reason: "([a-z_]+)"/g)].map((match) => match[1]!),
   );
