--- a/src/gateway/dispatch_call.ts
+++ b/src/gateway/dispatch_call.ts
@@ -7,8 +7,8 @@
 
 import type { CallService } from "../directory/mod.ts";
 import { createFingerprint } from "../quarantine/mod.ts";
-import { chooseEndpoint } from "../scheduling/mod.ts";
-import type { Choice } from "../scheduling/mod.ts";
+import { chooseEndpoint, computeRequestPriority } from "../scheduling/mod.ts";
+import type { Choice, RequestOrder } from "../scheduling/mod.ts";
 import type { Attempt, AttemptOutcome } from "./attempt.ts";
 import type { Call } from "./call.ts";
 import { createCallState } from "./call_state.ts";
@@ -208,18 +208,21 @@
   const timeToObjectiveMs = isUnsent
     ? call.route.objectiveMs - (now - call.receivedAtMs)
     : timeLeftMs;
+  const order = findOrder(context, call);
   const choice = chooseEndpoint(
     listEndpointViews(context, {
       call,
       service,
       triedEndpoints,
       weightVersion,
+      shareAhead: order?.shareAhead,
     }),
     {
       service,
       promptTokens: call.headers.promptTokens ?? 0,
       timeToObjectiveMs,
       timeLeftMs,
+      order,
       random: context.random,
     },
   );
@@ -228,3 +231,15 @@
   }
   return choice;
 }
+
+function findOrder(
+  { getQueueMix }: GatewayContext,
+  { urgency, service }: Call,
+): RequestOrder | undefined {
+  const priority = computeRequestPriority(urgency, false);
+  if (priority === undefined) return undefined;
+  return {
+    priority,
+    shareAhead: getQueueMix(service).readShareAhead(priority),
+  };
+}
--- a/src/gateway/end_call.ts
+++ b/src/gateway/end_call.ts
@@ -137,6 +137,7 @@
       slowdown: load.slowdown,
       promptTokens: call.headers.promptTokens,
       forecastMs: Math.round(choice.forecastMs),
+      priority: choice.priority,
       headMs: state.headMs,
       weightVersion,
       ...(Number.isFinite(startWindowMs) && {
@@ -172,6 +173,7 @@
       route: call.route.name,
       service: call.service,
       account: call.account?.name,
+      ...(call.urgency.rankCount > 1 && { urgency: call.urgency.rank }),
       ...details,
       elapsedMs: Math.round(context.nowMs() - call.receivedAtMs),
     },
--- a/src/gateway/list_endpoint_views.ts
+++ b/src/gateway/list_endpoint_views.ts
@@ -18,6 +18,8 @@
   readonly triedEndpoints: ReadonlySet<string>;
   /** Version that a resumed stream started with; it must not change. */
   readonly weightVersion: number | undefined;
+  /** Share of a queue that an endpoint admits before the call. */
+  readonly shareAhead?: number | undefined;
 }
 
 export function listEndpointViews(
@@ -33,6 +35,7 @@
       usualPromptTokens,
       urgency: call.urgency.rank,
       slots: endpoint.slots,
+      shareAhead: options.shareAhead,
     });
     const served =
       service.engine && findServedModel(endpoint, load, call.headers.model);
--- a/src/scheduling/admit_by_wait.ts
+++ b/src/scheduling/admit_by_wait.ts
@@ -29,7 +29,7 @@
 
 export interface WaitOptions {
   readonly engine: EngineProfile;
-  /** Of the endpoint with the forecast. */
+  /** Ahead of the request at the endpoint with the forecast. */
   readonly load: EndpointLoad;
   readonly forecastMs: number;
   readonly promptTokens: number;
--- a/src/scheduling/choose_endpoint.ts
+++ b/src/scheduling/choose_endpoint.ts
@@ -48,15 +48,27 @@
   readonly timeToObjectiveMs: number;
   /** Time left until the caller stops waiting. */
   readonly timeLeftMs: number;
+  /** Absent if the service has a single urgency. */
+  readonly order?: RequestOrder | undefined;
   /** In [0, 1). */
   readonly random: () => number;
 }
 
+/** The place of a request in the endpoints' queues. */
+export interface RequestOrder {
+  /** Sent as `Request-Priority`. */
+  readonly priority: number;
+  /** Share of a queue that an endpoint admits before the request. */
+  readonly shareAhead: number;
+}
+
 export type Choice =
   | {
       readonly type: "send";
       readonly view: EndpointView;
       readonly forecastMs: number;
+      /** As in the order of the options. */
+      readonly priority?: number | undefined;
       /** A better endpoint, for which this entry has no permit. */
       readonly withheld?: EndpointView | undefined;
     }
@@ -140,13 +152,14 @@
   const { engine } = options.service;
   const { view, forecastMs } = best;
   const { load } = view;
+  const priority = options.order?.priority;
   if (
     engine !== undefined &&
     !mayWait({ ...options, engine, load, forecastMs })
   ) {
     return { ...noEndpoint, ...result, reason: "too_busy", forecastMs };
   }
-  return { ...result, type: "send", view, forecastMs };
+  return { ...result, type: "send", view, forecastMs, priority };
 }
 
 /** Time in which these endpoints take one request from all entries together. */
--- a/src/scheduling/endpoint_loads.ts
+++ b/src/scheduling/endpoint_loads.ts
@@ -98,6 +98,11 @@
   readonly urgency: number;
   /** Requests that the endpoint runs at once. */
   readonly slots?: number;
+  /**
+   * Share of the waiting requests of other entries that are admitted first; by
+   * the requests that this entry has sent if it is absent.
+   */
+  readonly shareAhead?: number | undefined;
 }
 
 export type SentRequest = Pick<RequestRecord, "promptTokens" | "urgency">;
@@ -274,14 +279,16 @@
     others.count,
     Math.max(record.othersWaiting, waiting - own.unstarted),
   );
+  const shareAfter =
+    options.shareAhead === undefined ? shares.after : 1 - options.shareAhead;
   const passed = Math.min(
     waiting,
-    own.unstartedAfter + othersUnstarted * shares.after,
+    own.unstartedAfter + othersUnstarted * shareAfter,
   );
   const overtakingShare = OVERTAKING_PART * shares.before;
   const overtaking =
     ((waiting - passed) * overtakingShare) / (1 - overtakingShare);
-  const othersUnread = othersUnstarted * (1 - shares.after);
+  const othersUnread = othersUnstarted * (1 - shareAfter);
   return {
     requestsAhead: requests - passed + overtaking,
     unreadTokens:
--- a/src/scheduling/find_cheapest_test.ts
+++ b/src/scheduling/find_cheapest_test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, test } from "@jest/globals";
-import { createRandom } from "./testing/random.ts";
-import { simulateFleet } from "./testing/simulate_fleet.ts";
-import type { RequestKind, SimulatedCall } from "./testing/simulate_fleet.ts";
+import { createRandom } from "./testing/create_random.ts";
+import { simulateEntries } from "./testing/simulate_entries.ts";
+import type { RequestKind, SimulatedCall } from "./testing/simulate_entries.ts";
 
 /** Requests per second that 24 endpoints can serve, in three urgencies. */
 const KINDS: readonly RequestKind[] = [
@@ -24,7 +24,7 @@
 }) {
   const { load, ...fleet } = options;
   const factor = (load * fleet.endpoints) / 24;
-  return simulateFleet({
+  return simulateEntries({
     ...fleet,
     slots: 12,
     kinds: KINDS.map((kind) => ({ ...kind, perS: kind.perS * factor })),
--- a/src/scheduling/mod.ts
+++ b/src/scheduling/mod.ts
@@ -7,7 +7,12 @@
 export { createCandidates, MAX_WEIGHED } from "./candidates.ts";
 export type { Candidates } from "./candidates.ts";
 export { chooseEndpoint } from "./choose_endpoint.ts";
-export type { Choice, ChoiceOptions, EndpointView } from "./choose_endpoint.ts";
+export type {
+  Choice,
+  ChoiceOptions,
+  EndpointView,
+  RequestOrder,
+} from "./choose_endpoint.ts";
 export { createEndpointHealth } from "./endpoint_health.ts";
 export type { EndpointHealth } from "./endpoint_health.ts";
 export { createEndpointLoads, NO_LOAD } from "./endpoint_loads.ts";
@@ -22,6 +27,8 @@
   forecastFirstEventMs,
 } from "./forecast_first_event.ts";
 export type { RequestSize } from "./forecast_first_event.ts";
+export { createQueueMix } from "./queue_mix.ts";
+export type { QueueMix } from "./queue_mix.ts";
 export { createRefusalTracker } from "./refusal_tracker.ts";
 export type { RefusalTracker } from "./refusal_tracker.ts";
 export {
@@ -30,7 +37,7 @@
   spreadDelay,
 } from "./return_delay.ts";
 export type { ReturnDelay } from "./return_delay.ts";
-export { createUrgencyRanks } from "./urgency.ts";
+export { computeRequestPriority, createUrgencyRanks } from "./urgency.ts";
 export type { Urgency, UrgencyRanks } from "./urgency.ts";
 export {
   ABORT_DELAY_MS,
--- a/src/scheduling/testing/simulate_fleet.ts
+++ b/src/scheduling/testing/simulate_fleet.ts
@@ -1,232 +1,234 @@
 /**
- * Entries and model engines in simulated time. Each entry decides by itself, from
- * the reports and response heads that reach it.
+ * Engines, entries and callers in simulated time, for loads that exceed the
+ * capacity. Entries see their own requests and late reports only; engines admit
+ * by priority; callers that are refused come back once, at any entry.
  */
 
-import { createService, ENGINE } from "../../directory/testing/mod.ts";
+import { createService } from "../../directory/testing/mod.ts";
+import type { EngineProfile } from "../../directory/mod.ts";
 import { chooseEndpoint } from "../choose_endpoint.ts";
 import type { EndpointView } from "../choose_endpoint.ts";
 import { createEndpointLoads } from "../endpoint_loads.ts";
-import type { EndpointLoads } from "../endpoint_loads.ts";
+import type { TrackedRequest } from "../endpoint_loads.ts";
+import { createQueueMix } from "../queue_mix.ts";
+import { createRefusalTracker } from "../refusal_tracker.ts";
+import { computeRequestPriority } from "../urgency.ts";
 import { createEndpointView } from "./endpoint_view.ts";
+import { createEngine } from "./simulated_engine.ts";
+import type { EngineRequest } from "./simulated_engine.ts";
 import { createReport } from "./load_report.ts";
-import { createSimulatedEngine } from "./simulated_engine.ts";
-import type { SimulatedEngine } from "./simulated_engine.ts";
 
+const STEP_MS = 2;
+const LOCAL_REPORT_MS = 150;
+const REMOTE_REPORT_MS = 600;
 const DATA_CENTRES = 3;
-const REPORT_INTERVAL_MS = 150;
-/** Of the reports to other data centres, in readings. */
-const REMOTE_READINGS = 4;
-const TRANSIT_MS = { local: 4, remote: 10 } as const;
-/** Entries that an agent reports to, as in the mesh. */
-const MAX_PARTNERS = 32;
-const TIME_LEFT_MS = 6_000;
-
-export interface RequestKind {
-  readonly urgency: number;
-  readonly perS: number;
+const MAX_RETURN_SHARE = 1 / 3;
+
+export interface SimulatedKind {
+  readonly rank: number;
+  readonly perS: (atMs: number) => number;
   readonly promptTokens: number;
-  readonly events: number;
+  readonly outputTokens: number;
   readonly objectiveMs: number;
 }
 
-export interface SimulatedFleet {
+export interface SimulatedCall {
+  readonly kind: SimulatedKind;
+  readonly promptTokens: number;
+  readonly arrivedAtMs: number;
+  refusals: number;
+  firstEventMs: number | undefined;
+}
+
+export interface FleetOptions {
+  readonly engine: EngineProfile;
+  readonly engines: number;
   readonly entries: number;
-  readonly endpoints: number;
-  readonly slots: number;
-  readonly kinds: readonly RequestKind[];
-  /** Factor by which the work of an endpoint takes longer at a time. */
-  readonly slowdown?: (endpoint: number, nowMs: number) => number;
+  readonly rankCount: number;
+  readonly kinds: readonly SimulatedKind[];
   readonly durationMs: number;
-  /** Requests before this are not part of the result. */
-  readonly warmUpMs: number;
+  readonly timeoutMs: number;
   /** In [0, 1). */
   readonly random: () => number;
 }
 
-export interface SimulatedCall {
-  readonly kind: RequestKind;
-  readonly isRefused: boolean;
-  readonly view: EndpointView | undefined;
-  readonly forecastMs: number;
-  readonly sentAtMs: number;
-  /** When the first event reached the entry; undefined without any. */
-  firstEventMs: number | undefined;
-}
-
-interface SimulatedEntry {
-  readonly dataCentre: number;
-  readonly loads: EndpointLoads;
-  /** Endpoints whose agents report to the entry. */
-  readonly contacts: number[];
+interface Timer {
+  readonly atMs: number;
+  readonly run: () => void;
 }
 
-export function simulateFleet(fleet: SimulatedFleet): readonly SimulatedCall[] {
-  const { random, slots, kinds, slowdown = () => 1 } = fleet;
-  const profile = { ...ENGINE, slots };
+export function simulateFleet(options: FleetOptions): readonly SimulatedCall[] {
+  const { engine: profile, kinds, rankCount, timeoutMs, random } = options;
   const service = createService({ engine: profile });
-  const timeline: (() => void)[][] = [];
   const calls: SimulatedCall[] = [];
-  let nowMs = 0;
-
-  function schedule(delayMs: number, handle: () => void) {
-    const atMs = Math.max(nowMs + 1, Math.round(nowMs + delayMs));
-    (timeline[atMs] ??= []).push(handle);
-  }
-
-  const entries = Array.from(
-    { length: fleet.entries },
-    (_, index): SimulatedEntry => ({
-      dataCentre: index % DATA_CENTRES,
-      loads: createEndpointLoads(() => nowMs),
-      contacts: [],
-    }),
-  );
-  const engines = Array.from({ length: fleet.endpoints }, (_, index) =>
-    createSimulatedEngine({
-      profile,
-      slowdown: () => slowdown(index, nowMs),
-      schedule,
-    }),
-  );
-  const templates = engines.map((_, index) => {
-    const view = createEndpointView(String(index));
-    const address = String(index);
-    return { ...view, endpoint: { ...view.endpoint, address, slots } };
-  });
-  const partners = engines.map((_, index) => listPartners(fleet, index));
-  partners.forEach((hosts, index) =>
-    hosts.forEach((host) => entries[host]!.contacts.push(index)),
+  let now = 0;
+  let timers: Timer[] = [];
+  const nowMs = () => now;
+  const schedule = (delayMs: number, run: () => void) =>
+    void timers.push({ atMs: now + delayMs, run });
+  const engines = Array.from({ length: options.engines }, () =>
+    createEngine(profile, nowMs),
   );
-
-  function isLocal({ dataCentre }: SimulatedEntry, endpoint: number) {
-    return endpoint % DATA_CENTRES === dataCentre;
-  }
-
-  function transitMs(entry: SimulatedEntry, endpoint: number): number {
-    return isLocal(entry, endpoint) ? TRANSIT_MS.local : TRANSIT_MS.remote;
+  const entries = Array.from({ length: options.entries }, () => ({
+    loads: createEndpointLoads(nowMs),
+    mix: createQueueMix(nowMs),
+    refusals: createRefusalTracker(nowMs),
+  }));
+  type Entry = (typeof entries)[number];
+
+  const distance = (engine: number, entry: number) =>
+    engine % DATA_CENTRES === entry % DATA_CENTRES
+      ? "data_centre"
+      : "other_region";
+
+  function reportLoads(place: "data_centre" | "other_region") {
+    engines.forEach(({ running, waiting }, index) => {
+      const address = String(index);
+      const notice = createReport({
+        address,
+        running: running(),
+        waiting: waiting(),
+      });
+      entries.forEach(({ loads }, entry) => {
+        if (distance(index, entry) !== place) return;
+        schedule(place === "data_centre" ? 2 : 15, () =>
+          loads.onReport(notice),
+        );
+      });
+    });
+    schedule(place === "data_centre" ? LOCAL_REPORT_MS : REMOTE_REPORT_MS, () =>
+      reportLoads(place),
+    );
   }
 
-  function report(engine: SimulatedEngine, index: number, readings: number) {
-    const notice = createReport({
-      address: String(index),
-      models: [{ name: "m", version: 1 }],
-      ...engine.countLoad(),
-    });
-    partners[index]!.map((host) => entries[host]!)
-      .filter(
-        (entry) => isLocal(entry, index) || readings % REMOTE_READINGS === 0,
-      )
-      .forEach((entry) => {
-        const delayMs = transitMs(entry, index);
-        const sender = { roundTripMs: () => 2 * delayMs };
-        schedule(delayMs, () => entry.loads.onReport(notice, sender));
+  function listViews(entry: Entry, call: SimulatedCall, tried: Set<number>) {
+    const priority = findPriority(call);
+    const shareAhead =
+      priority === undefined ? undefined : entry.mix.readShareAhead(priority);
+    return engines.map((_, index): EndpointView => {
+      const load = entry.loads.read(String(index), {
+        usualPromptTokens: profile.usualPromptTokens,
+        urgency: call.kind.rank,
+        slots: profile.slots,
+        shareAhead,
+      });
+      return createEndpointView(String(index), {
+        load,
+        isAllowed: !tried.has(index),
+        distance: distance(index, entries.indexOf(entry)),
       });
-    schedule(REPORT_INTERVAL_MS, () => report(engine, index, readings + 1));
+    });
   }
 
-  function listViews(
-    entry: SimulatedEntry,
-    urgency: number,
-  ): readonly EndpointView[] {
-    const { usualPromptTokens } = profile;
-    const options = { usualPromptTokens, urgency, slots };
-    return entry.contacts.map((index) => ({
-      ...templates[index]!,
-      load: entry.loads.read(String(index), options),
-      distance: isLocal(entry, index) ? "data_centre" : "other_region",
-    }));
+  function findPriority({ kind: { rank } }: SimulatedCall) {
+    return computeRequestPriority({ rank, rankCount }, false);
   }
 
-  function call(entry: SimulatedEntry, kind: RequestKind) {
-    const promptTokens = drawSize(kind.promptTokens);
-    const choice = chooseEndpoint(listViews(entry, kind.urgency), {
+  function offer(call: SimulatedCall, entry: Entry, tried = new Set<number>()) {
+    const spentMs = now - call.arrivedAtMs;
+    const priority = findPriority(call);
+    const choice = chooseEndpoint(listViews(entry, call, tried), {
       service,
-      promptTokens,
-      timeToObjectiveMs: kind.objectiveMs,
-      timeLeftMs: TIME_LEFT_MS,
+      promptTokens: call.promptTokens,
+      timeToObjectiveMs:
+        tried.size > 0 ? timeoutMs - spentMs : call.kind.objectiveMs,
+      timeLeftMs: timeoutMs - spentMs,
+      ...(priority !== undefined && {
+        order: { priority, shareAhead: entry.mix.readShareAhead(priority) },
+      }),
       random,
     });
-    const view = choice.type === "send" ? choice.view : undefined;
-    const made: SimulatedCall = {
-      kind,
-      isRefused: view === undefined,
-      view,
-      forecastMs: choice.forecastMs ?? 0,
-      sentAtMs: nowMs,
-      firstEventMs: undefined,
-    };
-    if (nowMs >= fleet.warmUpMs) calls.push(made);
-    if (view !== undefined) send(entry, made, promptTokens);
+    if (choice.type !== "send") return refuse(call, entry);
+    entry.refusals.countAdmitted();
+    const index = Number(choice.view.endpoint.id);
+    const tracked = entry.loads.trackRequest(String(index), {
+      promptTokens: call.promptTokens,
+      urgency: call.kind.rank,
+    });
+    const stopWaiting =
+      choice.priority === undefined
+        ? undefined
+        : entry.mix.track(choice.priority);
+    schedule(choice.view.distance === "data_centre" ? 1 : 12, () =>
+      arrive(call, { entry, index, tried, priority, tracked, stopWaiting }),
+    );
   }
 
-  function send(
-    { loads, ...entry }: SimulatedEntry,
-    made: SimulatedCall,
-    promptTokens: number,
+  function arrive(
+    call: SimulatedCall,
+    sent: {
+      readonly entry: Entry;
+      readonly index: number;
+      readonly tried: Set<number>;
+      readonly priority: number | undefined;
+      readonly tracked: TrackedRequest;
+      readonly stopWaiting: (() => void) | undefined;
+    },
   ) {
-    const { address } = made.view!.endpoint;
-    const { urgency, events } = made.kind;
-    const engine = engines[Number(address)]!;
-    const delayMs = transitMs({ loads, ...entry }, Number(address));
-    const tracked = loads.trackRequest(address, { promptTokens, urgency });
-    const respond = (handle: () => void) => {
-      const statement = { ...engine.countLoad(), slots };
-      schedule(delayMs, () => {
-        handle();
-        loads.onResponse(address, statement, made.sentAtMs);
-      });
-    };
-    const request = {
-      urgency,
-      unreadTokens: promptTokens,
-      eventsLeft: Math.ceil(drawSize(events)),
-      hasStarted: false,
-      onFirstEvent: () =>
-        respond(() => {
-          made.firstEventMs = nowMs;
-          tracked.markStarted();
-        }),
-      onEnd: () => schedule(delayMs, tracked.end),
+    const { entry, index, tried, tracked, stopWaiting } = sent;
+    const request: EngineRequest = {
+      priority: sent.priority ?? 5,
+      unreadTokens: call.promptTokens,
+      outputTokens: call.kind.outputTokens,
+      onFirstEvent() {
+        call.firstEventMs = now - call.arrivedAtMs;
+        tracked.markStarted();
+        stopWaiting?.();
+      },
+      onEnd() {
+        stopWaiting?.();
+        tracked.end();
+      },
     };
-    schedule(delayMs, () => {
-      if (!engine.offer(request)) respond(tracked.end);
-    });
+    if (engines[index]!.offer(request)) return;
+    request.onEnd();
+    tried.add(index);
+    if (tried.size > 2) refuse(call, entry);
+    else offer(call, entry, tried);
   }
 
-  /** Most are small and some are large. */
-  function drawSize(mean: number): number {
-    return Math.min(3 * mean, 1 - Math.log(1 - random()) * mean);
+  function refuse(call: SimulatedCall, entry: Entry) {
+    entry.refusals.countRefused();
+    call.refusals += 1;
+    if (call.refusals > 1) return;
+    const askedMs = entry.refusals.computeRetryDelayMs() * (1 + random() / 2);
+    const leftMs = timeoutMs - (now - call.arrivedAtMs);
+    schedule(Math.min(askedMs, leftMs * MAX_RETURN_SHARE), () =>
+      offer(call, drawEntry()),
+    );
   }
 
-  engines.forEach((engine, index) =>
-    schedule(random() * REPORT_INTERVAL_MS, () =>
-      report(engine, index, Math.floor(random() * REMOTE_READINGS)),
-    ),
-  );
-  const nextAtMs = kinds.map(() => 0);
-  for (; nowMs < fleet.durationMs; nowMs += 1) {
-    timeline[nowMs]?.forEach((handle) => handle());
-    delete timeline[nowMs];
-    kinds.forEach((kind, index) => {
-      while (nextAtMs[index]! <= nowMs) {
-        call(entries[Math.floor(random() * entries.length)]!, kind);
-        nextAtMs[index]! += (-Math.log(1 - random()) * 1_000) / kind.perS;
-      }
+  function drawEntry(): Entry {
+    return entries[Math.floor(random() * entries.length)]!;
+  }
+
+  function draw(mean: number): number {
+    return Math.min(3 * mean, -Math.log(1 - random()) * mean);
+  }
+
+  function startArrivals() {
+    kinds.forEach((kind) => {
+      if (random() >= (kind.perS(now) * STEP_MS) / 1_000) return;
+      const call: SimulatedCall = {
+        kind,
+        promptTokens: Math.max(20, draw(kind.promptTokens)),
+        arrivedAtMs: now,
+        refusals: 0,
+        firstEventMs: undefined,
+      };
+      calls.push(call);
+      offer(call, drawEntry());
     });
   }
-  return calls;
-}
 
-/** Spread evenly over the entries. */
-function listPartners(
-  { entries, endpoints }: SimulatedFleet,
-  endpoint: number,
-): readonly number[] {
-  const first = Math.floor((endpoint * entries) / endpoints);
-  const count = Math.min(MAX_PARTNERS, entries);
-  return Array.from(
-    { length: count },
-    (_, step) => (first + Math.floor((step * entries) / count)) % entries,
-  );
+  reportLoads("data_centre");
+  reportLoads("other_region");
+  for (; now < options.durationMs + timeoutMs; now += STEP_MS) {
+    const due = timers.filter(({ atMs }) => atMs <= now);
+    timers = timers.filter(({ atMs }) => atMs > now);
+    due.forEach(({ run }) => run());
+    engines.forEach(({ advance }) => advance());
+    if (now < options.durationMs) startArrivals();
+  }
+  return calls;
 }
--- a/src/scheduling/testing/simulated_engine.ts
+++ b/src/scheduling/testing/simulated_engine.ts
@@ -1,87 +1,91 @@
-/**
- * A model engine in simulated time. It works in passes, which read the prompts of
- * admitted requests and run decode steps, and admits urgent requests first.
- */
+/** A model engine in simulated time, with a queue ordered by priority. */
 
 import type { EngineProfile } from "../../directory/mod.ts";
 import { computePassMs } from "../forecast_first_event.ts";
 
-/** Tokens that an engine reads in one pass. */
-const READ_CHUNK_TOKENS = 2_048;
 const MAX_QUEUED = 24;
+/** Tokens that an engine reads beside one decode step. */
+const READ_TOKENS_PER_STEP = 2_048;
 
 export interface EngineRequest {
-  readonly urgency: number;
+  readonly priority: number;
   unreadTokens: number;
-  eventsLeft: number;
+  outputTokens: number;
   readonly onFirstEvent: () => void;
   readonly onEnd: () => void;
-  hasStarted: boolean;
 }
 
 export interface SimulatedEngine {
-  /** False if the queue is full. */
+  /** False if the engine refuses the request because its queue is full. */
   offer(request: EngineRequest): boolean;
-  countLoad(): { readonly running: number; readonly waiting: number };
+  /** To be called at short intervals. */
+  advance(): void;
+  running(): number;
+  waiting(): number;
 }
 
-export function createSimulatedEngine(options: {
-  readonly profile: EngineProfile;
+export function createEngine(
+  profile: EngineProfile,
+  nowMs: () => number,
   /** Factor by which work takes longer now. */
-  readonly slowdown: () => number;
-  readonly schedule: (delayMs: number, handle: () => void) => void;
-}): SimulatedEngine {
-  const { profile, slowdown, schedule } = options;
-  let running: EngineRequest[] = [];
-  let waiting: EngineRequest[] = [];
-  let isBusy = false;
+  slowdown: () => number = () => 1,
+): SimulatedEngine {
+  let running: readonly EngineRequest[] = [];
+  const queue: EngineRequest[] = [];
+  let passEndsAtMs = 0;
+  let endPass: () => void = () => undefined;
 
-  /** In order of urgency, and of arrival within one. */
   function admit() {
-    waiting.sort((a, b) => a.urgency - b.urgency);
-    running.push(...waiting.splice(0, profile.slots - running.length));
-  }
-
-  /** Returns the tokens that are read in the pass. */
-  function readPrompts(): number {
-    return running.reduce((readTokens, request) => {
-      const tokens = Math.min(
-        READ_CHUNK_TOKENS - readTokens,
-        request.unreadTokens,
-      );
-      request.unreadTokens -= tokens;
-      return readTokens + tokens;
-    }, 0);
+    while (running.length < profile.slots && queue.length > 0) {
+      const first = queue.reduce((a, b) => (b.priority < a.priority ? b : a));
+      queue.splice(queue.indexOf(first), 1);
+      running = [...running, first];
+    }
   }
 
   function startPass() {
     admit();
-    isBusy = running.length > 0;
-    if (!isBusy) return;
-    const readTokens = readPrompts();
+    if (running.length === 0) {
+      endPass = () => undefined;
+      return;
+    }
     const decoding = running.filter(({ unreadTokens }) => unreadTokens === 0);
+    let leftTokens = READ_TOKENS_PER_STEP * profile.stepsPerPass;
+    const readCompletely = running.filter((request) => {
+      if (request.unreadTokens === 0) return false;
+      const tokens = Math.min(leftTokens, request.unreadTokens);
+      request.unreadTokens -= tokens;
+      leftTokens -= tokens;
+      return request.unreadTokens === 0;
+    });
+    const readTokens = READ_TOKENS_PER_STEP * profile.stepsPerPass - leftTokens;
     const passMs =
       computePassMs(profile, decoding.length) +
       (readTokens / profile.readTokensPerS) * 1_000;
-    schedule(passMs * slowdown(), () => {
-      decoding.forEach((request) => {
-        request.eventsLeft -= 1;
-        if (!request.hasStarted) request.onFirstEvent();
-        request.hasStarted = true;
-        if (request.eventsLeft <= 0) request.onEnd();
+    passEndsAtMs = nowMs() + passMs * slowdown();
+    endPass = () => {
+      [...decoding, ...readCompletely].forEach((request) => {
+        request.outputTokens -= profile.stepsPerPass;
       });
-      running = running.filter(({ eventsLeft }) => eventsLeft > 0);
-      startPass();
-    });
+      readCompletely.forEach((request) => request.onFirstEvent());
+      const ended = running.filter(({ outputTokens }) => outputTokens <= 0);
+      running = running.filter(({ outputTokens }) => outputTokens > 0);
+      ended.forEach((request) => request.onEnd());
+    };
   }
 
   return {
     offer(request) {
-      if (waiting.length >= MAX_QUEUED) return false;
-      waiting = [...waiting, request];
-      if (!isBusy) startPass();
+      if (queue.length >= MAX_QUEUED) return false;
+      queue.push(request);
       return true;
     },
-    countLoad: () => ({ running: running.length, waiting: waiting.length }),
+    advance() {
+      if (nowMs() < passEndsAtMs) return;
+      endPass();
+      startPass();
+    },
+    running: () => running.length,
+    waiting: () => queue.length,
   };
 }
