--- a/src/logging/invalid_values_test.ts
+++ b/src/logging/invalid_values_test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from "@jest/globals";
 import { createRegistry } from "../metrics/mod.ts";
 import { createInvalidValues } from "./mod.ts";
+import type { Logger } from "./mod.ts";
 
 // Guards against a log that a faulty endpoint fills with a line per response.
 test("values out of range are counted, and logged once a minute of each kind", () => {
@@ -10,7 +11,7 @@
   const invalidValues = createInvalidValues({
     nowMs: () => nowMs,
     registry,
-    logger: { warn: (line: unknown) => void lines.push(line) },
+    logger: { warn: (line: unknown) => lines.push(line) } as unknown as Logger,
   });
   [0, 30_000, 59_999, 60_000].forEach((atMs) => {
     nowMs = atMs;
--- a/src/scheduling/mod.ts
+++ b/src/scheduling/mod.ts
@@ -27,6 +27,7 @@
   forecastFirstEventMs,
 } from "./forecast_first_event.ts";
 export type { RequestSize } from "./forecast_first_event.ts";
+export { isLikelyQueued } from "./queued_request.ts";
 export { createQueueMix } from "./queue_mix.ts";
 export type { QueueMix } from "./queue_mix.ts";
 export { createRefusalTracker } from "./refusal_tracker.ts";
