--- a/bench/load/current_policy.ts
+++ b/bench/load/current_policy.ts
@@ -83,9 +83,15 @@
   ): readonly EndpointView[] {
     const usualPromptTokens = service.engine?.usualPromptTokens ?? 0;
     const urgency = findUrgency(route).rank;
+    const shareAhead = findOrder(route)?.shareAhead;
     return candidates.list(service).map((endpoint) => {
       const { index, dataCentre } = endpoints[readEndpointIndex(endpoint.id)]!;
-      const load = loads.read(endpoint.address, { usualPromptTokens, urgency });
+      const load = loads.read(endpoint.address, {
+        usualPromptTokens,
+        urgency,
+        slots: endpoint.slots,
+        shareAhead,
+      });
       const isModel = service.engine !== undefined;
       return {
         endpoint,
@@ -163,6 +169,7 @@
     },
     onSend({ route, promptTokens }, { endpoint, priority }) {
       const id = createEndpointId(endpoint);
+      const sentAtMs = nowMs();
       const tracked = loads.trackRequest(id, {
         promptTokens,
         urgency: findUrgency(route).rank,
@@ -172,19 +179,21 @@
           ? undefined
           : queueMixes[route.service].track(priority);
       return {
-        onHead() {
+        onHead(statement) {
           tracked.markStarted();
           stopWaiting?.();
+          loads.onResponse(id, statement, sentAtMs);
         },
         onEnd(isServed) {
           tracked.end();
           stopWaiting?.();
           if (isServed) health.onSuccess(id);
         },
-        onNotRun() {
+        onNotRun(statement) {
           tracked.markStarted();
           tracked.end();
           stopWaiting?.();
+          loads.onResponse(id, statement, sentAtMs);
         },
       };
     },
--- a/src/gateway/dispatch_call.ts
+++ b/src/gateway/dispatch_call.ts
@@ -208,19 +208,21 @@
   const timeToObjectiveMs = isUnsent
     ? call.route.objectiveMs - (now - call.receivedAtMs)
     : timeLeftMs;
+  const order = findOrder(context, call);
   const choice = chooseEndpoint(
     listEndpointViews(context, {
       call,
       service,
       triedEndpoints,
       weightVersion,
+      shareAhead: order?.shareAhead,
     }),
     {
       service,
       promptTokens: call.headers.promptTokens ?? 0,
       timeToObjectiveMs,
       timeLeftMs,
-      order: findOrder(context, call),
+      order,
       random: context.random,
     },
   );
--- a/src/gateway/list_endpoint_views.ts
+++ b/src/gateway/list_endpoint_views.ts
@@ -18,6 +18,8 @@
   readonly triedEndpoints: ReadonlySet<string>;
   /** Version that a resumed stream started with; it must not change. */
   readonly weightVersion: number | undefined;
+  /** Share of a queue that an endpoint admits before the call. */
+  readonly shareAhead?: number | undefined;
 }
 
 export function listEndpointViews(
@@ -32,6 +34,8 @@
     const load = context.loads.read(endpoint.address, {
       usualPromptTokens,
       urgency: call.urgency.rank,
+      slots: endpoint.slots,
+      shareAhead: options.shareAhead,
     });
     const served =
       service.engine && findServedModel(endpoint, load, call.headers.model);
--- a/src/scheduling/admit_by_wait_test.ts
+++ b/src/scheduling/admit_by_wait_test.ts
@@ -3,7 +3,7 @@
 import { mayWait } from "./admit_by_wait.ts";
 import { forecastFirstEventMs } from "./mod.ts";
 import { createRandom } from "./testing/create_random.ts";
-import { createReport } from "./testing/load_report.ts";
+import { createLoad, createReport } from "./testing/load_report.ts";
 import { simulateEngines } from "./testing/simulate_engines.ts";
 
 const loads = [45, 75, 105].flatMap((requestsPerS) =>
@@ -39,12 +39,11 @@
   timeLeftMs = 6_000,
 ) {
   const { requests, slowdown, promptTokens } = fields;
-  const load = {
+  const load = createLoad(requests, {
     report: createReport({ slowdown }),
-    requests,
     unreadTokens: requests * ENGINE.usualPromptTokens,
-    roundTripMs: 0,
-  };
+    slowdown,
+  });
   const forecastMs = forecastFirstEventMs(ENGINE, load, promptTokens);
   return mayWait({
     engine: ENGINE,
--- a/src/scheduling/choose_endpoint.ts
+++ b/src/scheduling/choose_endpoint.ts
@@ -1,16 +1,9 @@
 /** Chooses the endpoint for a request, or gives the reason for having none. */
 
-import type {
-  CallService,
-  EngineProfile,
-  ListedEndpoint,
-} from "../directory/mod.ts";
+import type { CallService, ListedEndpoint } from "../directory/mod.ts";
 import { mayWait } from "./admit_by_wait.ts";
 import type { EndpointLoad } from "./endpoint_loads.ts";
-import {
-  estimateLoadAhead,
-  forecastByUrgencyMs,
-} from "./forecast_by_urgency.ts";
+import { findCheapest } from "./find_cheapest.ts";
 import { forecastFirstEventMs } from "./forecast_first_event.ts";
 import { startsInTime } from "./weight_versions.ts";
 
@@ -99,32 +92,8 @@
       readonly withheld?: EndpointView | undefined;
     };
 
-/**
- * Cost of the network distance. Preferring near endpoints also makes entries
- * choose different ones, because they decide concurrently and see each other's
- * requests only in reports. Lower than the cost of one more queued prompt, so
- * that load still spreads to distant endpoints.
- */
-const DISTANCE_COST_MS = {
-  data_centre: 0,
-  region: 12,
-  other_region: 25,
-} as const;
-/**
- * Added for an endpoint that fails every request: the delay that a failed
- * request costs its caller. A single failure shifts hardly any load.
- */
-const FAILURE_COST_MS = 400;
 /** Callers would not wait longer; the limit may have ended by then. */
 const MAX_PERMIT_INTERVAL_MS = 5_000;
-/** Cost of a plain endpoint whose slots are all in use. */
-const FULL_COST_MS = 200;
-
-interface CostedView {
-  readonly view: EndpointView;
-  readonly forecastMs: number;
-  readonly costMs: number;
-}
 
 export function chooseEndpoint(
   views: readonly EndpointView[],
@@ -181,42 +150,18 @@
   const isBetterWithheld = (withheld?.costMs ?? Infinity) < best.costMs;
   const result = { withheld: isBetterWithheld ? withheld?.view : undefined };
   const { engine } = options.service;
-  const { view } = best;
+  const { view, forecastMs } = best;
+  const { load } = view;
   const priority = options.order?.priority;
-  if (engine === undefined) {
-    const { forecastMs } = best;
-    return { ...result, type: "send", view, forecastMs, priority };
-  }
-  const { load, forecastMs } = findWaitAhead(best, engine, options);
-  if (!mayWait({ ...options, engine, load, forecastMs })) {
+  if (
+    engine !== undefined &&
+    !mayWait({ ...options, engine, load, forecastMs })
+  ) {
     return { ...noEndpoint, ...result, reason: "too_busy", forecastMs };
   }
   return { ...result, type: "send", view, forecastMs, priority };
 }
 
-/** A request waits only for what the endpoint admits before it. */
-function findWaitAhead(
-  { view, forecastMs }: CostedView,
-  engine: EngineProfile,
-  { order, promptTokens }: ChoiceOptions,
-) {
-  if (order === undefined) return { load: view.load, forecastMs };
-  const load = estimateLoadAhead(engine, view.load, order.shareAhead);
-  return { load, forecastMs: forecastByUrgencyMs(engine, load, promptTokens) };
-}
-
-function findCheapest(
-  views: readonly EndpointView[],
-  options: ChoiceOptions,
-): CostedView | undefined {
-  return views
-    .map((view) => ({ view, ...estimateCost(view, options) }))
-    .reduce<CostedView | undefined>(
-      (a, b) => (a !== undefined && a.costMs <= b.costMs ? a : b),
-      undefined,
-    );
-}
-
 /** Time in which these endpoints take one request from all entries together. */
 function computePermitIntervalMs(views: readonly EndpointView[]): number {
   const perS = views.reduce((sum, view) => sum + view.requestLimitPerS, 0);
@@ -240,19 +185,3 @@
     models.reduce((most, { warmUpS }) => Math.max(most, warmUpS), 0) * 1_000
   );
 }
-
-function estimateCost(view: EndpointView, options: ChoiceOptions) {
-  const { service, promptTokens, random } = options;
-  const { engine } = service;
-  const { load, endpoint } = view;
-  const forecastMs =
-    engine === undefined
-      ? (load.requests / Math.max(1, endpoint.slots)) * FULL_COST_MS
-      : forecastFirstEventMs(engine, load, promptTokens);
-  const costMs =
-    forecastMs +
-    DISTANCE_COST_MS[view.distance] +
-    view.failureRate * FAILURE_COST_MS +
-    random();
-  return { forecastMs, costMs };
-}
--- a/src/scheduling/mod.ts
+++ b/src/scheduling/mod.ts
@@ -15,9 +15,18 @@
 } from "./choose_endpoint.ts";
 export { createEndpointHealth } from "./endpoint_health.ts";
 export type { EndpointHealth } from "./endpoint_health.ts";
-export { createEndpointLoads } from "./endpoint_loads.ts";
-export type { EndpointLoad, EndpointLoads } from "./endpoint_loads.ts";
-export { computePassMs, forecastFirstEventMs } from "./forecast_first_event.ts";
+export { createEndpointLoads, NO_LOAD } from "./endpoint_loads.ts";
+export type {
+  EndpointLoad,
+  EndpointLoads,
+  LoadStatement,
+} from "./endpoint_loads.ts";
+export {
+  computePassMs,
+  forecastEndMs,
+  forecastFirstEventMs,
+} from "./forecast_first_event.ts";
+export type { RequestSize } from "./forecast_first_event.ts";
 export { isLikelyQueued } from "./queued_request.ts";
 export { createQueueMix } from "./queue_mix.ts";
 export type { QueueMix } from "./queue_mix.ts";
--- a/src/scheduling/testing/simulate_fleet.ts
+++ b/src/scheduling/testing/simulate_fleet.ts
@@ -102,10 +102,15 @@
   }
 
   function listViews(entry: Entry, call: SimulatedCall, tried: Set<number>) {
+    const priority = findPriority(call);
+    const shareAhead =
+      priority === undefined ? undefined : entry.mix.readShareAhead(priority);
     return engines.map((_, index): EndpointView => {
       const load = entry.loads.read(String(index), {
         usualPromptTokens: profile.usualPromptTokens,
         urgency: call.kind.rank,
+        slots: profile.slots,
+        shareAhead,
       });
       return createEndpointView(String(index), {
         load,
@@ -115,10 +120,13 @@
     });
   }
 
+  function findPriority({ kind: { rank } }: SimulatedCall) {
+    return computeRequestPriority({ rank, rankCount }, false);
+  }
+
   function offer(call: SimulatedCall, entry: Entry, tried = new Set<number>()) {
     const spentMs = now - call.arrivedAtMs;
-    const urgency = { rank: call.kind.rank, rankCount };
-    const priority = computeRequestPriority(urgency, false);
+    const priority = findPriority(call);
     const choice = chooseEndpoint(listViews(entry, call, tried), {
       service,
       promptTokens: call.promptTokens,
--- a/src/scheduling/testing/simulated_engine.ts
+++ b/src/scheduling/testing/simulated_engine.ts
@@ -27,6 +27,8 @@
 export function createEngine(
   profile: EngineProfile,
   nowMs: () => number,
+  /** Factor by which work takes longer now. */
+  slowdown: () => number = () => 1,
 ): SimulatedEngine {
   let running: readonly EngineRequest[] = [];
   const queue: EngineRequest[] = [];
@@ -57,10 +59,10 @@
       return request.unreadTokens === 0;
     });
     const readTokens = READ_TOKENS_PER_STEP * profile.stepsPerPass - leftTokens;
-    passEndsAtMs =
-      nowMs() +
+    const passMs =
       computePassMs(profile, decoding.length) +
       (readTokens / profile.readTokensPerS) * 1_000;
+    passEndsAtMs = nowMs() + passMs * slowdown();
     endPass = () => {
       [...decoding, ...readCompletely].forEach((request) => {
         request.outputTokens -= profile.stepsPerPass;
