--- a/stand_ins/users_platform/metadata_store.ts
+++ b/stand_ins/users_platform/metadata_store.ts
@@ -53,6 +53,11 @@
   readonly removed?: boolean;
 }
 
+interface Watcher {
+  readonly prefix: string;
+  notify(): void;
+}
+
 const PAGE_ITEMS = 500;
 
 export async function startMetadataStore(): Promise<MetadataStoreStandIn> {
@@ -71,15 +76,16 @@
   let handleRangeRead = () => {};
   let limitedReads = 0;
   let compactedRevision = 0;
-  let watchers: (() => void)[] = [];
+  let watchers: Watcher[] = [];
   let watchResponses: readonly ServerResponse[] = [];
 
   function appendToHistory(item: StoreItem) {
     history.push(item);
     if (faults.areWatchesStalled) return;
-    const pending = watchers;
-    watchers = [];
-    pending.forEach((notify) => notify());
+    const isWatched = ({ prefix }: Watcher) => item.key.startsWith(prefix);
+    const ended = watchers.filter(isWatched);
+    watchers = watchers.filter((watcher) => !isWatched(watcher));
+    ended.forEach(({ notify }) => notify());
   }
 
   function readRange(query: URLSearchParams) {
@@ -97,10 +103,14 @@
 
   function startWatch(query: URLSearchParams, response: ServerResponse) {
     const after = Number(query.get("after-rev"));
+    const prefix = query.get("prefix") ?? "";
     if (after < compactedRevision || after > revision) {
       return send(response, 410, {});
     }
-    const listEvents = () => history.filter((item) => item.revision > after);
+    const listEvents = () =>
+      history.filter(
+        ({ key, revision: at }) => at > after && key.startsWith(prefix),
+      );
     const answer = () =>
       send(response, 200, { events: listEvents(), at: revision });
     if (listEvents().length > 0 && !faults.areWatchesStalled) return answer();
@@ -108,12 +118,17 @@
     watchResponses = [...watchResponses, response];
     response.on("close", () => {
       clearTimeout(timer);
+      watchers = watchers.filter((other) => other !== watcher);
       watchResponses = watchResponses.filter((other) => other !== response);
     });
-    watchers.push(() => {
-      clearTimeout(timer);
-      answer();
-    });
+    const watcher = {
+      prefix,
+      notify() {
+        clearTimeout(timer);
+        answer();
+      },
+    };
+    watchers.push(watcher);
   }
 
   function send(response: ServerResponse, status: number, body: unknown) {
--- a/stand_ins/users_platform/platform_fleet.ts
+++ b/stand_ins/users_platform/platform_fleet.ts
@@ -22,7 +22,11 @@
 const DEFAULT_GRACE_S = 8;
 /** No process listens at this address. */
 const UNREACHABLE_ADDRESS = "127.0.0.1:1";
-const REGIONS = { "kol-a": "kolkata", "sil-a": "siliguri" };
+const REGIONS = {
+  "kol-a": "kolkata",
+  "sil-a": "siliguri",
+  "bdn-a": "bardhaman",
+};
 
 /** API key of the client account in the first configuration. */
 export const FIRST_KEY = "key-1";
@@ -53,6 +57,8 @@
   /** Called after a worker's last staged chunk has been read. */
   readonly onStagedRead?: (index: number) => void;
   readonly objectiveMs?: number;
+  /** Data centres of the gateways, in turn. */
+  readonly gatewayDataCentres?: readonly string[];
   /** Indexes of the gateways that cannot reach the store. */
   readonly gatewaysWithoutStore?: readonly number[];
 }) {
@@ -64,6 +70,7 @@
     process: FleetProcess;
     readonly startSidecar: () => Promise<FleetProcess>;
   }[] = [];
+  const dataCentres = options.gatewayDataCentres ?? ["kol-a"];
   const versionMs = options.versionMs ?? 2_000;
   const gatewayPorts = await findFreePorts(options.gateways * 4);
   const seeds = gatewayPorts
@@ -99,7 +106,7 @@
     const [caller, ready, peer, metrics] = gatewayPorts.slice(index * 4);
     const { child, logs } = await startProgram("gateway", `entry-${index}`, {
       host: `entry-${index}`,
-      data_centre: "kol-a",
+      data_centre: dataCentres[index % dataCentres.length],
       caller_address: `127.0.0.1:${caller}`,
       ready_address: `127.0.0.1:${ready}`,
       peer_address: `127.0.0.1:${peer}`,
@@ -160,16 +167,30 @@
   }
 
   function registerWorker(worker: WorkerStandIn, version: number | undefined) {
-    store.put(`servers/${worker.id}`, {
+    const { id, address } = worker;
+    putEndpoint({ id, address, version, seq: 1 });
+  }
+
+  function putEndpoint(record: {
+    readonly id: string;
+    readonly address: string;
+    readonly dataCentre?: string;
+    readonly version: number | undefined;
+    /** Rises with each renewal. */
+    readonly seq: number;
+    readonly isDraining?: boolean;
+  }) {
+    const { version, seq } = record;
+    store.put(`servers/${record.id}`, {
       service: SERVICE,
-      address: worker.address,
-      zone: "kol-a",
+      address: record.address,
+      zone: record.dataCentre ?? "kol-a",
       version: "v1",
       slots: 16,
-      state: "ready",
+      state: record.isDraining === true ? "draining" : "ready",
       "coldstart-ms": 0,
       models: version === undefined ? [] : [{ name: MODEL.name, version }],
-      seq: 1,
+      seq,
     });
   }
 
@@ -202,6 +223,9 @@
     workers,
     processes,
     publishConfig,
+    putEndpoint,
+    evacuate: (dataCentre: string) =>
+      store.put(`op/evacuate/${dataCentre}`, {}),
     /** Starts a gateway again, at its old addresses, after its process ended. */
     async restartGateway(index: number) {
       gateways[index] = await startGateway(index);
