Tell renewed records from changes of what they say

Endpoints renew their records every 1.2 s. Each renewal rebuilt the list of endpoints and called all handlers of changes, and a peer that asks for later changes got all renewed records.

The directory keeps the position at which the content of each item last changed and a digest of all content. Renewals only raise the revision. `apply` returns the changes that were new.

--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -19,10 +19,15 @@
 import { createEndpointList } from "./endpoint_list.ts";
 import type { ListedEndpoint } from "./endpoint_list.ts";
 import { computeHoldMs } from "./former_era.ts";
+import { createHeldChanges } from "./held_changes.ts";
 import type { DirectoryChange, RoutingConfig } from "./records.ts";
 import { createStoreEras } from "./store_eras.ts";
 import type { OutageSpan } from "./store_outage.ts";
-import { comparePositions, isOfFormerEra } from "./store_position.ts";
+import {
+  comparePositions,
+  isOfFormerEra,
+  isSameEra,
+} from "./store_position.ts";
 import type { StorePosition } from "./store_position.ts";
 import { createWantedWeights } from "./wanted_weights.ts";
 import type { WantedWeights } from "./wanted_weights.ts";
@@ -51,7 +56,11 @@
   raiseNotBefore(hint: Omit<WantedWeights, "graceStartMs">): void;
   /** Time since the copy was last known to be complete. */
   ageMs(): number;
-  apply(changes: readonly DirectoryChange[], position: StorePosition): void;
+  /** Returns the changes that were new to this process. */
+  apply(
+    changes: readonly DirectoryChange[],
+    position: StorePosition,
+  ): readonly DirectoryChange[];
   /** Applies a complete listing; items missing from it are removed. */
   replace(changes: readonly DirectoryChange[], position: StorePosition): void;
   /** Records that the copy was complete at this time. */
@@ -74,6 +83,17 @@
     position: StorePosition,
     configVersion?: number,
   ): DirectoryUpdate;
+  /**
+   * Returns only what says something new since the position, without records
+   * that were merely renewed. Undefined if that is not known, as removals
+   * before the last complete read are not.
+   */
+  listContentSince(
+    position: StorePosition,
+    configVersion: number,
+  ): readonly DirectoryChange[] | undefined;
+  /** Two processes with the same content have the same digest. */
+  digest(): number;
   /** The handler is called after each change. */
   onChange(handler: () => void): void;
 }
@@ -104,7 +124,7 @@
   } = options;
   const eras = createStoreEras({ clock, logger, ageMs, comparesWithPeers });
   const deferred = createDeferredChanges({ schedule, onDue: applyDeferred });
-  const latestChanges = new Map<string, DirectoryChange>();
+  const latestChanges = createHeldChanges();
   const endpoints = createEndpointList({
     ...{ clock, logger, mayHaveExpired },
     onRemovedLate: notify,
@@ -131,6 +151,10 @@
       (known) => known !== undefined && isOutdated(change, known),
     );
     if (isKnown) return false;
+    if (isRenewal(key, change)) {
+      setLatest(key, change);
+      return false;
+    }
     const holdMs = findHoldMs(key, change);
     if (holdMs > 0) {
       deferred.defer(key, change, holdMs);
@@ -152,6 +176,13 @@
     return true;
   }
 
+  /** Most changes are such; handlers of changes need not be called for them. */
+  function isRenewal(key: string, change: DirectoryChange): boolean {
+    return (
+      deferred.get(key) === undefined && latestChanges.isRenewal(key, change)
+    );
+  }
+
   /** One change that cannot be applied must not hold up the others. */
   function applyGuarded(change: DirectoryChange): boolean {
     try {
@@ -258,7 +289,10 @@
     return clock.nowMs() - confirmedAtMs;
   }
 
-  function applyAll(changes: readonly DirectoryChange[], upTo: StorePosition) {
+  function applyAll(
+    changes: readonly DirectoryChange[],
+    upTo: StorePosition,
+  ): readonly DirectoryChange[] {
     const isFirst = eras.completeSince() === undefined;
     const isContinuation =
       isFirst || (!eras.isFormer(upTo) && !eras.isNewEra(upTo));
@@ -267,16 +301,20 @@
       .filter((change) => isContinuation || hasOwnOrder(change))
       .filter((change) => applyGuarded(change));
     if (applied.length > 0) notify();
+    return applied;
   }
 
   /** What a complete read of this process lacked comes late from a peer. */
-  function apply(changes: readonly DirectoryChange[], upTo: StorePosition) {
+  function apply(
+    changes: readonly DirectoryChange[],
+    upTo: StorePosition,
+  ): readonly DirectoryChange[] {
     const completeSince = eras.completeSince();
     const current =
       completeSince === undefined
         ? changes
         : dropRemovedSince(changes, completeSince);
-    applyAll(current, upTo);
+    return applyAll(current, upTo);
   }
 
   function confirm(atMs: number) {
@@ -304,7 +342,7 @@
       const removals = eras.isFormer(upTo)
         ? []
         : listRemovals({
-            held: [...latestChanges.values()],
+            held: latestChanges.list(),
             deferred: deferred.list(),
             changes,
             upTo,
@@ -347,12 +385,30 @@
       };
       return {
         changes: [
-          ...[...latestChanges.values()].filter(isMissing),
+          ...latestChanges.list().filter(isMissing),
           ...deferred.list(),
         ],
         isWhole,
       };
     },
+    listContentSince(position, heldConfigVersion) {
+      const completeSince = eras.completeSince();
+      const isKnown =
+        completeSince !== undefined &&
+        isSameEra(position, completeSince) &&
+        comparePositions(position, completeSince) >= 0 &&
+        deferred.list().length === 0;
+      if (!isKnown) return undefined;
+      const held = latestChanges.get("config");
+      const isConfigNewer = (config?.version ?? 0) > heldConfigVersion;
+      return [
+        ...latestChanges
+          .listContentSince(position)
+          .filter(({ type }) => type !== "config"),
+        ...(isConfigNewer && held !== undefined ? [held] : []),
+      ];
+    },
+    digest: latestChanges.digest,
     onChange: (handler) => void handlers.push(handler),
   };
 }
