Watch what operators publish apart from the records of endpoints

A watch over everything ends with each change of any record, so an entry waits 300 ms between two of them, and learned of new weights up to 0.3 s late.

A watch of its own, which always waits at the store, covers configurations, evacuations and wanted weights. It proves nothing: the position of the copy and its age come from the other reads as before. The watch over everything may rest while others feed the entry, and its interval is 350 ms.

--- a/src/directory/directory_reader.ts
+++ b/src/directory/directory_reader.ts
@@ -1,9 +1,11 @@
 /**
- * Keeps the directory up to date from the metadata store. A watch returns
- * changes promptly, and each of its responses proves that the directory was
- * complete when the request was sent. While the watch returns nothing, a
- * linearizable read of the store's revision proves this every second, because a
- * watch can stop delivering without an error.
+ * Keeps the directory up to date from the metadata store. A watch over
+ * everything returns changes promptly, and each of its responses proves that the
+ * directory was complete when the request was sent. While the watch returns
+ * nothing, a linearizable read of the store's revision proves this every second,
+ * because a watch can stop delivering without an error. Both rest while other
+ * processes provide changes and proof; what operators publish has a watch of
+ * its own that never rests.
  */
 
 import type { Logger } from "../logging/mod.ts";
@@ -14,7 +16,9 @@
 import type { MetadataStore, StoreFailure } from "./store.ts";
 import { comparePositions, isSameEra } from "./store_position.ts";
 import type { StorePosition } from "./store_position.ts";
-import { createStoreOutage } from "./store_outage.ts";
+import { runOperatorWatch } from "./operator_watch.ts";
+import type { DirectoryChange } from "./records.ts";
+import { createStoreContact, isAnswer } from "./store_contact.ts";
 import type { OutageSpan } from "./store_outage.ts";
 
 const WATCH_WAIT_MS = 10_000;
@@ -30,10 +34,10 @@
 const WATCH_LAG_MS = 250;
 /**
  * In a large fleet endpoints change their records dozens of times a second, and
- * each change ends a watch. About a sixth of the shortest limit on the delay of
- * a configuration, 2 s.
+ * each change ends a watch. About a sixth of the shortest limit on the delay of the
+ * notice that an endpoint leaves, 2 s.
  */
-const MIN_WATCH_INTERVAL_MS = 300;
+const MIN_WATCH_INTERVAL_MS = 350;
 /**
  * The store may truncate a long response. One with fewer changes than the
  * smallest page, 50, is complete.
@@ -42,15 +46,13 @@
 const FIRST_BACKOFF_MS = 50;
 const MAX_BACKOFF_MS = 500;
 const MAX_REREAD_BACKOFF_MS = 4_000;
-/**
- * Records that expire in a store outage are reported as removed when the store
- * is back, so removals within this time of a failure are not applied at once.
- */
-const EXPIRY_WINDOW_MS = 3_000;
-
 export interface DirectoryReader {
   /** Reads the store's revision now, after a pause or a jump of the clock. */
   probeNow(): void;
+  /** Reads again: `isFed` has turned false. */
+  resume(): void;
+  /** False while calls to the store fail. */
+  isInContact(): boolean;
   mayHaveExpired(): boolean;
   /**
    * Period in which all requests to the store have failed, on the age clock.
@@ -65,6 +67,12 @@
   readonly clock: AgeClock;
   readonly registry: Registry;
   readonly logger: Logger;
+  /** True while other processes provide changes and proof of the copy's age. */
+  readonly isFed?: () => boolean;
+  /** Called with changes of the store that were new to this process. */
+  readonly onNews?: (changes: readonly DirectoryChange[]) => void;
+  /** Called when contact to the store is lost or regained. */
+  readonly onContactChange?: () => void;
   /** In [0, 1). */
   readonly random?: () => number;
 }
@@ -77,6 +85,7 @@
   options: DirectoryReaderOptions,
 ): DirectoryReader {
   const { store, directory, clock, logger, random = Math.random } = options;
+  const { isFed = () => false, onNews = () => {} } = options;
   const probeIntervalMs =
     PROBE_INTERVAL_MS * (1 - PROBE_INTERVAL_SPREAD * random());
   const closeController = new AbortController();
@@ -90,9 +99,10 @@
   );
   let watchController: AbortController | undefined;
   let pendingConfirmations: readonly PendingConfirmation[] = [];
-  let isLost = false;
-  let lastFailureAtMs = -Infinity;
-  const outage = createStoreOutage(clock.nowMs);
+  const contact = createStoreContact({
+    ...{ clock, logger, ageMs: directory.ageMs },
+    onChange: () => options.onContactChange?.(),
+  });
   let nextWatchAtMs = -Infinity;
   /** On the age clock; confirmations by the store only, not by peers. */
   let storeConfirmedAtMs = -Infinity;
@@ -104,20 +114,8 @@
   /** True if the last complete read did not fail for want of an answer. */
   let wasAnswered = false;
   let probeTimer: NodeJS.Timeout | undefined;
-
-  function recordOutcome(failure: StoreFailure | undefined, sentAtMs: number) {
-    if (failure === "aborted") return;
-    const isNowLost = failure !== undefined && !isAnswer(failure);
-    if (isNowLost) {
-      lastFailureAtMs = performance.now();
-      outage.recordFailure(sentAtMs);
-    } else outage.recordSuccess();
-    if (isNowLost === isLost) return;
-    isLost = isNowLost;
-    const age = { failure, ageMs: directory.ageMs() };
-    if (isLost) logger.warn(age, "lost the platform's store");
-    else logger.info(age, "regained the platform's store");
-  }
+  let isWatchingOperators = false;
+  let wakeWatchLoop = () => {};
 
   function confirm(atMs: number) {
     if (atMs >= directory.settledSinceMs()) {
@@ -155,9 +153,29 @@
     directory.replace(result.value.changes, result.value);
     if (isSameEra(result.value, directory.position())) confirm(sentAtMs);
     confirmReachedPositions();
+    watchOperators();
     return undefined;
   }
 
+  /** Once there is a position to start from. */
+  function watchOperators() {
+    if (isWatchingOperators) return;
+    isWatchingOperators = true;
+    void runOperatorWatch({
+      ...{ store, directory, clock, requestReread },
+      signal: closeController.signal,
+      guard: runGuarded,
+      onOutcome: contact.recordOutcome,
+      onChanges: onNews,
+    });
+  }
+
+  function requestReread(reason: string) {
+    rereadReason = reason;
+    watchController?.abort();
+    wakeWatchLoop();
+  }
+
   async function watchOnce(): Promise<StoreFailure | undefined> {
     const controller = new AbortController();
     watchController = controller;
@@ -165,6 +183,7 @@
     nextWatchAtMs = performance.now() + MIN_WATCH_INTERVAL_MS;
     const asked = directory.position();
     const result = await store.watch({
+      scope: "everything",
       afterRevision: asked.revision,
       waitMs: WATCH_WAIT_MS,
       signal: controller.signal,
@@ -180,10 +199,11 @@
       return undefined;
     }
     rereadBackoff.reset();
-    directory.apply(changes, result.value);
+    const news = directory.apply(changes, result.value);
     const isCurrent = isSameEra(asked, directory.position());
     if (isCurrent && changes.length <= MAX_COMPLETE_CHANGES) confirm(sentAtMs);
     confirmReachedPositions();
+    onNews(news);
     await delay(computePauseMs(), closeController.signal);
     return undefined;
   }
@@ -205,13 +225,19 @@
     }
   }
 
+  async function waitWhileFed() {
+    if (rereadReason !== "" || !isFed()) return;
+    await new Promise<void>((resolve) => (wakeWatchLoop = resolve));
+  }
+
   async function runWatchLoop() {
     while (!closeController.signal.aborted) {
+      await waitWhileFed();
       const sentAtMs = clock.nowMs();
       const failure = await runGuarded(
         rereadReason === "" ? watchOnce : rereadAll,
       );
-      recordOutcome(failure, sentAtMs);
+      contact.recordOutcome(failure, sentAtMs);
       if (failure === undefined || isAnswer(failure)) backoff.reset();
       else if (failure !== "aborted") {
         await delay(backoff.nextMs(), closeController.signal);
@@ -227,15 +253,16 @@
     const sentAtMs = clock.nowMs();
     const result = await store.readPosition();
     if (closeController.signal.aborted) return;
-    if (result.isErr()) return void recordOutcome(result.error, sentAtMs);
-    outage.recordSuccess();
+    if (result.isErr())
+      return void contact.recordOutcome(result.error, sentAtMs);
+    contact.recordAnswer();
     const current = result.value;
     pendingConfirmations = [...pendingConfirmations, { ...current, sentAtMs }];
     confirmReachedPositions();
     if (hasReached(current)) return;
     if (isSameEra(current, directory.position())) {
       await delay(computePauseMs() + WATCH_LAG_MS, closeController.signal);
-      if (hasReached(current)) return;
+      if (hasReached(current) || isFed()) return;
     }
     logger.warn(
       {
@@ -245,8 +272,7 @@
       },
       "store watch is behind the current revision; reading the complete state",
     );
-    rereadReason = "behind";
-    watchController?.abort();
+    requestReread("behind");
   }
 
   /** Not longer than until the store's answers confirm the copy again. */
@@ -259,11 +285,13 @@
 
   function scheduleProbe(delayMs: number) {
     clearTimeout(probeTimer);
+    if (closeController.signal.aborted) return;
     probeTimer = setTimeout(() => {
       const remainingMs =
         probeIntervalMs - (clock.nowMs() - storeConfirmedAtMs);
       // A watch response has confirmed the state in the meantime.
       if (delayMs > 0 && remainingMs > 0) return scheduleProbe(remainingMs);
+      if (delayMs > 0 && isFed()) return scheduleProbe(probeIntervalMs);
       scheduleProbe(computeProbeIntervalMs());
       void runGuarded(probe);
     }, delayMs);
@@ -273,21 +301,22 @@
   scheduleProbe(probeIntervalMs);
   return {
     probeNow() {
-      outage.reset();
+      contact.reset();
       scheduleProbe(0);
     },
-    storeOutage: outage.span,
-    mayHaveExpired: () =>
-      performance.now() - lastFailureAtMs < EXPIRY_WINDOW_MS,
+    resume() {
+      wakeWatchLoop();
+      // By then, the watch has confirmed the copy unless nothing changes.
+      scheduleProbe(WATCH_LAG_MS);
+    },
+    isInContact: () => !contact.isLost(),
+    storeOutage: contact.outage,
+    mayHaveExpired: contact.mayHaveExpired,
     close() {
       closeController.abort();
       watchController?.abort();
+      wakeWatchLoop();
       clearTimeout(probeTimer);
     },
   };
 }
-
-/** True if the store has answered, so that it is not lost. */
-function isAnswer(failure: StoreFailure): boolean {
-  return failure === "compacted" || failure === "mixed_eras";
-}
--- a/src/directory/directory_reader_test.ts
+++ b/src/directory/directory_reader_test.ts
@@ -25,7 +25,9 @@
   let configVersion = 1;
   let isDown = false;
   let weightsVersion: number | undefined;
-  let pendingWatches: ((r: Result<StoreChanges, StoreFailure>) => void)[] = [];
+  type Answer = (result: Result<StoreChanges, StoreFailure>) => void;
+  let pendingWatches: Answer[] = [];
+  let pendingOperatorWatches: Answer[] = [];
   const counts = { lists: 0, watches: 0, revisionReads: 0 };
   const revisionReadsAtMs: number[] = [];
 
@@ -45,11 +47,12 @@
       counts.lists += 1;
       return Promise.resolve(isDown ? err("refused") : ok(read()));
     },
-    watch({ signal }) {
+    watch({ scope, signal }) {
       counts.watches += 1;
       if (isDown) return Promise.resolve(err("refused"));
       return new Promise((resolve) => {
-        pendingWatches.push(resolve);
+        if (scope === "operators") pendingOperatorWatches.push(resolve);
+        else pendingWatches.push(resolve);
         signal.addEventListener("abort", () => resolve(err("aborted")));
       });
     },
@@ -78,6 +81,11 @@
       pendingWatches = [];
       waiting.forEach((resolve) => resolve(result ?? ok(read())));
     },
+    answerOperatorWatch(result?: Result<StoreChanges, StoreFailure>) {
+      const waiting = pendingOperatorWatches;
+      pendingOperatorWatches = [];
+      waiting.forEach((resolve) => resolve(result ?? ok(read())));
+    },
     setDown(value: boolean) {
       isDown = value;
     },
@@ -87,6 +95,7 @@
 function startReader(
   fake: ReturnType<typeof createFakeStore>,
   random = () => 0,
+  isFed = () => false,
 ) {
   // A clock advanced by a timer runs slow while the process is busy.
   const { directory, clock } = createTestDirectory({
@@ -100,6 +109,7 @@
     registry: createRegistry(),
     logger: SILENT_LOGGER,
     random,
+    isFed,
   });
   closers.push(() => reader.close());
   return { directory, clock, reader };
@@ -263,3 +273,64 @@
   // The delays are random, up to 50 ms at first and up to 4 s in the end.
   expect(fake.counts.lists - early).toBeLessThanOrEqual(12);
 });
+
+// Guards against weights that some entries learn of 0.3 s later than others:
+// changes of endpoints' records make a watch over everything wait that long.
+test("what operators publish is known at once while endpoints change", async () => {
+  const fake = createFakeStore();
+  const { directory } = startReader(fake);
+  await wait(50);
+  fake.publishSilently();
+  const changes = [createEndpointChange(createEndpoint(), 2)];
+  fake.answerWatch(ok({ revision: 2, changes }));
+  await wait(10);
+  const ageMs = directory.ageMs();
+  fake.publishWeights(2);
+  fake.answerOperatorWatch();
+  await wait(10);
+  expect(directory.wantedWeights("m")).toMatchObject([{ version: 2 }]);
+  expect(directory.config()!.version).toBe(2);
+  // Endpoints may have changed too, so the copy is not complete up to there.
+  expect(directory.position().revision).toBe(2);
+  expect(directory.ageMs()).toBeGreaterThan(ageMs);
+});
+
+// Guards against a bound that rests on the watch of what operators publish: it
+// says nothing about the age of the rest, and can be late without limit.
+test("a watch of what operators publish confirms nothing", async () => {
+  const fake = createFakeStore();
+  const { directory } = startReader(fake);
+  await wait(50);
+  const ageMs = directory.ageMs();
+  await wait(400);
+  fake.answerOperatorWatch(ok({ revision: 1, changes: [] }));
+  await wait(20);
+  expect(directory.ageMs()).toBeGreaterThan(ageMs + 400);
+});
+
+// Guards against calls to the store that grow with the number of entries, and
+// against an entry that still waits when those that it relied on are gone.
+test("an entry rests while others feed it, and reads at once when they end", async () => {
+  const fake = createFakeStore();
+  let isFed = false;
+  const { directory, reader } = startReader(
+    fake,
+    () => 0,
+    () => isFed,
+  );
+  await wait(50);
+  isFed = true;
+  fake.answerWatch();
+  await wait(400);
+  const rested = { ...fake.counts };
+  await wait(1_500);
+  expect(fake.counts).toEqual(rested);
+  fake.publishSilently();
+  isFed = false;
+  reader.resume();
+  await wait(5);
+  fake.answerWatch();
+  await wait(5);
+  expect(directory.config()!.version).toBe(2);
+  expect(directory.ageMs()).toBeLessThan(100);
+});
--- a/src/directory/store.ts
+++ b/src/directory/store.ts
@@ -23,7 +23,14 @@
   readonly changes: readonly DirectoryChange[];
 }
 
+/**
+ * What a watch reports: changes of everything, or only of what operators
+ * publish (configuration, evacuations, wanted weights), which changes rarely.
+ */
+export type WatchScope = "everything" | "operators";
+
 export interface WatchOptions {
+  readonly scope: WatchScope;
   readonly afterRevision: number;
   readonly waitMs: number;
   readonly signal: AbortSignal;
--- /dev/null
+++ b/src/directory/store_contact.ts
@@ -0,0 +1,70 @@
+/**
+ * Whether this process reaches the store, by the outcomes of its calls. Logs
+ * when contact is lost and regained.
+ */
+
+import type { Logger } from "../logging/mod.ts";
+import type { AgeClock } from "./age_clock.ts";
+import type { StoreFailure } from "./store.ts";
+import { createStoreOutage } from "./store_outage.ts";
+import type { OutageSpan } from "./store_outage.ts";
+
+/**
+ * Records that expire in a store outage are reported as removed when the store
+ * is back, so removals within this time of a failure are not applied at once.
+ */
+const EXPIRY_WINDOW_MS = 3_000;
+
+export interface StoreContact {
+  /** Of a call sent at this time; without a failure, the store has answered. */
+  recordOutcome(failure: StoreFailure | undefined, sentAtMs: number): void;
+  /** The store answered a call that does not tell whether watches work. */
+  recordAnswer(): void;
+  isLost(): boolean;
+  mayHaveExpired(): boolean;
+  outage(): OutageSpan | undefined;
+  /** Called after a pause of this process, which can make calls fail. */
+  reset(): void;
+}
+
+export interface StoreContactOptions {
+  readonly clock: AgeClock;
+  readonly logger: Logger;
+  readonly ageMs: () => number;
+  readonly onChange: () => void;
+}
+
+export function createStoreContact(options: StoreContactOptions): StoreContact {
+  const { clock, logger, ageMs, onChange } = options;
+  const outage = createStoreOutage(clock.nowMs);
+  let isLost = false;
+  let lastFailureAtMs = -Infinity;
+
+  return {
+    recordOutcome(failure, sentAtMs) {
+      if (failure === "aborted") return;
+      const isNowLost = failure !== undefined && !isAnswer(failure);
+      if (isNowLost) {
+        lastFailureAtMs = performance.now();
+        outage.recordFailure(sentAtMs);
+      } else outage.recordSuccess();
+      if (isNowLost === isLost) return;
+      isLost = isNowLost;
+      const age = { failure, ageMs: ageMs() };
+      if (isLost) logger.warn(age, "lost the platform's store");
+      else logger.info(age, "regained the platform's store");
+      onChange();
+    },
+    recordAnswer: outage.recordSuccess,
+    isLost: () => isLost,
+    mayHaveExpired: () =>
+      performance.now() - lastFailureAtMs < EXPIRY_WINDOW_MS,
+    outage: outage.span,
+    reset: outage.reset,
+  };
+}
+
+/** True if the store has answered, so that it is not lost. */
+export function isAnswer(failure: StoreFailure): boolean {
+  return failure === "compacted" || failure === "mixed_eras";
+}
