Let two entries read the store for the others, which fall back to it

Each entry read the store for itself: 2.7 to 3.3 calls a second while endpoints renew their records, 50 a second for 15 entries.

Two entries in different data centres read. They send news of changes at once, and answer each other entry once a second with the age of their copy, the changes of content and the digest of all content. With the same digest the copy is as old as the reader's, counted from when the ask was sent, so ages rest on proof as before. With another one all changes are asked for. An entry reads by itself as soon as a reader is lost, has lost the store, or does not answer within 300 ms, and no other reader has answered. Each keeps its own watch of what operators publish.

--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -46,6 +46,7 @@
   describeFleetContent,
 } from "./create_fleet_notice.ts";
 import { startDirectoryExchange } from "./directory_exchange.ts";
+import type { DirectoryExchange } from "./directory_exchange.ts";
 import { createEndConfirmation } from "./end_confirmation.ts";
 import type { ReadStartTime } from "./end_confirmation.ts";
 import { createEndpointAvailability } from "./endpoint_availability.ts";
@@ -123,7 +124,11 @@
     clock,
     registry,
     logger,
+    isFed: () => directoryExchange?.isFed() === true,
+    onNews: (changes) => directoryExchange?.sendNews(changes),
+    onContactChange: () => directoryExchange?.onContactChange(),
   });
+  let directoryExchange: DirectoryExchange | undefined = undefined;
   const mesh = await startMesh({
     ...settings,
     role: "entry",
@@ -272,13 +277,21 @@
     nowMs,
     random: Math.random,
   };
-  const directoryExchange = startDirectoryExchange({
+  directoryExchange = startDirectoryExchange({
     directory,
     clock,
     mesh,
     isInOwnRegion: (dataCentre) =>
       settings.regions[dataCentre] === settings.regions[settings.dataCentre],
     logger,
+    feed: {
+      selfHost: settings.host,
+      dataCentre: settings.dataCentre,
+      isInContact: reader.isInContact,
+      onEnd: reader.resume,
+      registry,
+      random: Math.random,
+    },
   });
   const callerServer = createCallerServer(context);
   const trafficLog = startTrafficLog({
@@ -356,6 +369,7 @@
     lastNowMs = nowMs();
     if (gapMs < PAUSE_CHECK_INTERVAL_MS + MIN_PAUSE_MS) return;
     logger.warn({ gapMs }, "this process was paused or its clock jumped");
+    directoryExchange.onPause();
     reader.probeNow();
   }, PAUSE_CHECK_INTERVAL_MS);
 
--- a/src/wire/fleet_notices.ts
+++ b/src/wire/fleet_notices.ts
@@ -131,8 +131,16 @@
   readonly configVersion?: number | undefined;
   /** True if only the publication times of versions are requested. */
   readonly isForDates?: boolean | undefined;
+  /**
+   * True if renewed records that say nothing new are to be left out, and the
+   * digest of the state is requested.
+   */
+  readonly isForContent?: boolean | undefined;
 }
 
+/** `askId` of a reply that is sent without an ask, as news. */
+export const NEWS_ASK_ID = 0;
+
 export interface DirectoryReplyNotice {
   readonly topic: "directory_reply";
   readonly askId: number;
@@ -148,6 +156,10 @@
   readonly state?: Uint8Array | undefined;
   /** True if `state` holds only the changes since the requested revision. */
   readonly isPartial?: boolean | undefined;
+  /** True if the sender reads the store itself, and reaches it. */
+  readonly isReading?: boolean | undefined;
+  /** Of the sender's state, if the ask was for content. */
+  readonly digest?: number | undefined;
   /** Versions whose time of publication the sender can bound. */
   readonly wantedWeights?: readonly FleetWeights[] | undefined;
 }
@@ -234,6 +246,7 @@
   era: z.number().int().optional(),
   configVersion: z.number().int().optional(),
   isForDates: z.boolean().optional(),
+  isForContent: z.boolean().optional(),
 });
 
 export const directoryReplyNoticeSchema = z.object({
@@ -246,5 +259,7 @@
   isUnsettled: z.boolean().optional(),
   state: z.instanceof(Uint8Array).optional(),
   isPartial: z.boolean().optional(),
+  isReading: z.boolean().optional(),
+  digest: z.number().optional(),
   wantedWeights: z.array(fleetWeightsSchema).optional(),
 });
--- a/src/wire/mod.ts
+++ b/src/wire/mod.ts
@@ -19,6 +19,7 @@
   RateGrantNotice,
   SubscribeNotice,
 } from "./fleet_notices.ts";
+export { NEWS_ASK_ID } from "./fleet_notices.ts";
 export * from "./messages.ts";
 export type { Phase } from "./phase.ts";
 export type { Peer, PeerHandlers } from "./peer.ts";
