Vary the interval of the watches over everything

Readers that begin to read in the same moment keep reading in step, so that both learn of a change at the same time. Each interval is now up to 15% shorter.

--- a/src/directory/directory_reader.ts
+++ b/src/directory/directory_reader.ts
@@ -38,6 +38,11 @@
  * notice that an endpoint leaves, 2 s.
  */
 const MIN_WATCH_INTERVAL_MS = 350;
+/**
+ * Part of the interval by which each may be shorter. Readers that start together
+ * would else read at the same times, and none learn of a change before the rest.
+ */
+const WATCH_INTERVAL_SPREAD = 0.15;
 /**
  * The store may truncate a long response. One with fewer changes than the
  * smallest page, 50, is complete.
@@ -180,7 +185,9 @@
     const controller = new AbortController();
     watchController = controller;
     const sentAtMs = clock.nowMs();
-    nextWatchAtMs = performance.now() + MIN_WATCH_INTERVAL_MS;
+    nextWatchAtMs =
+      performance.now() +
+      MIN_WATCH_INTERVAL_MS * (1 - WATCH_INTERVAL_SPREAD * random());
     const asked = directory.position();
     const result = await store.watch({
       scope: "everything",
