Ask for an absolute share of urgent requests on time in a burst

The test asked that the most urgent kind be on time more than twice as often as in the same fleet without urgencies.

--- a/src/scheduling/urgent_burst_test.ts
+++ b/src/scheduling/urgent_burst_test.ts
@@ -28,7 +28,7 @@
   ];
 }
 
-function simulateBurst(rankCount: number) {
+function simulateBurst(rankCount: number, seed: number) {
   const engines = 9;
   const kinds = createKinds(engines);
   const calls = simulateFleet({
@@ -39,7 +39,7 @@
     kinds,
     durationMs: 8_000,
     timeoutMs: 6_000,
-    random: createRandom(11),
+    random: createRandom(seed),
   });
   const isOnTime = ({ firstEventMs = Infinity, kind }: SimulatedCall) =>
     firstEventMs <= kind.objectiveMs;
@@ -56,9 +56,13 @@
 
 // Guards against urgent requests that are refused or wait because a burst of
 // the least urgent kind, which has the widest objective, fills the queues.
-test("a burst of the least urgent kind does not displace the most urgent one", () => {
-  const [first, , last] = simulateBurst(3);
-  const [former] = simulateBurst(1);
-  expect(first!.onTime).toBeGreaterThan(2 * former!.onTime);
-  expect(first!.served).toBeGreaterThan(last!.served);
-});
+test.each([11, 12, 13])(
+  "a burst of the least urgent kind does not displace the most urgent one (seed %s)",
+  (seed) => {
+    const [first, , last] = simulateBurst(3, seed);
+    const [former] = simulateBurst(1, seed);
+    expect(first!.onTime).toBeGreaterThan(0.75);
+    expect(first!.onTime).toBeGreaterThan(former!.onTime + 0.3);
+    expect(first!.served).toBeGreaterThan(last!.served);
+  },
+);
