--- a/review/stand/fleet.mjs
+++ b/review/stand/fleet.mjs
@@ -67,6 +67,9 @@
   const directory = mkdtempSync(join(tmpdir(), "zinniaspur-review-"));
   const children = [];
   let seeds = [];
+  // Also when the time of the script is up.
+  process.on("exit", () => children.forEach((child) => child.kill("SIGKILL")));
+  process.once("SIGTERM", () => process.exit(2));
 
   function start(role, name, settings) {
     const file = join(directory, `${name}.yaml`);
@@ -122,6 +125,24 @@
         return gateway;
       });
     },
+    /** Starts a sidecar beside each of these model workers. */
+    async startSidecars(workers, service) {
+      const ports = await findPorts(workers.length * 2);
+      workers.forEach(({ address, zone }, index) =>
+        start("sidecar", `side-${index}`, {
+          host: `side-${index}`,
+          data_centre: zone,
+          service,
+          peer_address: `127.0.0.1:${ports[index * 2]}`,
+          metrics_address: `127.0.0.1:${ports[index * 2 + 1]}`,
+          endpoint_address: address,
+          seeds,
+          regions: ZONES,
+          host_mbit_per_s: 5.32,
+          switch_within_ms: BOUNDS.version_ms,
+        }),
+      );
+    },
     /** Kills what still runs and removes the temporary folder. */
     async close() {
       await Promise.all(
