--- a/review/stand/fleet.mjs
+++ b/review/stand/fleet.mjs
@@ -31,14 +31,29 @@
   grace_s: 8,
 };
 
+/**
+ * Below the usual range of outgoing channels, one of which could else take a
+ * port before the program for which it was found listens there.
+ */
+const FIRST_PORT = 20_000;
+const PORT_COUNT = 12_000;
+
+/** Resolves with a server that holds the port, or undefined. */
+function hold(port) {
+  const server = createServer();
+  return new Promise((resolve) => {
+    server.once("error", () => resolve(undefined));
+    server.listen(port, "127.0.0.1", () => resolve(server));
+  });
+}
+
 export async function findPorts(count) {
-  const servers = await Promise.all(
-    Array.from({ length: count }, async () => {
-      const server = createServer();
-      await new Promise((resolve) => server.listen(0, "127.0.0.1", resolve));
-      return server;
-    }),
-  );
+  const servers = [];
+  while (servers.length < count) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
+    const server = await hold(port);
+    if (server !== undefined) servers.push(server);
+  }
   const ports = servers.map((server) => server.address().port);
   await Promise.all(
     servers.map((server) => new Promise((resolve) => server.close(resolve))),
