Bound the delay of a removal by the time in which records return

Cause: after a failed call to the store, each removal of an endpoint's record was delayed by 1.5 s, counted from when this entry learned of it. The delay exists for records that expired in an outage, and those are back within about two seconds of the store's return, whenever the removal is learned of.

Change: a removal is delayed until 2.5 s after the last failed call at the latest, and by 1.5 s at most as before. The log says so.

Result: "a removal is not delayed beyond the time in which records return" fails before and passes now. Removals as the store returns are delayed as before.

--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -101,8 +101,8 @@
 export interface DirectoryOptions {
   readonly clock: AgeClock;
   readonly logger: Logger;
-  /** True while endpoint records may have expired in a store outage. */
-  readonly mayHaveExpired?: () => boolean;
+  /** Time for which a removal may still be due to a store outage; 0 for none. */
+  readonly expiryWindowMs?: () => number;
   /** Period in which all requests to the store have failed. */
   readonly storeOutage?: () => OutageSpan | undefined;
   /**
@@ -117,7 +117,7 @@
   const {
     clock,
     logger,
-    mayHaveExpired = () => false,
+    expiryWindowMs = () => 0,
     storeOutage = () => undefined,
     comparesWithPeers = false,
     schedule = (handle, delayMs) => void setTimeout(handle, delayMs).unref(),
@@ -126,7 +126,7 @@
   const deferred = createDeferredChanges({ schedule, onDue: applyDeferred });
   const latestChanges = createHeldChanges();
   const endpoints = createEndpointList({
-    ...{ clock, logger, mayHaveExpired },
+    ...{ clock, logger, expiryWindowMs },
     onRemovedLate: notify,
   });
   const evacuated = new Set<string>();
--- a/src/directory/directory_reader.ts
+++ b/src/directory/directory_reader.ts
@@ -58,7 +58,8 @@
   resume(): void;
   /** False while calls to the store fail. */
   isInContact(): boolean;
-  mayHaveExpired(): boolean;
+  /** Time for which a removal may still be due to a store outage; 0 for none. */
+  expiryWindowMs(): number;
   /**
    * Period in which all requests to the store have failed, on the age clock.
    */
@@ -318,7 +319,7 @@
     },
     isInContact: () => !contact.isLost(),
     storeOutage: contact.outage,
-    mayHaveExpired: contact.mayHaveExpired,
+    expiryWindowMs: contact.expiryWindowMs,
     close() {
       closeController.abort();
       watchController?.abort();
--- a/src/directory/directory_reader_test.ts
+++ b/src/directory/directory_reader_test.ts
@@ -100,6 +100,7 @@
   // A clock advanced by a timer runs slow while the process is busy.
   const { directory, clock } = createTestDirectory({
     clock: createAgeClock(),
+    expiryWindowMs: () => reader.expiryWindowMs(),
     storeOutage: () => reader.storeOutage(),
   });
   const reader = startDirectoryReader({
@@ -153,12 +154,58 @@
   const fake = createFakeStore();
   const { directory, reader } = startReader(fake);
   await wait(50);
-  expect(reader.mayHaveExpired()).toBe(false);
+  expect(reader.expiryWindowMs()).toBe(0);
   fake.setDown(true);
   fake.answerWatch(err("connection"));
   await wait(1_500);
   expect(directory.ageMs()).toBeGreaterThan(1_300);
-  expect(reader.mayHaveExpired()).toBe(true);
+  expect(reader.expiryWindowMs()).toBeGreaterThan(1_500);
+});
+
+/** A store with one endpoint, which is down for three seconds. */
+async function passOutage() {
+  jest.useFakeTimers();
+  const fake = createFakeStore();
+  const found = startReader(fake);
+  await jest.advanceTimersByTimeAsync(50);
+  const listed = [createEndpointChange(createEndpoint(), 2)];
+  fake.answerWatch(ok({ revision: 2, changes: listed }));
+  await jest.advanceTimersByTimeAsync(400);
+  fake.setDown(true);
+  fake.answerWatch(err("connection"));
+  await jest.advanceTimersByTimeAsync(3_000);
+  fake.setDown(false);
+  return { ...found, fake };
+}
+
+function removeEndpoint(fake: ReturnType<typeof createFakeStore>) {
+  const removed = { type: "endpoint" as const, revision: 3, id: "e1" };
+  fake.answerWatch(
+    ok({ revision: 3, changes: [{ ...removed, endpoint: undefined }] }),
+  );
+}
+
+// Guards against endpoints that are dropped though they live: their records
+// expired in an outage of the store and are back two seconds after its return.
+test("a removal that is learned of as the store returns is delayed", async () => {
+  const { directory, fake } = await passOutage();
+  await jest.advanceTimersByTimeAsync(550);
+  removeEndpoint(fake);
+  await jest.advanceTimersByTimeAsync(1_200);
+  expect(directory.endpointsOf("pool")).toHaveLength(1);
+  await jest.advanceTimersByTimeAsync(400);
+  expect(directory.endpointsOf("pool")).toHaveLength(0);
+});
+
+// Guards against requests to an endpoint that left well after an outage, 2 s and
+// more after its removal: the delay was counted from when the removal was
+// learned of, and added to the time until then.
+test("a removal is not delayed beyond the time in which records return", async () => {
+  const { directory, fake } = await passOutage();
+  await jest.advanceTimersByTimeAsync(2_300);
+  removeEndpoint(fake);
+  await jest.advanceTimersByTimeAsync(500);
+  expect(directory.endpointsOf("pool")).toHaveLength(0);
 });
 
 // Guards against a rate of store requests that grows with the number of
--- a/src/directory/directory_test.ts
+++ b/src/directory/directory_test.ts
@@ -62,7 +62,7 @@
 });
 
 test("an endpoint that may have expired in a store outage stays for 1.5 s", async () => {
-  const { directory } = createTestDirectory({ mayHaveExpired: () => true });
+  const { directory } = createTestDirectory({ expiryWindowMs: () => 2_500 });
   directory.apply([createEndpointChange(createEndpoint(), 1)], { revision: 1 });
   directory.apply(
     [{ type: "endpoint", revision: 2, id: "e1", endpoint: undefined }],
--- a/src/directory/endpoint_list.ts
+++ b/src/directory/endpoint_list.ts
@@ -24,22 +24,22 @@
 export interface EndpointListOptions {
   readonly clock: AgeClock;
   readonly logger: Logger;
-  /** True while endpoint records may have expired in a store outage. */
-  readonly mayHaveExpired: () => boolean;
+  /** Time for which a removal may still be due to a store outage; 0 for none. */
+  readonly expiryWindowMs: () => number;
   /** Called after a removal that `apply` has delayed. */
   readonly onRemovedLate: () => void;
 }
 
 /**
- * Delay of a removal that may be due to a store outage; records that expired in
- * an outage are back within about two seconds. Shorter than the time for which
- * a removed endpoint may still be sent requests, in case the record did not
- * expire.
+ * Longest delay of a removal that may be due to a store outage. Shorter than the
+ * time for which a removed endpoint may still be sent requests, 2 s, in case the
+ * record did not expire. The delay ends earlier with the time in which records
+ * return, as the removal may have been learned of late.
  */
-const EXPIRY_GRACE_MS = 1_500;
+const MAX_EXPIRY_GRACE_MS = 1_500;
 
 export function createEndpointList(options: EndpointListOptions): EndpointList {
-  const { clock, logger, mayHaveExpired, onRemovedLate } = options;
+  const { clock, logger, expiryWindowMs, onRemovedLate } = options;
   const endpoints = new Map<string, ListedEndpoint>();
   const byService = new Map<string, readonly ListedEndpoint[]>();
   const removedRecords = new Map<string, EndpointRecord>();
@@ -74,12 +74,20 @@
     logger.info({ endpoint: id }, "endpoint no longer listed");
   }
 
-  function removeAfterGrace(id: string, previous: ListedEndpoint) {
+  function removeAfterGrace(
+    id: string,
+    previous: ListedEndpoint,
+    graceMs: number,
+  ) {
+    logger.info(
+      { endpoint: id, graceMs: Math.round(graceMs) },
+      "removal of an endpoint is delayed: its record may have expired in a store outage",
+    );
     setTimeout(() => {
       if (endpoints.get(id) !== previous) return;
       remove(id);
       onRemovedLate();
-    }, EXPIRY_GRACE_MS).unref();
+    }, graceMs).unref();
   }
 
   return {
@@ -99,7 +107,8 @@
       if (record !== undefined) return add(id, record);
       const previous = endpoints.get(id);
       if (previous === undefined) return;
-      if (mayHaveExpired()) return removeAfterGrace(id, previous);
+      const graceMs = Math.min(MAX_EXPIRY_GRACE_MS, expiryWindowMs());
+      if (graceMs > 0) return removeAfterGrace(id, previous, graceMs);
       remove(id);
     },
     remove,
--- a/src/directory/store_contact.ts
+++ b/src/directory/store_contact.ts
@@ -11,9 +11,10 @@
 
 /**
  * Records that expire in a store outage are reported as removed when the store
- * is back, so removals within this time of a failure are not applied at once.
+ * is back, and are back themselves within about two seconds of its return. That
+ * is up to half a second, the longest backoff of a call, after the last failure.
  */
-const EXPIRY_WINDOW_MS = 3_000;
+const EXPIRY_WINDOW_MS = 2_500;
 
 export interface StoreContact {
   /** Of a call sent at this time; without a failure, the store has answered. */
@@ -21,7 +22,8 @@
   /** The store answered a call that does not tell whether watches work. */
   recordAnswer(): void;
   isLost(): boolean;
-  mayHaveExpired(): boolean;
+  /** Time for which a removal may still be due to an outage; 0 for none. */
+  expiryWindowMs(): number;
   outage(): OutageSpan | undefined;
   /** Called after a pause of this process, which can make calls fail. */
   reset(): void;
@@ -57,8 +59,8 @@
     },
     recordAnswer: outage.recordSuccess,
     isLost: () => isLost,
-    mayHaveExpired: () =>
-      performance.now() - lastFailureAtMs < EXPIRY_WINDOW_MS,
+    expiryWindowMs: () =>
+      Math.max(0, lastFailureAtMs + EXPIRY_WINDOW_MS - performance.now()),
     outage: outage.span,
     reset: outage.reset,
   };
--- a/src/directory/testing/mod.ts
+++ b/src/directory/testing/mod.ts
@@ -114,7 +114,7 @@
 export function createTestDirectory(
   options: Pick<
     DirectoryOptions,
-    "mayHaveExpired" | "storeOutage" | "comparesWithPeers" | "schedule"
+    "expiryWindowMs" | "storeOutage" | "comparesWithPeers" | "schedule"
   > & {
     /** Replaces the clock that tests advance through `time`. */
     readonly clock?: AgeClock;
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -115,7 +115,7 @@
   const directory = createDirectory({
     clock,
     logger,
-    mayHaveExpired: () => reader.mayHaveExpired(),
+    expiryWindowMs: () => reader.expiryWindowMs(),
     storeOutage: () => reader.storeOutage(),
     comparesWithPeers: true,
   });
