Tell a silent connection from an outage of the store

Cause: any failed call to the store counted as an outage in which records may have expired, also the timeout of one connection that had gone silent while other calls of the same process were answered.

Change: a failed call counts as part of an outage only if nothing has confirmed the copy, by the store or by a peer, for as long as a record needs to expire: two heartbeat intervals.

Result: "a call on a silent connection is no outage while other calls are answered" fails before and passes now.

--- a/src/directory/directory_reader_test.ts
+++ b/src/directory/directory_reader_test.ts
@@ -159,9 +159,23 @@
   fake.answerWatch(err("connection"));
   await wait(1_500);
   expect(directory.ageMs()).toBeGreaterThan(1_300);
+  await wait(1_600);
   expect(reader.expiryWindowMs()).toBeGreaterThan(1_500);
 });
 
+// Guards against requests to an endpoint that has left, 2 s and more after its
+// removal: a single connection that went silent counted as an outage of the
+// store, in which records expire, and delayed removals.
+test("a call on a silent connection is no outage while other calls are answered", async () => {
+  const fake = createFakeStore();
+  const { reader } = startReader(fake);
+  await wait(1_300);
+  fake.answerWatch(err("timeout"));
+  await wait(20);
+  expect(reader.isInContact()).toBe(false);
+  expect(reader.expiryWindowMs()).toBe(0);
+});
+
 /** A store with one endpoint, which is down for three seconds. */
 async function passOutage() {
   jest.useFakeTimers();
--- a/src/directory/store_contact.ts
+++ b/src/directory/store_contact.ts
@@ -9,6 +9,12 @@
 import { createStoreOutage } from "./store_outage.ts";
 import type { OutageSpan } from "./store_outage.ts";
 
+/**
+ * A record expires three heartbeats of 1.2 s after the last one, which may have
+ * been sent an interval before the outage. A shorter outage removes no record of
+ * a live endpoint.
+ */
+const MIN_EXPIRY_OUTAGE_MS = 2_400;
 /**
  * Records that expire in a store outage are reported as removed when the store
  * is back, and are back themselves within about two seconds of its return. That
@@ -40,14 +46,22 @@
   const { clock, logger, ageMs, onChange } = options;
   const outage = createStoreOutage(clock.nowMs);
   let isLost = false;
-  let lastFailureAtMs = -Infinity;
+  let lastOutageAtMs = -Infinity;
+
+  /**
+   * A connection that has gone silent fails a call as well, but other calls, or
+   * those of peers, have confirmed the copy meanwhile.
+   */
+  function mayBeOutage(): boolean {
+    return ageMs() >= MIN_EXPIRY_OUTAGE_MS;
+  }
 
   return {
     recordOutcome(failure, sentAtMs) {
       if (failure === "aborted") return;
       const isNowLost = failure !== undefined && !isAnswer(failure);
       if (isNowLost) {
-        lastFailureAtMs = performance.now();
+        if (mayBeOutage()) lastOutageAtMs = performance.now();
         outage.recordFailure(sentAtMs);
       } else outage.recordSuccess();
       if (isNowLost === isLost) return;
@@ -60,7 +74,7 @@
     recordAnswer: outage.recordSuccess,
     isLost: () => isLost,
     expiryWindowMs: () =>
-      Math.max(0, lastFailureAtMs + EXPIRY_WINDOW_MS - performance.now()),
+      Math.max(0, lastOutageAtMs + EXPIRY_WINDOW_MS - performance.now()),
     outage: outage.span,
     reset: outage.reset,
   };
