Watch the store again after its connections have gone silent

Cause: a watch on a connection that has gone silent was given up after 10.9 s. Such a read goes over an idle connection that was open as well and fails after 0.9 s, so the process knows of the silence within two seconds, but did nothing with it. A new call could also take another silent connection.

Once a read is answered after one without a response, both watches are sent again. That is two calls for each silence; a store that answers nothing gets no more calls than before, and fleets whose entries rely on few readers send them from these only.

--- a/src/directory/directory_reader.ts
+++ b/src/directory/directory_reader.ts
@@ -3,9 +3,10 @@
  * everything returns changes promptly, and each of its responses proves that the
  * directory was complete when the request was sent. While the watch returns
  * nothing, a linearizable read of the store's revision proves this every second,
- * because a watch can stop delivering without an error. Both rest while other
- * processes provide changes and proof; what operators publish has a watch of
- * its own that never rests.
+ * because a watch can stop delivering without an error. If such a read gets no
+ * response but a later one does, connections have gone silent, and the watches
+ * are sent again. Watch and reads rest while other processes provide changes and
+ * proof; what operators publish has a watch of its own that never rests.
  */
 
 import type { Logger } from "../logging/mod.ts";
@@ -121,6 +122,9 @@
   let wasAnswered = false;
   let probeTimer: NodeJS.Timeout | undefined;
   let isWatchingOperators = false;
+  let operatorWatchController = new AbortController();
+  /** On the age clock: when the last read without a response was sent. */
+  let unansweredSentAtMs: number | undefined;
   let wakeWatchLoop = () => {};
 
   function confirm(atMs: number) {
@@ -170,6 +174,10 @@
     void runOperatorWatch({
       ...{ store, directory, clock, requestReread },
       signal: closeController.signal,
+      openWatchSignal() {
+        operatorWatchController = new AbortController();
+        return operatorWatchController.signal;
+      },
       guard: runGuarded,
       onOutcome: contact.recordOutcome,
       onChanges: onNews,
@@ -257,13 +265,28 @@
     return comparePositions(directory.position(), position) >= 0;
   }
 
+  /** The store answers, so watches that it does not answer may be silent. */
+  function resendSilentWatches() {
+    if (unansweredSentAtMs === undefined) return;
+    logger.info(
+      { silentMs: Math.round(clock.nowMs() - unansweredSentAtMs) },
+      "a read of the store had no response and a later one had; sending the watches again",
+    );
+    unansweredSentAtMs = undefined;
+    watchController?.abort();
+    operatorWatchController.abort();
+  }
+
   async function probe(): Promise<undefined> {
     const sentAtMs = clock.nowMs();
     const result = await store.readPosition();
     if (closeController.signal.aborted) return;
-    if (result.isErr())
+    if (result.isErr()) {
+      if (result.error === "timeout") unansweredSentAtMs = sentAtMs;
       return void contact.recordOutcome(result.error, sentAtMs);
+    }
     contact.recordAnswer();
+    resendSilentWatches();
     const current = result.value;
     pendingConfirmations = [...pendingConfirmations, { ...current, sentAtMs }];
     confirmReachedPositions();
@@ -323,6 +346,7 @@
     close() {
       closeController.abort();
       watchController?.abort();
+      operatorWatchController.abort();
       wakeWatchLoop();
       clearTimeout(probeTimer);
     },
--- a/src/directory/directory_reader_test.ts
+++ b/src/directory/directory_reader_test.ts
@@ -24,6 +24,7 @@
   let revision = 1;
   let configVersion = 1;
   let isDown = false;
+  let isSilent = false;
   let weightsVersion: number | undefined;
   type Answer = (result: Result<StoreChanges, StoreFailure>) => void;
   let pendingWatches: Answer[] = [];
@@ -59,6 +60,7 @@
     readPosition() {
       counts.revisionReads += 1;
       revisionReadsAtMs.push(performance.now());
+      if (isSilent) return Promise.resolve(err("timeout"));
       return Promise.resolve(isDown ? err("refused") : ok({ revision }));
     },
     close: () => Promise.resolve(),
@@ -89,6 +91,10 @@
     setDown(value: boolean) {
       isDown = value;
     },
+    /** Reads of the revision time out; watches stay as they are. */
+    setSilent(value: boolean) {
+      isSilent = value;
+    },
   };
 }
 
@@ -222,6 +228,22 @@
   expect(directory.endpointsOf("pool")).toHaveLength(0);
 });
 
+// Guards against calls that a silent store has to bear in addition to the usual
+// ones: watches are sent again once it answers, not at each failed read.
+test("watches are sent again once after reads without a response", async () => {
+  jest.useFakeTimers();
+  const fake = createFakeStore();
+  startReader(fake);
+  await jest.advanceTimersByTimeAsync(50);
+  const { watches } = fake.counts;
+  fake.setSilent(true);
+  await jest.advanceTimersByTimeAsync(4_000);
+  expect(fake.counts.watches).toBe(watches);
+  fake.setSilent(false);
+  await jest.advanceTimersByTimeAsync(3_000);
+  expect(fake.counts.watches).toBe(watches + 2);
+});
+
 // Guards against a rate of store requests that grows with the number of
 // endpoints: each change of an endpoint's record ends a watch, and without a
 // minimum interval each of 14 entries sent 8 requests a second.
--- a/src/directory/operator_watch.ts
+++ b/src/directory/operator_watch.ts
@@ -33,7 +33,10 @@
   readonly store: MetadataStore;
   readonly directory: Directory;
   readonly clock: AgeClock;
+  /** Ends the watch for good. */
   readonly signal: AbortSignal;
+  /** Returns a signal that ends the next call, so that another one is sent. */
+  readonly openWatchSignal: () => AbortSignal;
   readonly onOutcome: (
     failure: StoreFailure | undefined,
     sentAtMs: number,
@@ -83,7 +86,7 @@
       scope: "operators",
       afterRevision: asked.revision,
       waitMs: hasFailed ? CONTACT_WAIT_MS : WATCH_WAIT_MS,
-      signal,
+      signal: options.openWatchSignal(),
     });
     if (result.isErr()) {
       if (result.error === "compacted") onRefused(asked);
@@ -117,10 +120,12 @@
     sentAtMs = [...sentAtMs, performance.now()];
     const failure = await guard(watchOnce);
     options.onOutcome(failure, atMs);
-    hasFailed = failure !== undefined && !isAnswer(failure);
+    // The store answers again if this process has ended the call.
+    const isResent = failure === "aborted";
+    hasFailed = failure !== undefined && !isResent && !isAnswer(failure);
     if (failure === undefined) backoff.reset();
     await delay(
-      failure === undefined ? computePauseMs() : backoff.nextMs(),
+      failure === undefined || isResent ? computePauseMs() : backoff.nextMs(),
       signal,
     );
   }
