Keep a silent attempt until another endpoint has answered

Cause: a silent attempt was ended in the step in which another endpoint was chosen. That one can still reject the request, fail or break off, and until it has answered, the silent attempt is the only one that can. When all others were full, none was left and the response that had begun was closed; a second try later was not made either.

Change: the call is sent to the other endpoint as well, and the attempts go on side by side. The first that has events for the caller ends the rest; of plain requests the first answer that is no server error counts. This holds for requests that may run more than once; attempts in progress count towards the attempts of the route, and each one is taken from the retry budget, after a rejection from the share for overload. What one attempt has shown about crashes is kept for each attempt.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -61,8 +61,8 @@
     readonly beforeFirstByteMs: number;
     readonly betweenBytesMs: number;
   };
-  /** Called again while the silence lasts. "end" ends the attempt. */
-  readonly onSilence: () => "end" | "wait";
+  /** Called again and again while the silence lasts. */
+  readonly onSilence: () => void;
   /**
    * Called when the connection is open. A reason keeps the request from being
    * sent.
@@ -165,7 +165,8 @@
 
   function onSilence() {
     // Opening a connection has a timeout of its own.
-    if (isSent && options.onSilence() === "end") return onTimeout();
+    if (isSent) options.onSilence();
+    if (isFinished) return;
     silenceTimer = setTimeout(onSilence, SILENCE_CHECK_INTERVAL_MS);
   }
 
@@ -200,6 +201,7 @@
   }
 
   function onData(bytes: Buffer) {
+    if (isFinished) return;
     onActivity();
     if (receivedBytes === 0) options.onStart();
     receivedBytes += bytes.length;
--- a/src/gateway/call_state.ts
+++ b/src/gateway/call_state.ts
@@ -22,15 +22,6 @@
   readonly triedEndpoints: Set<string>;
   readonly sentEventIds: SentEventIds;
   weightVersion: number | undefined;
-  /** True once the last attempt has shown that the request crashes nothing. */
-  hasSurvived: boolean;
-  /** From sending the last attempt to its response head. */
-  headMs: number | undefined;
-  /**
-   * Endpoint of the next attempt, which is already taken from the retry budget;
-   * set when a silent attempt is ended.
-   */
-  reservedRetry: ChosenEndpoint | undefined;
   /** A server error of an endpoint, passed on if no later attempt succeeds. */
   failedResponse: Extract<AttemptOutcome, { type: "answered" }> | undefined;
 }
@@ -52,6 +43,8 @@
 export interface FinishedAttempt extends ActiveCall {
   readonly outcome: AttemptOutcome;
   readonly choice: ChosenEndpoint;
+  /** From sending the attempt to its response head. */
+  readonly headMs: number | undefined;
 }
 
 export function createCallState(call: Call): CallState {
@@ -62,9 +55,6 @@
     triedEndpoints: new Set(),
     sentEventIds: createSentEventIds(call.headers.lastEventId),
     weightVersion: undefined,
-    hasSurvived: false,
-    headMs: undefined,
-    reservedRetry: undefined,
     failedResponse: undefined,
   };
 }
--- a/src/gateway/dispatch_call.ts
+++ b/src/gateway/dispatch_call.ts
@@ -2,15 +2,17 @@
  * Dispatches one call: chooses an endpoint, sends the request there, and
  * retries at another endpoint where that is safe. A request that may have run
  * is retried only if it may run more than once; a broken stream is resumed
- * after its last complete event.
+ * after its last complete event, a silent one while its endpoint may go on.
  */
 
 import type { CallService } from "../directory/mod.ts";
 import { createFingerprint } from "../quarantine/mod.ts";
 import { chooseEndpoint, computeRequestPriority } from "../scheduling/mod.ts";
 import type { Choice, RequestOrder } from "../scheduling/mod.ts";
-import type { Attempt, AttemptOutcome } from "./attempt.ts";
+import type { AttemptOutcome } from "./attempt.ts";
 import type { Call } from "./call.ts";
+import { createCallAttempts } from "./call_attempts.ts";
+import type { CallAttempts, EndedAttempt } from "./call_attempts.ts";
 import { createCallState } from "./call_state.ts";
 import type { PendingCall } from "./call_state.ts";
 import type { CallerResponse } from "./caller_response.ts";
@@ -22,11 +24,9 @@
   refuseCall,
 } from "./end_call.ts";
 import type { GatewayContext } from "./gateway_context.ts";
-import { sendAttempt, trackAttempt } from "./send_attempt.ts";
 import { handleOutcome, QUARANTINED_REASON } from "./handle_outcome.ts";
 import { listEndpointViews } from "./list_endpoint_views.ts";
 import { readPendingEvents } from "./read_pending_events.ts";
-import { reserveRetry } from "./reserve_retry.ts";
 
 /**
  * A route can be published before its service. The next configuration version
@@ -50,18 +50,18 @@
   call: Call,
   response: CallerResponse,
 ): Dispatch {
-  let attempt: Attempt | undefined;
+  let attempts: CallAttempts | undefined;
   let endCause: "cancelled" | "expired" | "shutdown" | undefined;
 
   function endEarly(cause: "cancelled" | "expired") {
     endCause ??= cause;
-    attempt?.abort();
+    attempts?.abort();
   }
 
   function endForShutdown() {
     endCause ??= "shutdown";
     // Unlike an abort, this tells whether the request has been sent.
-    attempt?.fail("shutdown");
+    attempts?.fail("shutdown");
   }
 
   const timer = setTimeout(
@@ -107,65 +107,50 @@
       });
     }
     context.getRetryBudget(service.name).recordRequest();
+    const started = createCallAttempts(context, {
+      ...{ call, service, state, response },
+      chooseEndpoint: (next) => choose(context, { call, service, state: next }),
+    });
+    attempts = started;
+    await runAttempts(started, { call, service, state }).finally(started.close);
+  }
+
+  /** Until the caller has a response, or has left. */
+  async function runAttempts(started: CallAttempts, pendingCall: PendingCall) {
+    const { service, state } = pendingCall;
     const refusalTracker = context.getRefusalTracker(service.name);
     for (;;) {
-      const choice =
-        state.reservedRetry ?? choose(context, { call, service, state });
-      state.reservedRetry = undefined;
-      if (choice.type === "none") {
-        refusalTracker.countRefused();
-        return endWithoutEndpoint(context, { call, response, state, choice });
-      }
-      refusalTracker.countAdmitted();
-      if (state.triedEndpoints.size === 0) {
-        context.promptPartQuarantine.recordSend(promptParts);
-      }
-      attempt = sendAttempt(context, {
-        call,
-        service,
-        state,
-        response,
-        choice,
-        reserveRetry: () =>
-          reserveRetry(context, {
-            call,
-            state,
-            response,
-            choice,
-            choose: (next) => choose(context, { call, service, state: next }),
-          }),
-      });
-      const watch = context.promptPartQuarantine.watch(promptParts, () => {
-        if (!state.hasSurvived) attempt?.fail(QUARANTINED_REASON);
-      });
-      const outcome = await trackAttempt(context, attempt, choice.view);
-      watch.close();
-      logAttempt(context, { call, state, choice, outcome });
-      if (isLikelyCrash(outcome)) {
-        const { id, address, startedAtMs } = choice.view.endpoint;
-        if (!state.hasSurvived) {
-          context.sendCrashNotice(
-            context.quarantine.recordLikelyCrash(fingerprint, address),
-          );
-          context.promptPartQuarantine.recordCrash({
-            endpoint: `${id} ${startedAtMs ?? ""}`,
-            request: fingerprint.slice(0, REQUEST_KEY_LENGTH),
-            parts: promptParts,
-          });
+      if (started.countRunning() === 0) {
+        const choice = choose(context, pendingCall);
+        if (choice.type === "none") {
+          refusalTracker.countRefused();
+          return endWithoutEndpoint(context, { call, response, state, choice });
         }
+        refusalTracker.countAdmitted();
+        started.start(choice);
       }
+      const ended = await started.waitForEnd();
+      const { outcome } = ended;
+      logAttempt(context, ended);
+      if (isLikelyCrash(outcome) && !ended.hasSurvived) recordCrash(ended);
       if (endCause === "cancelled") return;
       if (endCause === "expired") {
+        state.runs += started.countRunning();
         return endExpired(context, { call, response, state, outcome });
       }
       const shutdown = { call, state, response, reason: "shutdown" };
       if (endCause === "shutdown" && outcome.type !== "answered") {
+        state.runs += started.countRunning();
         if (outcome.type === "lost") state.runs += 1;
         return endWithFailure(context, shutdown);
       }
-      const finishedAttempt = { call, state, response, outcome, choice };
-      const next = handleOutcome(context, finishedAttempt);
+      const next = handleOutcome(context, {
+        ...ended,
+        hasOthers: started.countRunning() > 0,
+        onRejected: started.onRejected,
+      });
       if (next === "end") return;
+      if (next === "wait") continue;
       await readPendingEvents();
       if (!response.isOpen()) return;
       if (endCause === "shutdown") return endWithFailure(context, shutdown);
@@ -175,6 +160,18 @@
     }
   }
 
+  function recordCrash({ choice }: EndedAttempt) {
+    const { id, address, startedAtMs } = choice.view.endpoint;
+    context.sendCrashNotice(
+      context.quarantine.recordLikelyCrash(fingerprint, address),
+    );
+    context.promptPartQuarantine.recordCrash({
+      endpoint: `${id} ${startedAtMs ?? ""}`,
+      request: fingerprint.slice(0, REQUEST_KEY_LENGTH),
+      parts: promptParts,
+    });
+  }
+
   const done = run().finally(() => clearTimeout(timer));
   return { cancel: () => endEarly("cancelled"), endForShutdown, done };
 }
--- a/src/gateway/end_call.ts
+++ b/src/gateway/end_call.ts
@@ -121,9 +121,9 @@
 
 export function logAttempt(
   context: GatewayContext,
-  options: Omit<FinishedAttempt, "response">,
+  options: Omit<FinishedAttempt, "response" | "state">,
 ) {
-  const { call, state, choice, outcome } = options;
+  const { call, choice, outcome, headMs } = options;
   const { endpoint, load, weightVersion, startWindowMs } = choice.view;
   const { type, ...details } = outcome;
   context.logger.info(
@@ -138,7 +138,7 @@
       promptTokens: call.headers.promptTokens,
       forecastMs: Math.round(choice.forecastMs),
       priority: choice.priority,
-      headMs: state.headMs,
+      headMs,
       weightVersion,
       ...(Number.isFinite(startWindowMs) && {
         startWindowMs: Math.round(startWindowMs!),
--- a/src/gateway/handle_outcome.ts
+++ b/src/gateway/handle_outcome.ts
@@ -1,5 +1,6 @@
 /** Handles the outcome of an attempt. */
 
+import type { RetryCause } from "../limits/mod.ts";
 import type { AttemptOutcome } from "./attempt.ts";
 import type { Call } from "./call.ts";
 import { isRetryable, PAUSED_REASON } from "./call_state.ts";
@@ -21,9 +22,13 @@
 const MIN_SERVER_ERROR_STATUS = 500;
 /** This entry has ended the attempt, because it could crash the endpoint. */
 export const QUARANTINED_REASON = "crashes_endpoints";
+/** Another attempt of the call has events for the caller. */
+export const SUPERSEDED_REASON = "superseded";
+const STATUS_MISDIRECTED = 421;
 /** Reasons for which this entry ends an attempt though the endpoint is sound. */
 const OWN_REASONS: ReadonlySet<string> = new Set([
   QUARANTINED_REASON,
+  SUPERSEDED_REASON,
   VERSION_EXPIRED_REASON,
   PAUSED_REASON,
   WITHDRAWN_REASON,
@@ -39,17 +44,34 @@
   "endpoint_down",
 ]);
 
-/** Responds to the caller, or returns "retry" for another attempt. */
+export interface HandledAttempt extends FinishedAttempt {
+  /** True if other attempts of the call are in progress. */
+  readonly hasOthers: boolean;
+  /** Called with the id of an endpoint that may be asked again. */
+  readonly onRejected: (endpointId: string) => void;
+}
+
+/**
+ * Responds to the caller, or returns "wait" if other attempts are in progress
+ * and "retry" for another attempt.
+ */
 export function handleOutcome(
   context: GatewayContext,
-  options: FinishedAttempt,
-): "end" | "retry" {
-  const { call, state, response, outcome, choice } = options;
+  options: HandledAttempt,
+): "end" | "retry" | "wait" {
+  const { call, state, response, outcome, choice, hasOthers } = options;
   const { id } = choice.view.endpoint;
+  const isFull =
+    outcome.type === "not_run" && outcome.status !== STATUS_MISDIRECTED;
+  if (hasOthers && isFull) {
+    options.onRejected(id);
+    return "wait";
+  }
   state.triedEndpoints.add(id);
   switch (outcome.type) {
     case "not_sent":
       if (!OWN_REASONS.has(outcome.reason)) context.health.onUnreachable(id);
+      if (hasOthers) return "wait";
       state.unsentAttempts += 1;
       if (
         state.unsentAttempts <= MAX_UNSENT_ATTEMPTS &&
@@ -59,6 +81,7 @@
       }
       break;
     case "not_run":
+      if (hasOthers) return "wait";
       state.notRunAttempts += 1;
       if (
         state.notRunAttempts <= MAX_NOT_RUN_ATTEMPTS &&
@@ -75,7 +98,7 @@
         context.health.onFailure(id);
       }
       state.runs += 1;
-      if (state.reservedRetry !== undefined) return "retry";
+      if (hasOthers) return "wait";
       if (mayRetry(context, options)) return "retry";
       break;
     case "answered":
@@ -90,11 +113,11 @@
 
 function handleResponse(
   context: GatewayContext,
-  options: FinishedAttempt & {
+  options: HandledAttempt & {
     readonly outcome: Extract<AttemptOutcome, { type: "answered" }>;
   },
-): "end" | "retry" {
-  const { call, state, response, outcome, choice } = options;
+): "end" | "retry" | "wait" {
+  const { call, state, response, outcome, choice, hasOthers } = options;
   const { status, headers, body } = outcome;
   const { id } = choice.view.endpoint;
   if (status < MIN_SERVER_ERROR_STATUS) context.health.onSuccess(id);
@@ -107,6 +130,7 @@
   if (status >= MIN_SERVER_ERROR_STATUS) state.failedResponse = outcome;
   // A stream that has begun can only be continued by one.
   const isFailure = status >= MIN_SERVER_ERROR_STATUS || response.hasStarted();
+  if (isFailure && hasOthers) return "wait";
   if (isFailure && mayRetry(context, options)) return "retry";
   if (response.hasStarted()) {
     const reason = "not_continued";
@@ -131,6 +155,7 @@
 export function mayRetry(
   context: GatewayContext,
   { call, state, response }: ActiveCall,
+  cause?: RetryCause,
 ): boolean {
   if (!isRetryable(call) || state.runs >= call.route.maxAttempts) return false;
   if (isSuspected(context, call)) return false;
@@ -138,7 +163,7 @@
   const canContinue = state.sentEventIds.lastId() !== undefined;
   if (response.hasStarted() && !canContinue) return false;
   const remainingMs = call.deadlineMs - context.nowMs();
-  return remainingMs > MIN_REMAINING_MS && takeRetry(context, call);
+  return remainingMs > MIN_REMAINING_MS && takeRetry(context, call, cause);
 }
 
 /** True if the request may crash the next endpoint as well. */
@@ -149,6 +174,10 @@
   return promptPartQuarantine.isSuspected(call.headers.sharedPromptParts ?? []);
 }
 
-function takeRetry(context: GatewayContext, call: Call): boolean {
-  return context.getRetryBudget(call.service).takeRetry();
+function takeRetry(
+  context: GatewayContext,
+  call: Call,
+  cause?: RetryCause,
+): boolean {
+  return context.getRetryBudget(call.service).takeRetry(cause);
 }
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -1,13 +1,13 @@
 /**
- * Sends a call to the chosen endpoint. While it is silent for longer than suits
- * the call, the call goes to another endpoint as soon as one can take over;
- * until then, up to its deadline, the attempt goes on.
+ * Sends a call to the chosen endpoint. A silence that is longer than suits the
+ * call is reported, and the attempt goes on: an endpoint can be silent for a
+ * second and answer nevertheless.
  */
 
 import type { EndpointView } from "../scheduling/mod.ts";
 import { ABORT_DELAY_MS, isLikelyQueued } from "../scheduling/mod.ts";
 import { startAttempt } from "./attempt.ts";
-import type { Attempt, AttemptOptions, AttemptOutcome } from "./attempt.ts";
+import type { Attempt, AttemptOptions } from "./attempt.ts";
 import type { Call, ResponseHeaders } from "./call.ts";
 import { isRetryable, PAUSED_REASON } from "./call_state.ts";
 import type { ChosenEndpoint, PendingCall } from "./call_state.ts";
@@ -39,23 +39,39 @@
   readonly sentAtMs: number;
 }
 
+export interface SentAttempt extends Attempt {
+  /** From sending the attempt to its response head. */
+  headMs(): number | undefined;
+  /** True once the attempt has shown that the request crashes nothing. */
+  hasSurvived(): boolean;
+}
+
+export interface SendOptions extends PendingCall {
+  readonly response: CallerResponse;
+  readonly choice: ChosenEndpoint;
+  /** Attempts of the call that are in progress at other endpoints. */
+  readonly otherAttempts: number;
+  /** Called again and again while the endpoint is silent. */
+  readonly onSilence: () => void;
+  /** Called before events are sent to the caller. */
+  readonly onEvents: () => void;
+}
+
 export function sendAttempt(
   context: GatewayContext,
-  options: PendingCall & {
-    readonly response: CallerResponse;
-    readonly choice: ChosenEndpoint;
-    /** Returns true if the call is sent to another endpoint now. */
-    readonly reserveRetry: () => boolean;
-  },
-): Attempt {
+  options: SendOptions,
+): SentAttempt {
   const { call, service, state, response, choice } = options;
   const { endpoint, weightVersion } = choice.view;
   const { route, headers } = call;
   const remainingMs = call.deadlineMs - context.nowMs();
   const isStream = route.kind === "stream";
-  const canRetry = isRetryable(call) && state.runs + 1 < route.maxAttempts;
+  const runs = state.runs + options.otherAttempts + 1;
+  const canRetry = isRetryable(call) && runs < route.maxAttempts;
   const unlimitedMs = remainingMs + AFTER_DEADLINE_MS;
   let isSilent = false;
+  let hasSurvived = false;
+  let headMs: number | undefined;
   const trackedRequest = context.loads.trackRequest(endpoint.address, {
     promptTokens: headers.promptTokens ?? 0,
     urgency: call.urgency.rank,
@@ -69,14 +85,12 @@
   // first one broke off.
   let isUnchecked = response.hasStarted();
   const sentAtMs = context.nowMs();
-  state.headMs = undefined;
-  state.hasSurvived = false;
   let headAtMs = Infinity;
   let reads = 0;
 
   function recordSurvival() {
-    if (state.hasSurvived) return;
-    state.hasSurvived = true;
+    if (hasSurvived) return;
+    hasSurvived = true;
     context.promptPartQuarantine.recordSurvival(
       headers.sharedPromptParts ?? [],
     );
@@ -84,8 +98,7 @@
 
   /** A busy endpoint is not silent towards a request in its queue. */
   function isQueued(): boolean {
-    if (state.headMs !== undefined || service.engine === undefined)
-      return false;
+    if (headMs !== undefined || service.engine === undefined) return false;
     return isLikelyQueued({
       load: context.loads.read(endpoint.address, {
         usualPromptTokens: service.engine.usualPromptTokens,
@@ -100,7 +113,8 @@
   const permit = context.requestPermits.take(endpoint);
   context.availability.onSend(endpoint);
   context.health.onSend(endpoint.id);
-  if (state.triedEndpoints.size === 0) logFirstSend(context, options);
+  const isFirst = state.triedEndpoints.size + options.otherAttempts === 0;
+  if (isFirst) logFirstSend(context, options);
   const attempt = startAttempt({
     connections: context.connections,
     codec: context.codec,
@@ -136,14 +150,14 @@
       }),
     findSendObstacle: () => findSendObstacle(context, choice, permit),
     onSilence() {
-      if (!canRetry || isQueued()) return "wait";
-      if (options.reserveRetry()) return "end";
+      if (!canRetry || isQueued()) return;
       if (!isSilent) noteSilence(context, options);
       isSilent = true;
-      return "wait";
+      options.onSilence();
     },
     onStart: () => versionDeadline.close(),
     onHead(status, responseHeaders) {
+      isSilent = false;
       context.availability.onResponse(endpoint, status, responseHeaders);
       noteRequestLimit(context, endpoint, {
         status,
@@ -160,13 +174,15 @@
         sentAtMs,
       });
       headAtMs = context.nowMs();
-      state.headMs = Math.round(context.nowMs() - sentAtMs);
+      headMs = Math.round(context.nowMs() - sentAtMs);
     },
     onEvents(events, head) {
       if (isUnchecked && !sentEventIds.isContinuedBy(events.ids[0])) {
         return false;
       }
       isUnchecked = false;
+      isSilent = false;
+      options.onEvents();
       response.sendEvents(head.status, head.headers, events.bytes);
       sentEventIds.append(events.ids);
       state.weightVersion ??= weightVersion;
@@ -196,7 +212,11 @@
       attempt.receivedBytes(),
     );
   });
-  return attempt;
+  return {
+    ...attempt,
+    headMs: () => headMs,
+    hasSurvived: () => hasSurvived,
+  };
 }
 
 function noteRequestLimit(
@@ -276,24 +296,5 @@
 ) {
   const { id, address } = choice.view.endpoint;
   health.onUnreachable(id);
-  logger.info(
-    { id: call.id, endpoint: id, address },
-    "endpoint is silent and no other one can take over; waiting",
-  );
-}
-
-/** Registers the attempt while in flight, so that a lost endpoint ends it. */
-export async function trackAttempt(
-  context: GatewayContext,
-  attempt: Attempt,
-  { endpoint }: EndpointView,
-): Promise<AttemptOutcome> {
-  const { attemptsByAddress } = context;
-  const inFlight = attemptsByAddress.get(endpoint.address) ?? new Set();
-  attemptsByAddress.set(endpoint.address, inFlight);
-  inFlight.add(attempt);
-  const outcome = await attempt.outcome;
-  inFlight.delete(attempt);
-  if (inFlight.size === 0) attemptsByAddress.delete(endpoint.address);
-  return outcome;
+  logger.info({ id: call.id, endpoint: id, address }, "endpoint is silent");
 }
