Add a soak of silent store connections beside paused entries

Real entries whose open connections to the store go silent once or twice, up to two of five paused around the removal of an endpoint, with and without heartbeats. It checks that no entry that is in touch sends a request more than 2.0 s after a removal.

The random numbers of the soak of weights move to a file of their own.

--- a/stand_ins/users_platform/platform_fleet.ts
+++ b/stand_ins/users_platform/platform_fleet.ts
@@ -10,6 +10,8 @@
 import { join } from "node:path";
 import { stringify } from "yaml";
 import { findFreePorts } from "../free_ports.ts";
+import { startSilentRelay } from "../silent_relay.ts";
+import type { SilentRelay } from "../silent_relay.ts";
 import { startMetadataStore } from "./metadata_store.ts";
 import type { ModelSpec } from "./model_weights.ts";
 import { startOrigin } from "./origin.ts";
@@ -61,6 +63,8 @@
   readonly gatewayDataCentres?: readonly string[];
   /** Indexes of the gateways that cannot reach the store. */
   readonly gatewaysWithoutStore?: readonly number[];
+  /** True for a relay between each gateway and the store. */
+  readonly hasStoreRelays?: boolean;
 }) {
   const store = await startMetadataStore();
   const origin = await startOrigin(MODEL);
@@ -71,6 +75,13 @@
     readonly startSidecar: () => Promise<FleetProcess>;
   }[] = [];
   const dataCentres = options.gatewayDataCentres ?? ["kol-a"];
+  const storeRelays: readonly SilentRelay[] = options.hasStoreRelays
+    ? await Promise.all(
+        Array.from({ length: options.gateways }, () =>
+          startSilentRelay(store.address),
+        ),
+      )
+    : [];
   const versionMs = options.versionMs ?? 2_000;
   const gatewayPorts = await findFreePorts(options.gateways * 4);
   const seeds = gatewayPorts
@@ -113,7 +124,7 @@
       metrics_address: `127.0.0.1:${metrics}`,
       store_address: options.gatewaysWithoutStore?.includes(index)
         ? UNREACHABLE_ADDRESS
-        : store.address,
+        : (storeRelays[index]?.address ?? store.address),
       seeds,
       regions: REGIONS,
       bounds: {
@@ -218,6 +229,7 @@
 
   return {
     store,
+    storeRelays,
     origin,
     gateways,
     workers,
@@ -246,6 +258,7 @@
       await Promise.all(processes.map(({ child }) => killProcess(child)));
       workers.forEach((worker) => worker.close());
       origin.close();
+      storeRelays.forEach((relay) => relay.close());
       store.close();
       await rm(directory, { recursive: true, force: true });
     },
--- a/test/users_platform/weights_soak_test.ts
+++ b/test/users_platform/weights_soak_test.ts
@@ -8,6 +8,8 @@
 import { afterEach, beforeAll, expect, test } from "@jest/globals";
 import type { PlatformFleet } from "../../stand_ins/users_platform/mod.ts";
 import { buildPrograms } from "../build_programs.ts";
+import { createRandom, drawFrom } from "../seeded_random.ts";
+import type { Range } from "../seeded_random.ts";
 import { startServingFleet } from "./serving_fleet.ts";
 
 const SEEDS = (process.env["SOAK_SEEDS"] ?? "3").split(",").map(Number);
@@ -35,15 +37,6 @@
   fleet = undefined;
 });
 
-/** Numbers in [0, 1) from a linear congruential generator. */
-function createRandom(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (state * 1_664_525 + 1_013_904_223) >>> 0;
-    return state / 2 ** 32;
-  };
-}
-
 const wait = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
 
 // Guards against answers from chunks that were corrupt, missing or of another
@@ -52,13 +45,7 @@
   "no request runs on unsound weights beside pauses, kills and corrupt chunks (seed %d)",
   async (seed) => {
     const random = createRandom(seed);
-    const draw = ({
-      min,
-      max,
-    }: {
-      readonly min: number;
-      readonly max: number;
-    }) => min + random() * (max - min);
+    const draw = (range: Range) => drawFrom(random, range);
     const paused = new Set<number>();
     let pauses = 0;
 
