Confirm the end of a response by the endpoint that sent it

Cause: the end of a response without length was confirmed for a plain service by anything that accepts connections at the address. An endpoint that is cut off, crashes behind the cut and starts again there vouched for the response of its former incarnation.

Change: the endpoint is asked by its health check, with the id that the request was sent to. Another id, a refusal as misdirected, or a later start of the same id in the list means that the response was cut. One that is full answers as not run, and counts as running. The check is made for responses without length only. A service without a health path is asked as before.

Result: "the end is confirmed only by the endpoint that sent the response" and "... listed with a later start" fail with the former code and pass now.

--- a/bin/gateway.ts
+++ b/bin/gateway.ts
@@ -1,6 +1,7 @@
 /** The gateway program, which runs on an entry host of the users' platform. */
 
 import {
+  createIncarnationReader,
   createStartTimeReader,
   createStoreClient,
   HEADER_CODEC,
@@ -30,6 +31,7 @@
     }),
     codec: HEADER_CODEC,
     readStartTime: createStartTimeReader(),
+    checkIncarnation: createIncarnationReader(),
     registry,
     logger,
   });
--- a/src/directory/records.ts
+++ b/src/directory/records.ts
@@ -57,6 +57,8 @@
 
 export interface CallService {
   readonly name: string;
+  /** Path of the endpoints' health check. */
+  readonly healthPath?: string | undefined;
   readonly maxConnections: number;
   /** Requests per second that a cold endpoint can handle; 0 if unlimited. */
   readonly coldRequestsPerS: number;
--- a/src/gateway/end_confirmation.ts
+++ b/src/gateway/end_confirmation.ts
@@ -21,6 +21,12 @@
   address: string,
 ) => Promise<Result<number | undefined, string>>;
 
+/** False if another endpoint, or a later incarnation, has the address now. */
+export type CheckIncarnation = (
+  endpoint: Incarnation,
+  healthPath: string,
+) => Promise<Result<boolean, string>>;
+
 export interface EndConfirmation {
   /** True if the endpoint is running and has not started again. */
   confirm(
@@ -28,44 +34,69 @@
     options: {
       /** Only a model engine states its start. */
       readonly hasEngine: boolean;
+      /** Path of the health check, by which other endpoints name themselves. */
+      readonly healthPath: string | undefined;
       readonly callId: string;
     },
   ): Promise<boolean>;
 }
 
+type EndpointState = "running" | "restarted" | "unreachable";
+
+/** A start that is not known tells nothing. */
+function isSameStart(a: number | undefined, b: number | undefined): boolean {
+  return a === undefined || b === undefined || a === b;
+}
+
 export function createEndConfirmation({
   readStartTime,
+  checkIncarnation,
+  readListedStart,
   isListening,
   logger,
 }: {
   readonly readStartTime: ReadStartTime;
+  readonly checkIncarnation: CheckIncarnation;
+  /** Start of the endpoint as it is listed now. */
+  readonly readListedStart: (id: string) => number | undefined;
   /** True if a connection to the address can be opened. */
   readonly isListening: (address: string) => Promise<boolean>;
   readonly logger: Logger;
 }): EndConfirmation {
-  async function check(
-    { address, startedAtMs }: Incarnation,
-    hasEngine: boolean,
-  ): Promise<"running" | "restarted" | "unreachable"> {
-    if (!hasEngine) {
-      return (await isListening(address)) ? "running" : "unreachable";
-    }
+  async function checkEngine({
+    address,
+    startedAtMs,
+  }: Incarnation): Promise<EndpointState> {
     const found = await readStartTime(address);
     if (found.isErr()) return "unreachable";
-    const isSame =
-      found.value === undefined ||
-      startedAtMs === undefined ||
-      found.value === startedAtMs;
-    return isSame ? "running" : "restarted";
+    return isSameStart(found.value, startedAtMs) ? "running" : "restarted";
+  }
+
+  /** One that starts again has another id, or else the list has its start. */
+  async function checkPlain(
+    endpoint: Incarnation,
+    healthPath: string | undefined,
+  ): Promise<EndpointState> {
+    if (healthPath === undefined) {
+      return (await isListening(endpoint.address)) ? "running" : "unreachable";
+    }
+    const found = await checkIncarnation(endpoint, healthPath);
+    if (found.isErr()) return "unreachable";
+    const listedStartMs = readListedStart(endpoint.id);
+    return found.value && isSameStart(listedStartMs, endpoint.startedAtMs)
+      ? "running"
+      : "restarted";
   }
 
   return {
-    async confirm(endpoint, { hasEngine, callId }) {
-      let state = await check(endpoint, hasEngine);
+    async confirm(endpoint, { hasEngine, healthPath, callId }) {
+      const check = () =>
+        hasEngine ? checkEngine(endpoint) : checkPlain(endpoint, healthPath);
+      let state = await check();
       let tries = 1;
       while (state === "unreachable" && tries < MAX_TRIES) {
         await new Promise((resolve) => setTimeout(resolve, RETRY_INTERVAL_MS));
-        state = await check(endpoint, hasEngine);
+        state = await check();
         tries += 1;
       }
       const { id, address } = endpoint;
--- a/src/gateway/end_confirmation_test.ts
+++ b/src/gateway/end_confirmation_test.ts
@@ -24,11 +24,48 @@
   const next = () => Promise.resolve(left.shift() ?? UNREACHABLE);
   return createEndConfirmation({
     readStartTime: next,
+    checkIncarnation: () => Promise.resolve(UNREACHABLE),
+    readListedStart: () => undefined,
     isListening: async () => (await next()).isOk(),
     logger: SILENT_LOGGER,
-  }).confirm(endpoint, { hasEngine, callId: "a1" });
+  }).confirm(endpoint, { hasEngine, healthPath: undefined, callId: "a1" });
 }
 
+/** As `confirm`, for an endpoint of a service with a health check. */
+function confirmByHealthCheck(
+  results: readonly Result<boolean, string>[],
+  listedStartMs: number | undefined = ENDPOINT.startedAtMs,
+) {
+  const left = [...results];
+  return createEndConfirmation({
+    readStartTime: () => Promise.resolve(UNREACHABLE),
+    checkIncarnation: () => Promise.resolve(left.shift() ?? UNREACHABLE),
+    readListedStart: () => listedStartMs,
+    // Whatever has the address now accepts connections.
+    isListening: () => Promise.resolve(true),
+    logger: SILENT_LOGGER,
+  }).confirm(ENDPOINT, {
+    hasEngine: false,
+    healthPath: "/health",
+    callId: "a1",
+  });
+}
+
+// Guards against half of a response that is passed on as a whole one, since
+// something listens at the address again after the endpoint has crashed.
+test("the end is confirmed only by the endpoint that sent the response", async () => {
+  expect(await confirmByHealthCheck([ok(true)])).toBe(true);
+  expect(await confirmByHealthCheck([ok(false)])).toBe(false);
+  expect(await confirmByHealthCheck([UNREACHABLE, ok(false)])).toBe(false);
+  expect(await confirmByHealthCheck([UNREACHABLE, ok(true)])).toBe(true);
+  expect(await confirmByHealthCheck([])).toBe(false);
+});
+
+test("the end is not confirmed by an endpoint that is listed with a later start", async () => {
+  expect(await confirmByHealthCheck([ok(true)], 2_000)).toBe(false);
+  expect(await confirmByHealthCheck([ok(true)], undefined)).toBe(true);
+});
+
 // Guards against a cut response that is taken for complete since the endpoint
 // is back by the time at which it is asked.
 test("the end is not confirmed by an endpoint that has started again", async () => {
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -146,6 +146,7 @@
     confirmEnd: () =>
       context.endConfirmation.confirm(endpoint, {
         hasEngine: service.engine !== undefined,
+        healthPath: service.healthPath,
         callId: call.id,
       }),
     findSendObstacle: () => findSendObstacle(context, choice, permit),
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -49,7 +49,7 @@
 import { startDirectoryExchange } from "./directory_exchange.ts";
 import type { DirectoryExchange } from "./directory_exchange.ts";
 import { createEndConfirmation } from "./end_confirmation.ts";
-import type { ReadStartTime } from "./end_confirmation.ts";
+import type { CheckIncarnation, ReadStartTime } from "./end_confirmation.ts";
 import { createEndpointAvailability } from "./endpoint_availability.ts";
 import { createEndpointConnections } from "./endpoint_connections.ts";
 import { createCallerServer } from "./caller_server.ts";
@@ -80,6 +80,7 @@
   readonly store: MetadataStore;
   readonly codec: HeaderCodec;
   readonly readStartTime: ReadStartTime;
+  readonly checkIncarnation: CheckIncarnation;
   readonly registry: Registry;
   readonly logger: Logger;
 }
@@ -230,6 +231,8 @@
     connections,
     endConfirmation: createEndConfirmation({
       readStartTime: options.readStartTime,
+      checkIncarnation: options.checkIncarnation,
+      readListedStart: (id) => directory.endpoint(id)?.startedAtMs,
       isListening: connections.isListening,
       logger,
     }),
