Refuse a request for longer that crashes endpoints after its quarantine

Cause: what a gateway records of a crash is preliminary and expires 30 s after it, and nothing confirms it there.

Change: a quarantine lasts from the latest crash. Afterwards the request is let through; if it crashes an endpoint within ten minutes, it is not sent to another one and is refused for ten minutes, at every entry that knows of its quarantine. A response to it after the quarantine ends that. Crashes go by incarnation.

--- a/src/gateway/call_state.ts
+++ b/src/gateway/call_state.ts
@@ -22,6 +22,8 @@
   readonly triedEndpoints: Set<string>;
   readonly sentEventIds: SentEventIds;
   weightVersion: number | undefined;
+  /** True once the request has crashed an endpoint again after a quarantine. */
+  isQuarantined: boolean;
   /** A server error of an endpoint, passed on if no later attempt succeeds. */
   failedResponse: Extract<AttemptOutcome, { type: "answered" }> | undefined;
 }
@@ -55,6 +57,7 @@
     triedEndpoints: new Set(),
     sentEventIds: createSentEventIds(call.headers.lastEventId),
     weightVersion: undefined,
+    isQuarantined: false,
     failedResponse: undefined,
   };
 }
--- a/src/gateway/dispatch_call.ts
+++ b/src/gateway/dispatch_call.ts
@@ -23,6 +23,7 @@
   logAttempt,
   refuseCall,
 } from "./end_call.ts";
+import { createIncarnationKey } from "./endpoint_availability.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import { handleOutcome, QUARANTINED_REASON } from "./handle_outcome.ts";
 import { listEndpointViews } from "./list_endpoint_views.ts";
@@ -133,6 +134,7 @@
       const { outcome } = ended;
       logAttempt(context, ended);
       if (isLikelyCrash(outcome) && !ended.hasSurvived) recordCrash(ended);
+      if (isSuccess(outcome)) context.quarantine.recordSurvival(fingerprint);
       if (endCause === "cancelled") return;
       if (endCause === "expired") {
         state.runs += started.countRunning();
@@ -160,11 +162,17 @@
     }
   }
 
-  function recordCrash({ choice }: EndedAttempt) {
-    const { id, address, startedAtMs } = choice.view.endpoint;
+  function recordCrash({ choice, state }: EndedAttempt) {
+    const { endpoint } = choice.view;
+    const { id, startedAtMs } = endpoint;
     context.sendCrashNotice(
-      context.quarantine.recordLikelyCrash(fingerprint, address),
+      context.quarantine.recordLikelyCrash(
+        fingerprint,
+        // An endpoint that starts again at its address can crash again.
+        createIncarnationKey(endpoint),
+      ),
     );
+    state.isQuarantined = context.quarantine.hasRepeated(fingerprint);
     context.promptPartQuarantine.recordCrash({
       endpoint: `${id} ${startedAtMs ?? ""}`,
       request: fingerprint.slice(0, REQUEST_KEY_LENGTH),
@@ -176,6 +184,8 @@
   return { cancel: () => endEarly("cancelled"), endForShutdown, done };
 }
 
+const MIN_FAILURE_STATUS = 400;
+
 const CRASH_REASONS: ReadonlySet<string> = new Set([
   "ECONNRESET",
   "UND_ERR_SOCKET",
@@ -187,6 +197,10 @@
   return outcome.type === "lost" && CRASH_REASONS.has(outcome.reason);
 }
 
+function isSuccess(outcome: AttemptOutcome): boolean {
+  return outcome.type === "answered" && outcome.status < MIN_FAILURE_STATUS;
+}
+
 function findService(
   context: GatewayContext,
   name: string,
--- a/src/gateway/handle_outcome.ts
+++ b/src/gateway/handle_outcome.ts
@@ -75,7 +75,7 @@
       state.unsentAttempts += 1;
       if (
         state.unsentAttempts <= MAX_UNSENT_ATTEMPTS &&
-        !isSuspected(context, call)
+        !isSuspected(context, options)
       ) {
         return "retry";
       }
@@ -85,7 +85,7 @@
       state.notRunAttempts += 1;
       if (
         state.notRunAttempts <= MAX_NOT_RUN_ATTEMPTS &&
-        !isSuspected(context, call) &&
+        !isSuspected(context, options) &&
         takeRetry(context, call)
       ) {
         return "retry";
@@ -158,7 +158,7 @@
   cause?: RetryCause,
 ): boolean {
   if (!isRetryable(call) || state.runs >= call.route.maxAttempts) return false;
-  if (isSuspected(context, call)) return false;
+  if (isSuspected(context, { call, state })) return false;
   if (!response.isOpen()) return false;
   const canContinue = state.sentEventIds.lastId() !== undefined;
   if (response.hasStarted() && !canContinue) return false;
@@ -169,9 +169,10 @@
 /** True if the request may crash the next endpoint as well. */
 function isSuspected(
   { promptPartQuarantine }: GatewayContext,
-  call: Call,
+  { call, state }: Pick<ActiveCall, "call" | "state">,
 ): boolean {
-  return promptPartQuarantine.isSuspected(call.headers.sharedPromptParts ?? []);
+  const parts = call.headers.sharedPromptParts ?? [];
+  return state.isQuarantined || promptPartQuarantine.isSuspected(parts);
 }
 
 function takeRetry(
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -17,6 +17,13 @@
 const MAX_FINGERPRINTS = 1_000;
 /** Default number of crashed endpoints from which a request is refused. */
 const CRASHES_TO_QUARANTINE = 2;
+/**
+ * After a quarantine the request is let through once. If it crashes an endpoint
+ * again, that is no coincidence, and it is refused for this time.
+ */
+const REPEATED_QUARANTINE_MS = 10 * 60 * 1_000;
+/** From the end of a quarantine, for which a crash counts as a repetition. */
+const MEMORY_MS = 10 * 60 * 1_000;
 
 export interface Quarantine {
   /** Records a crash and returns the notice for the other processes. */
@@ -25,6 +32,10 @@
   recordLikelyCrash(fingerprint: string, endpoint: string): CrashNotice;
   /** Returns true if the notice was new and should be forwarded. */
   applyNotice(notice: CrashNotice): boolean;
+  /** The request was answered: after its quarantine, it starts anew. */
+  recordSurvival(fingerprint: string): void;
+  /** True if it crashed an endpoint again after a quarantine. */
+  hasRepeated(fingerprint: string): boolean;
   /** Time until the fingerprint may run again; 0 if it is not quarantined. */
   remainingMs(fingerprint: string): number;
   /** True after a first confirmed crash, before the quarantine starts. */
@@ -39,6 +50,12 @@
   readonly crashesToQuarantine?: number;
 }
 
+interface QuarantinePeriod {
+  readonly endMs: number;
+  /** True if the request has crashed an endpoint after an earlier one. */
+  readonly isRepeated: boolean;
+}
+
 interface CrashRecord {
   readonly expiresAtMs: number;
   readonly isPreliminary: boolean;
@@ -48,6 +65,8 @@
   const { wallMs, crashesToQuarantine = CRASHES_TO_QUARANTINE } = options;
   // By fingerprint, then endpoint. The oldest fingerprint comes first.
   const records = new Map<string, Map<string, CrashRecord>>();
+  // Last quarantine by fingerprint. The oldest comes first.
+  const quarantines = new Map<string, QuarantinePeriod>();
 
   function listValidRecords(
     fingerprint: string,
@@ -71,6 +90,40 @@
     }
   }
 
+  function remainingMs(fingerprint: string): number {
+    const valid = listValidRecords(fingerprint);
+    const expiries = valid.map(([, { expiresAtMs }]) => expiresAtMs);
+    expiries.sort((a, b) => b - a);
+    const endMs = Math.max(
+      quarantines.get(fingerprint)?.endMs ?? -Infinity,
+      expiries[crashesToQuarantine - 1] ?? -Infinity,
+    );
+    return Math.max(0, endMs - wallMs());
+  }
+
+  function hasRepeated(fingerprint: string): boolean {
+    const isRepeated = quarantines.get(fingerprint)?.isRepeated === true;
+    return isRepeated && remainingMs(fingerprint) > 0;
+  }
+
+  /** Lasts from the latest crash, as the earlier records expire sooner. */
+  function quarantineIfDue(fingerprint: string, isRepetition: boolean) {
+    const isRepeated = isRepetition || hasRepeated(fingerprint);
+    const count = listValidRecords(fingerprint).length;
+    if (!isRepeated && count < crashesToQuarantine) return;
+    const lengthMs = isRepeated ? REPEATED_QUARANTINE_MS : PRELIMINARY_TTL_MS;
+    const endMs = wallMs() + Math.max(remainingMs(fingerprint), lengthMs);
+    quarantines.delete(fingerprint);
+    quarantines.set(fingerprint, { endMs, isRepeated });
+    const [oldest] = quarantines.keys();
+    if (quarantines.size > MAX_FINGERPRINTS) quarantines.delete(oldest!);
+  }
+
+  function isRemembered(fingerprint: string): boolean {
+    const { endMs = -Infinity } = quarantines.get(fingerprint) ?? {};
+    return wallMs() < endMs + MEMORY_MS;
+  }
+
   function applyNotice(notice: CrashNotice): boolean {
     const { fingerprint, endpoint, isPreliminary = false } = notice;
     const nowMs = wallMs();
@@ -84,11 +137,14 @@
     const isNew =
       known === undefined || (known.isPreliminary && !isPreliminary);
     if (!isNew) return false;
+    const isRepetition =
+      isRemembered(fingerprint) && remainingMs(fingerprint) === 0;
     if (!records.has(fingerprint)) {
       evictIfFull();
       records.set(fingerprint, new Map());
     }
     records.get(fingerprint)!.set(endpoint, { expiresAtMs, isPreliminary });
+    quarantineIfDue(fingerprint, isRepetition);
     return true;
   }
 
@@ -117,13 +173,11 @@
       applyNotice(preliminary);
       return preliminary;
     },
-    remainingMs(fingerprint) {
-      const valid = listValidRecords(fingerprint);
-      if (valid.length < crashesToQuarantine) return 0;
-      const expiries = valid.map(([, { expiresAtMs }]) => expiresAtMs);
-      expiries.sort((a, b) => b - a);
-      return expiries[crashesToQuarantine - 1]! - wallMs();
+    recordSurvival(fingerprint) {
+      if (remainingMs(fingerprint) === 0) quarantines.delete(fingerprint);
     },
+    hasRepeated,
+    remainingMs,
     isSuspect(fingerprint) {
       const confirmed = listValidRecords(fingerprint).filter(
         ([, { isPreliminary }]) => !isPreliminary,
--- a/src/quarantine/quarantine_test.ts
+++ b/src/quarantine/quarantine_test.ts
@@ -40,6 +40,47 @@
     expect(quarantine.applyNotice({ ...notice, expiresAtMs: 1 })).toBe(false);
   });
 
+  // Guards against a request that is let through again and again: what a gateway
+  // records is never confirmed, and its records expire one by one.
+  test("lasts from the latest crash, and far longer after a repetition", () => {
+    const { quarantine, advance } = create();
+    quarantine.recordLikelyCrash("f", "h1");
+    advance(20_000);
+    quarantine.recordLikelyCrash("f", "h2");
+    expect(quarantine.remainingMs("f")).toBe(30_000);
+    advance(30_000);
+    expect(quarantine.remainingMs("f")).toBe(0);
+    const notice = quarantine.recordLikelyCrash("f", "h1");
+    expect(quarantine.remainingMs("f")).toBe(600_000);
+    // A process that has seen no quarantine counts from the start.
+    const other = create().quarantine;
+    other.applyNotice(notice);
+    expect(other.remainingMs("f")).toBe(0);
+  });
+
+  test("is repeated only for ten minutes after its end", () => {
+    const { quarantine, advance } = create();
+    quarantine.recordLikelyCrash("f", "h1");
+    quarantine.recordLikelyCrash("f", "h2");
+    advance(630_001);
+    quarantine.recordLikelyCrash("f", "h1");
+    expect(quarantine.remainingMs("f")).toBe(0);
+  });
+
+  // Guards against a sound request that is refused for long because endpoints
+  // crashed while they ran it.
+  test("is forgotten once the request has been answered after it", () => {
+    const { quarantine, advance } = create();
+    quarantine.recordLikelyCrash("f", "h1");
+    quarantine.recordLikelyCrash("f", "h2");
+    quarantine.recordSurvival("f");
+    expect(quarantine.remainingMs("f")).toBe(30_000);
+    advance(30_000);
+    quarantine.recordSurvival("f");
+    quarantine.recordLikelyCrash("f", "h3");
+    expect(quarantine.remainingMs("f")).toBe(0);
+  });
+
   // Guards against memory that grows with the number of crashes.
   test("holds at most 1,000 fingerprints", () => {
     const { quarantine } = create();
