End a silent attempt once another endpoint has taken the call

Cause: since a silent attempt went on until another endpoint had events for the caller.

Change: the silent attempt ends when the other endpoint has neither rejected the call nor reset its connection 150 ms after it was sent. Until then, and while all others are full, it goes on as before.

"A silent attempt ends once another endpoint has taken the request" fails with the former code. The test of attempts that are not needed has its first endpoint go on within that time now, and checks the same.

--- a/src/gateway/call_attempts.ts
+++ b/src/gateway/call_attempts.ts
@@ -1,7 +1,8 @@
 /**
  * The attempts of one call that are in progress. Usually it is one. While its
- * endpoint is silent, the call may be sent to another one as well; the first
- * attempt that has events for the caller ends the others.
+ * endpoint is silent, the call may be sent to another one as well. The silent
+ * attempt goes on until the other endpoint has taken the call; the first attempt
+ * that has events for the caller ends the others.
  */
 
 import type { Choice } from "../scheduling/mod.ts";
@@ -20,6 +21,13 @@
 import type { SentAttempt } from "./send_attempt.ts";
 import { createTakeover } from "./takeover.ts";
 
+/**
+ * A full endpoint rejects a request at once, and a broken one resets the
+ * connection. One that has done neither by then has taken the request. Two
+ * endpoints that work on it for longer would add to the load when all are slow.
+ */
+const TAKEN_AFTER_MS = 150;
+
 export interface EndedAttempt extends FinishedAttempt {
   /** True if the attempt has shown that the request crashes nothing. */
   readonly hasSurvived: boolean;
@@ -58,7 +66,9 @@
   const promptParts = call.headers.sharedPromptParts ?? [];
   /** Also those that have ended and have not been returned yet. */
   const running = new Set<RunningAttempt>();
-  const ended: (RunningAttempt & Pick<FinishedAttempt, "outcome">)[] = [];
+  const ended: (Pick<FinishedAttempt, "outcome"> & {
+    readonly started: RunningAttempt;
+  })[] = [];
   let onEnd = () => {};
   const takeover = createTakeover(context, {
     ...{ call, state, response, chooseEndpoint },
@@ -73,6 +83,7 @@
     const attempt = sendAttempt(context, {
       ...{ call, service, state, response, choice },
       otherAttempts: running.size,
+      onSent: () => onSent(started),
       onSilence: () => onSilence(started),
       onEvents: () => endOthers(started),
     });
@@ -83,11 +94,22 @@
     running.add(started);
     void trackAttempt(context, attempt, choice).then((outcome) => {
       watch.close();
-      ended.push({ ...started, outcome });
+      ended.push({ started, outcome });
       onEnd();
     });
   }
 
+  function onSent(sent: RunningAttempt) {
+    if (running.size < 2) return;
+    setTimeout(() => {
+      if (isInProgress(sent)) endOthers(sent);
+    }, TAKEN_AFTER_MS).unref();
+  }
+
+  function isInProgress(attempt: RunningAttempt): boolean {
+    return running.has(attempt) && !ended.some((e) => e.started === attempt);
+  }
+
   /** Another attempt that has begun later may still answer sooner. */
   function onSilence(silent: RunningAttempt) {
     if ([...running].at(-1) !== silent) return;
@@ -113,10 +135,9 @@
       if (ended.length === 0) {
         await new Promise<void>((resolve) => (onEnd = resolve));
       }
-      const { attempt, choice, outcome } = ended.shift()!;
-      [...running]
-        .filter((other) => other.attempt === attempt)
-        .forEach((other) => running.delete(other));
+      const { started, outcome } = ended.shift()!;
+      const { attempt, choice } = started;
+      running.delete(started);
       return {
         ...{ call, state, response, choice, outcome },
         headMs: attempt.headMs(),
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -51,6 +51,8 @@
   readonly choice: ChosenEndpoint;
   /** Attempts of the call that are in progress at other endpoints. */
   readonly otherAttempts: number;
+  /** Called when the connection is open and the request is sent. */
+  readonly onSent: () => void;
   /** Called again and again while the endpoint is silent. */
   readonly onSilence: () => void;
   /** Called before events are sent to the caller. */
@@ -149,7 +151,11 @@
         healthPath: service.healthPath,
         callId: call.id,
       }),
-    findSendObstacle: () => findSendObstacle(context, choice, permit),
+    findSendObstacle() {
+      const obstacle = findSendObstacle(context, choice, permit);
+      if (obstacle === undefined) options.onSent();
+      return obstacle;
+    },
     onSilence() {
       if (!canRetry || isQueued()) return;
       if (!isSilent) noteSilence(context, options);
