Let another endpoint tell whether a stream without length is complete

Cause: only a running endpoint can confirm that a response without length was sent to its end. One that leaves exits right after its last response. The stream was then run once more after its last event, but the second endpoint, which had nothing left to send, closed its connection after the head, and that always counted as cut off.

Change: a run that ends with a clean close after an event notes that event as the possible end of the stream. A later run that has nothing after the same event, and whose endpoint confirms its end, completes the stream. An endpoint that is killed in the middle of a stream leaves events for the second run, so its stream is continued as before; that an endpoint was leaving is no evidence. A run without events proves nothing after a reset or a cut event. The same applies to callers that resume a stream after its last event: they got a broken stream each time.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -78,7 +78,10 @@
    * Called when a response without length ends with its connection; false if it
    * may have been cut off.
    */
-  readonly confirmEnd: () => Promise<boolean>;
+  readonly confirmEnd: (end: {
+    /** True for an event stream that ends after its head. */
+    readonly isEmptyStream: boolean;
+  }) => Promise<boolean>;
   /**
    * Called with the complete events of a stream, after `onHead`. False ends the
    * attempt: the events do not continue those of an earlier one.
@@ -234,18 +237,14 @@
   function onEnd() {
     if (head === undefined) return;
     // A reset also ends a response without length, but does not complete it.
-    // Nor does a clean close right after the head of a stream, as at a crash.
-    const isBroken =
-      isCloseDelimited &&
-      (!connection.hasClosedCleanly() ||
-        (isEventStream && receivedBytes === 0));
+    const isBroken = isCloseDelimited && !connection.hasClosedCleanly();
     if (isBroken || splitter.remainder().length > 0) {
       return finish({ type: "lost", reason: "cut_off" }, false);
     }
     if (!isCloseDelimited) return complete(head, true);
     clearTimers();
     void options
-      .confirmEnd()
+      .confirmEnd({ isEmptyStream: isEventStream && receivedBytes === 0 })
       .then((isConfirmed) =>
         isConfirmed
           ? complete(head!, false)
--- a/src/gateway/call_state.ts
+++ b/src/gateway/call_state.ts
@@ -21,6 +21,11 @@
   notRunAttempts: number;
   readonly triedEndpoints: Set<string>;
   readonly sentEventIds: SentEventIds;
+  /**
+   * Last event of a run without length that ended with a clean close: the stream
+   * may be complete, or its endpoint may have crashed.
+   */
+  possibleEndId: string | undefined;
   weightVersion: number | undefined;
   /** True once the request has crashed an endpoint again after a quarantine. */
   isQuarantined: boolean;
@@ -56,6 +61,7 @@
     notRunAttempts: 0,
     triedEndpoints: new Set(),
     sentEventIds: createSentEventIds(call.headers.lastEventId),
+    possibleEndId: undefined,
     weightVersion: undefined,
     isQuarantined: false,
     failedResponse: undefined,
--- a/src/gateway/response_framing_test.ts
+++ b/src/gateway/response_framing_test.ts
@@ -89,7 +89,7 @@
 test("a response without length is incomplete if its endpoint is gone", async () => {
   const { gateway } = await start([endWithoutLength, respondCompletely], {
     route: PLAIN,
-    isEndConfirmed: false,
+    isEndConfirmed: () => false,
   });
   expect(await call(gateway.url)).toMatchObject({ body: "whole" });
 });
@@ -140,14 +140,14 @@
 
 test("a stream that is resumed without length does not look complete if its endpoint is gone", async () => {
   const { gateway } = await start([breakOffStream, streamUnframed(2)], {
-    isEndConfirmed: false,
+    isEndConfirmed: () => false,
   });
   expect((await call(gateway.url)).isComplete).toBe(false);
 });
 
 test("a stream whose endpoint is gone after a clean end is resumed at another one", async () => {
   const { gateway } = await start([streamUnframed(2), streamAll], {
-    isEndConfirmed: false,
+    isEndConfirmed: () => false,
   });
   const response = await call(gateway.url);
   expect(response).toMatchObject({ body: COMPLETE_STREAM, isComplete: true });
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -111,6 +111,25 @@
     });
   }
 
+  /**
+   * An endpoint that leaves may have exited right after its last response, and
+   * one that crashes closes its connections in the same way. Another endpoint
+   * that has nothing to add after the same event tells them apart. A clean close
+   * right after the head of a stream proves nothing else.
+   */
+  async function confirmEnd(isEmptyStream: boolean): Promise<boolean> {
+    const lastEventId = sentEventIds.lastId();
+    const isEndOfEarlierRun =
+      lastEventId !== undefined && state.possibleEndId === lastEventId;
+    state.possibleEndId = lastEventId;
+    if (isEmptyStream && !isEndOfEarlierRun) return false;
+    return context.endConfirmation.confirm(endpoint, {
+      hasEngine: service.engine !== undefined,
+      healthPath: service.healthPath,
+      callId: call.id,
+    });
+  }
+
   context.rateLimits.count(endpoint, readColdLimit(context, service));
   const permit = context.requestPermits.take(endpoint);
   context.availability.onSend(endpoint);
@@ -145,12 +164,7 @@
     buffers: context.responseBuffers,
     isCongested: response.isCongested,
     onDrained: response.onDrained,
-    confirmEnd: () =>
-      context.endConfirmation.confirm(endpoint, {
-        hasEngine: service.engine !== undefined,
-        healthPath: service.healthPath,
-        callId: call.id,
-      }),
+    confirmEnd: ({ isEmptyStream }) => confirmEnd(isEmptyStream),
     findSendObstacle() {
       const obstacle = findSendObstacle(context, choice, permit);
       if (obstacle === undefined) options.onSent();
--- a/src/gateway/testing/mod.ts
+++ b/src/gateway/testing/mod.ts
@@ -141,8 +141,8 @@
   readonly storeOutage?: () => OutageSpan | undefined;
   /** Limit of all bodies of requests, and of all bodies of responses. */
   readonly maxBufferedBytes?: number;
-  /** False if endpoints are found to be gone after a response without length. */
-  readonly isEndConfirmed?: boolean;
+  /** False if an endpoint is found to be gone after a response without length. */
+  readonly isEndConfirmed?: (endpointId: string) => boolean;
   /** Hosts of the entries that share request limits with this one. */
   readonly otherEntries?: readonly string[];
 }
@@ -227,7 +227,8 @@
       purpose: "response",
     }),
     endConfirmation: {
-      confirm: () => Promise.resolve(options.isEndConfirmed ?? true),
+      confirm: ({ id }) =>
+        Promise.resolve(options.isEndConfirmed?.(id) ?? true),
     },
     codec: TEST_CODEC,
     bounds: {
--- a/src/gateway/truncated_response_test.ts
+++ b/src/gateway/truncated_response_test.ts
@@ -64,7 +64,7 @@
     endpoints,
     route,
     retries: 10_000,
-    isEndConfirmed: false,
+    isEndConfirmed: () => false,
   });
   closers.push(gateway.close, ...endpoints.map(({ close }) => close));
   return gateway;
