Keep a silent attempt until another endpoint has events

Cause: an endpoint that had not rejected a call within 150 ms counted as having taken it, and the attempt at the silent endpoint was ended. No time is set for a rejection; endpoints of the case reject after 0.25 s, and others break off. After that nothing was left to answer the call.

Change: the limit is removed. The silent attempt ends with the first event, or the complete response, of another endpoint, which is the first evidence that it works on the call.

Tests: six new cases in takeover_test.ts fail on the former code (rejections after 0.25 s and 0.9 s, broken connections after 0.25 s, the same for plain requests, and an endpoint that has room later). "A silent attempt ends once another endpoint has taken the request" demanded an end within 400 ms without any evidence, which is the fault itself. In its place, the attempt must be in place until the first event of the other endpoint and be closed right after.

--- a/src/gateway/call_attempts.ts
+++ b/src/gateway/call_attempts.ts
@@ -1,8 +1,8 @@
 /**
  * The attempts of one call that are in progress. Usually it is one. While its
  * endpoint is silent, the call may be sent to another one as well. The silent
- * attempt goes on until the other endpoint has taken the call; the first attempt
- * that has events for the caller ends the others.
+ * attempt goes on meanwhile: however long the other endpoint takes, it may still
+ * reject the call. The first attempt with events for the caller ends the others.
  */
 
 import type { Choice } from "../scheduling/mod.ts";
@@ -21,13 +21,6 @@
 import type { SentAttempt } from "./send_attempt.ts";
 import { createTakeover } from "./takeover.ts";
 
-/**
- * A full endpoint rejects a request at once, and a broken one resets the
- * connection. One that has done neither by then has taken the request. Two
- * endpoints that work on it for longer would add to the load when all are slow.
- */
-const TAKEN_AFTER_MS = 150;
-
 export interface EndedAttempt extends FinishedAttempt {
   /** True if the attempt has shown that the request crashes nothing. */
   readonly hasSurvived: boolean;
@@ -83,7 +76,6 @@
     const attempt = sendAttempt(context, {
       ...{ call, service, state, response, choice },
       otherAttempts: running.size,
-      onSent: () => onSent(started),
       onSilence: () => onSilence(started),
       onEvents: () => endOthers(started),
     });
@@ -99,17 +91,6 @@
     });
   }
 
-  function onSent(sent: RunningAttempt) {
-    if (running.size < 2) return;
-    setTimeout(() => {
-      if (isInProgress(sent)) endOthers(sent);
-    }, TAKEN_AFTER_MS).unref();
-  }
-
-  function isInProgress(attempt: RunningAttempt): boolean {
-    return running.has(attempt) && !ended.some((e) => e.started === attempt);
-  }
-
   /** Another attempt that has begun later may still answer sooner. */
   function onSilence(silent: RunningAttempt) {
     if ([...running].at(-1) !== silent) return;
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -51,8 +51,6 @@
   readonly choice: ChosenEndpoint;
   /** Attempts of the call that are in progress at other endpoints. */
   readonly otherAttempts: number;
-  /** Called when the connection is open and the request is sent. */
-  readonly onSent: () => void;
   /** Called again and again while the endpoint is silent. */
   readonly onSilence: () => void;
   /** Called before events are sent to the caller. */
@@ -165,11 +163,7 @@
     isCongested: response.isCongested,
     onDrained: response.onDrained,
     confirmEnd: ({ isEmptyStream }) => confirmEnd(isEmptyStream),
-    findSendObstacle() {
-      const obstacle = findSendObstacle(context, choice, permit);
-      if (obstacle === undefined) options.onSent();
-      return obstacle;
-    },
+    findSendObstacle: () => findSendObstacle(context, choice, permit),
     onSilence() {
       if (!canRetry || isQueued()) return;
       if (!isSilent) noteSilence(context, options);
--- a/src/gateway/takeover.ts
+++ b/src/gateway/takeover.ts
@@ -1,8 +1,8 @@
 /**
  * Chooses another endpoint for a call whose endpoint is silent. The other one
  * can reject the call, and the silent one can still answer, so the silent
- * attempt goes on until the other endpoint has taken the call. If all others are
- * full, they are asked again later, for as long as the silence lasts.
+ * attempt goes on until the other one has events. If all others are full, they
+ * are asked again later, for as long as the silence lasts.
  */
 
 import type { Choice } from "../scheduling/mod.ts";
--- a/src/gateway/takeover_test.ts
+++ b/src/gateway/takeover_test.ts
@@ -74,6 +74,32 @@
   },
 );
 
+/** Ends a request in this way after a time. */
+const after =
+  (delayMs: number, handler: RequestHandler): RequestHandler =>
+  async (...args) => {
+    await wait(delayMs);
+    void handler(...args);
+  };
+const breakOff: RequestHandler = (request) => request.socket.resetAndDestroy();
+
+// Guards against a stream that is cut though its endpoint goes on: another one
+// that had not rejected the request yet was taken to work on it.
+test.each([
+  { what: "reject after 0.25 s", handler: after(250, rejectAsFull) },
+  { what: "reject after 0.9 s", handler: after(900, rejectAsFull) },
+  { what: "break off after 0.25 s", handler: after(250, breakOff) },
+])(
+  "a stream whose endpoint pauses is completed when the others $what",
+  async ({ handler }) => {
+    const { gateway } = await start([pauseInStream, handler, handler]);
+    expect(await call(gateway.url)).toMatchObject({
+      body: COMPLETE_STREAM,
+      isComplete: true,
+    });
+  },
+);
+
 // Guards against an error for a request whose first endpoint is about to answer.
 test.each([
   { what: "is full", other: rejectAsFull },
@@ -82,11 +108,9 @@
     other: ((_, response) =>
       response.writeHead(500).end()) satisfies RequestHandler,
   },
-  {
-    what: "breaks off",
-    other: ((request) =>
-      request.socket.resetAndDestroy()) satisfies RequestHandler,
-  },
+  { what: "breaks off", other: breakOff },
+  { what: "is slow to reject it", other: after(250, rejectAsFull) },
+  { what: "breaks off later", other: after(250, breakOff) },
 ])(
   "a plain request to a slow endpoint is answered by it when the other one $what",
   async ({ other }) => {
@@ -132,6 +156,21 @@
   expect(arrivals).toBeLessThanOrEqual(1 + 3 * 2 + 1);
 });
 
+// Guards against a silent endpoint that was given up for one that then rejected
+// the call, after which nothing was asked any more.
+test("a stream whose endpoint is silent for good is resumed once one that rejects slowly has room", async () => {
+  const startedAtMs = performance.now();
+  const fullAtFirst: RequestHandler = (...args) =>
+    performance.now() - startedAtMs < 2_000
+      ? after(250, rejectAsFull)(...args)
+      : streamAll(...args);
+  const { gateway } = await start([stall, fullAtFirst, fullAtFirst]);
+  expect(await call(gateway.url)).toMatchObject({
+    body: COMPLETE_STREAM,
+    isComplete: true,
+  });
+});
+
 // Guards against retries of one call that take the budget of the others.
 test("a silent call is sent nowhere else once the retry budget is used up", async () => {
   const { gateway, endpoints } = await start([pauseInStream, rejectAsFull], {
@@ -187,20 +226,26 @@
   expect(closed).toEqual(["second"]);
 });
 
-// Guards against two endpoints that work on each silent request, which doubles
-// the load when all are slow.
-test("a silent attempt ends once another endpoint has taken the request", async () => {
+// Guards against a silent attempt that is given up before another endpoint has
+// shown that it works on the call, and against two endpoints that go on with it.
+test("a silent attempt ends with the first event of another endpoint, and not before", async () => {
   const closed: string[] = [];
-  const record = recordClosed(closed);
-  let closedAtFirstEvent: readonly string[] = [];
-  const takeSlowly: RequestHandler = async (...args) => {
+  let closedBefore: readonly string[] = [];
+  let closedAfter: readonly string[] = [];
+  const takeSlowly: RequestHandler = async (_, response) => {
+    response.writeHead(200, STREAM_TYPE).flushHeaders();
     await wait(400);
-    closedAtFirstEvent = [...closed];
-    streamAll(...args);
+    closedBefore = [...closed];
+    response.write(createEvent(2));
+    await wait(50);
+    closedAfter = [...closed];
+    response.end([3, 4].map(createEvent).join(""));
   };
-  const { gateway } = await start([record("first", stall), takeSlowly]);
+  const first = recordClosed(closed)("first", stall);
+  const { gateway } = await start([first, takeSlowly]);
   expect(await call(gateway.url)).toMatchObject({ body: COMPLETE_STREAM });
-  expect(closedAtFirstEvent).toEqual(["first"]);
+  expect(closedBefore).toEqual([]);
+  expect(closedAfter).toEqual(["first"]);
 });
 
 // Guards against pieces that are missing, come twice or are joined in another
