Ask an endpoint whether it has crashed before a lost response counts as one

Cause: a connection that closed before its response was complete counted as a crash of its endpoint. Two of these quarantine a part of a prompt that no request has survived yet, at all entries.

Change: an entry asks a model endpoint for its start before it counts a crash, tells other entries or decides on a retry. The same start means that only the response was lost. Another start, no listener, no response and an unknown start count as a crash as before, so an endpoint that is back at once under its id does not pass for one that went on. The attempt stays open during the check, so its deadline still ends it and no retry precedes the verdict. An address without a listener is not asked again; connections that close at the same time share one check. The same evidence feeds the quarantine of whole requests. Plain services do not state their start and are treated as before.

The module is named endpoint_check.ts now, as it answers both questions.

--- a/src/directory/store.ts
+++ b/src/directory/store.ts
@@ -7,6 +7,7 @@
 export type StoreFailure =
   | "timeout"
   | "connection"
+  | "not_listening"
   | "refused"
   /** All processes together send more reads than the store accepts. */
   | "rate_limited"
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -40,7 +40,12 @@
       readonly body: Buffer | undefined;
     }
   /** The request may have run; the response is missing or incomplete. */
-  | { readonly type: "lost"; readonly reason: string }
+  | {
+      readonly type: "lost";
+      readonly reason: string;
+      /** True if the endpoint may have crashed while it ran the request. */
+      readonly mayHaveCrashed?: boolean;
+    }
   /** Aborted by this entry. */
   | { readonly type: "aborted" };
 
@@ -82,6 +87,11 @@
     /** True for an event stream that ends after its head. */
     readonly isEmptyStream: boolean;
   }) => Promise<boolean>;
+  /**
+   * Called when the endpoint closes the connection before the response is
+   * complete; false if the endpoint runs on.
+   */
+  readonly mayHaveCrashed: () => Promise<boolean>;
   /**
    * Called with the complete events of a stream, after `onHead`. False ends the
    * attempt: the events do not continue those of an earlier one.
@@ -111,6 +121,12 @@
   fail(reason: string): void;
 }
 
+/** The endpoint has closed the connection: it may have crashed. */
+const CLOSE_REASONS: ReadonlySet<string> = new Set([
+  "ECONNRESET",
+  "UND_ERR_SOCKET",
+]);
+const CUT_OFF_REASON = "cut_off";
 const INVALID_STATUS_REASON = "invalid_status";
 const STATUS_MISDIRECTED = 421;
 const SILENCE_CHECK_INTERVAL_MS = 100;
@@ -239,16 +255,23 @@
     // A reset also ends a response without length, but does not complete it.
     const isBroken = isCloseDelimited && !connection.hasClosedCleanly();
     if (isBroken || splitter.remainder().length > 0) {
-      return finish({ type: "lost", reason: "cut_off" }, false);
+      return onClosedEarly(CUT_OFF_REASON);
     }
     if (!isCloseDelimited) return complete(head, true);
     clearTimers();
     void options
       .confirmEnd({ isEmptyStream: isEventStream && receivedBytes === 0 })
       .then((isConfirmed) =>
-        isConfirmed
-          ? complete(head!, false)
-          : finish({ type: "lost", reason: "cut_off" }, false),
+        isConfirmed ? complete(head!, false) : onClosedEarly(CUT_OFF_REASON),
+      );
+  }
+
+  function onClosedEarly(reason: string) {
+    clearTimers();
+    void options
+      .mayHaveCrashed()
+      .then((mayHaveCrashed) =>
+        finish({ type: "lost", reason, mayHaveCrashed }, false),
       );
   }
 
@@ -259,6 +282,7 @@
 
   function onError(error: Error) {
     const reason = (error as NodeJS.ErrnoException).code ?? error.message;
+    if (isSent && CLOSE_REASONS.has(reason)) return onClosedEarly(reason);
     const type = isSent ? "lost" : "not_sent";
     finish({ type, reason }, false);
   }
--- a/src/gateway/call_attempts.ts
+++ b/src/gateway/call_attempts.ts
@@ -21,15 +21,10 @@
 import type { SentAttempt } from "./send_attempt.ts";
 import { createTakeover } from "./takeover.ts";
 
-export interface EndedAttempt extends FinishedAttempt {
-  /** True if the attempt has shown that the request crashes nothing. */
-  readonly hasSurvived: boolean;
-}
-
 export interface CallAttempts {
   start(choice: ChosenEndpoint): void;
   /** Resolves with the next attempt to end, which is then no longer counted. */
-  waitForEnd(): Promise<EndedAttempt>;
+  waitForEnd(): Promise<FinishedAttempt>;
   countRunning(): number;
   /** The endpoint has rejected the call while another attempt goes on. */
   onRejected(endpointId: string): void;
@@ -122,7 +117,6 @@
       return {
         ...{ call, state, response, choice, outcome },
         headMs: attempt.headMs(),
-        hasSurvived: attempt.hasSurvived(),
       };
     },
     countRunning: () => running.size,
--- a/src/gateway/dispatch_call.ts
+++ b/src/gateway/dispatch_call.ts
@@ -12,9 +12,9 @@
 import type { AttemptOutcome } from "./attempt.ts";
 import type { Call } from "./call.ts";
 import { createCallAttempts } from "./call_attempts.ts";
-import type { CallAttempts, EndedAttempt } from "./call_attempts.ts";
+import type { CallAttempts } from "./call_attempts.ts";
 import { createCallState } from "./call_state.ts";
-import type { PendingCall } from "./call_state.ts";
+import type { FinishedAttempt, PendingCall } from "./call_state.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import {
   endExpired,
@@ -133,7 +133,7 @@
       const ended = await started.waitForEnd();
       const { outcome } = ended;
       logAttempt(context, ended);
-      if (isLikelyCrash(outcome) && !ended.hasSurvived) recordCrash(ended);
+      if (isLikelyCrash(outcome)) recordCrash(ended);
       if (isSuccess(outcome)) context.quarantine.recordSurvival(fingerprint);
       if (endCause === "cancelled") return;
       if (endCause === "expired") {
@@ -162,7 +162,7 @@
     }
   }
 
-  function recordCrash({ choice, state }: EndedAttempt) {
+  function recordCrash({ choice, state }: FinishedAttempt) {
     const { endpoint } = choice.view;
     const { id, startedAtMs } = endpoint;
     context.sendCrashNotice(
@@ -186,15 +186,8 @@
 
 const MIN_FAILURE_STATUS = 400;
 
-const CRASH_REASONS: ReadonlySet<string> = new Set([
-  "ECONNRESET",
-  "UND_ERR_SOCKET",
-  "cut_off",
-]);
-
-/** True if the endpoint closed the connection and may have run the request. */
 function isLikelyCrash(outcome: AttemptOutcome): boolean {
-  return outcome.type === "lost" && CRASH_REASONS.has(outcome.reason);
+  return outcome.type === "lost" && outcome.mayHaveCrashed === true;
 }
 
 function isSuccess(outcome: AttemptOutcome): boolean {
--- a/src/gateway/end_confirmation_test.ts
+++ b/src/gateway/endpoint_check_test.ts
@@ -2,7 +2,7 @@
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
 import { SILENT_LOGGER } from "../directory/testing/mod.ts";
-import { createEndConfirmation } from "./end_confirmation.ts";
+import { createEndpointCheck, NOT_LISTENING } from "./endpoint_check.ts";
 
 type StartTime = Result<number | undefined, string>;
 
@@ -13,6 +13,28 @@
   startedAtMs: 1_000,
 };
 const UNREACHABLE = err("connection");
+const GONE = err(NOT_LISTENING);
+
+/** Checks an engine with these results, in turn, and counts them. */
+function createEngineCheck(results: readonly StartTime[]) {
+  const left = [...results];
+  const check = createEndpointCheck({
+    readStartTime: () => Promise.resolve(left.shift() ?? UNREACHABLE),
+    checkIncarnation: () => Promise.resolve(UNREACHABLE),
+    readListedStart: () => undefined,
+    isListening: () => Promise.resolve(false),
+    logger: SILENT_LOGGER,
+  });
+  return {
+    check,
+    mayHaveCrashed: (
+      endpoint:
+        typeof ENDPOINT | Omit<typeof ENDPOINT, "startedAtMs"> = ENDPOINT,
+      hasEngine = true,
+    ) => check.mayHaveCrashed(endpoint, { hasEngine, callId: "a1" }),
+    countLeft: () => left.length,
+  };
+}
 
 /** Confirms the end of a response with these results of the checks, in turn. */
 function confirm(
@@ -22,13 +44,13 @@
 ) {
   const left = [...results];
   const next = () => Promise.resolve(left.shift() ?? UNREACHABLE);
-  return createEndConfirmation({
+  return createEndpointCheck({
     readStartTime: next,
     checkIncarnation: () => Promise.resolve(UNREACHABLE),
     readListedStart: () => undefined,
     isListening: async () => (await next()).isOk(),
     logger: SILENT_LOGGER,
-  }).confirm(endpoint, { hasEngine, healthPath: undefined, callId: "a1" });
+  }).confirmEnd(endpoint, { hasEngine, healthPath: undefined, callId: "a1" });
 }
 
 /** As `confirm`, for an endpoint of a service with a health check. */
@@ -37,14 +59,14 @@
   listedStartMs: number | undefined = ENDPOINT.startedAtMs,
 ) {
   const left = [...results];
-  return createEndConfirmation({
+  return createEndpointCheck({
     readStartTime: () => Promise.resolve(UNREACHABLE),
     checkIncarnation: () => Promise.resolve(left.shift() ?? UNREACHABLE),
     readListedStart: () => listedStartMs,
     // Whatever has the address now accepts connections.
     isListening: () => Promise.resolve(true),
     logger: SILENT_LOGGER,
-  }).confirm(ENDPOINT, {
+  }).confirmEnd(ENDPOINT, {
     hasEngine: false,
     healthPath: "/health",
     callId: "a1",
@@ -93,3 +115,47 @@
   expect(await confirm([ok(2_000)], endpoint)).toBe(true);
   expect(await confirm([ok(undefined)])).toBe(true);
 });
+
+// Guards against lost responses that are taken for crashes of their endpoint.
+test("an endpoint that runs on with the same start has not crashed", async () => {
+  expect(await createEngineCheck([ok(1_000)]).mayHaveCrashed()).toBe(false);
+  const { mayHaveCrashed } = createEngineCheck([UNREACHABLE, ok(1_000)]);
+  expect(await mayHaveCrashed()).toBe(false);
+});
+
+// Guards against a crash that is overlooked as the endpoint is back at once.
+test("an endpoint that has started again may have crashed", async () => {
+  expect(await createEngineCheck([ok(2_000)]).mayHaveCrashed()).toBe(true);
+  const { mayHaveCrashed } = createEngineCheck([UNREACHABLE, ok(2_000)]);
+  expect(await mayHaveCrashed()).toBe(true);
+});
+
+test("an endpoint may have crashed if its start is not known", async () => {
+  const { startedAtMs: _, ...endpoint } = ENDPOINT;
+  const { mayHaveCrashed } = createEngineCheck([ok(1_000)]);
+  expect(await mayHaveCrashed(endpoint)).toBe(true);
+  const unstated = createEngineCheck([ok(undefined)]);
+  expect(await unstated.mayHaveCrashed()).toBe(true);
+  expect(await createEngineCheck([]).mayHaveCrashed()).toBe(true);
+  const plain = createEngineCheck([ok(1_000)]);
+  expect(await plain.mayHaveCrashed(ENDPOINT, false)).toBe(true);
+});
+
+// Guards against more crashes by a request whose first one is known too late.
+test("an endpoint that does not listen any more is asked only once", async () => {
+  const { mayHaveCrashed, countLeft } = createEngineCheck([GONE, ok(1_000)]);
+  expect(await mayHaveCrashed()).toBe(true);
+  expect(countLeft()).toBe(1);
+});
+
+// Guards against a burst of checks after a crash that breaks off many requests.
+test("connections that are closed at the same time lead to one check", async () => {
+  const { mayHaveCrashed, countLeft } = createEngineCheck([
+    ok(1_000),
+    ok(2_000),
+  ]);
+  const together = [mayHaveCrashed(), mayHaveCrashed()];
+  expect(await Promise.all(together)).toEqual([false, false]);
+  expect(countLeft()).toBe(1);
+  expect(await mayHaveCrashed()).toBe(true);
+});
--- a/src/gateway/gateway_context.ts
+++ b/src/gateway/gateway_context.ts
@@ -17,7 +17,7 @@
 import type { Attempt } from "./attempt.ts";
 import type { HeaderCodec } from "./call.ts";
 import type { BufferBudget } from "./buffer_budget.ts";
-import type { EndConfirmation } from "./end_confirmation.ts";
+import type { EndpointCheck } from "./endpoint_check.ts";
 import type {
   EndpointAvailability,
   Incarnation,
@@ -58,7 +58,7 @@
   /** Endpoints to weigh for a call. */
   readonly candidates: Candidates;
   readonly connections: EndpointConnections;
-  readonly endConfirmation: EndConfirmation;
+  readonly endpointCheck: EndpointCheck;
   /** Bodies of requests. */
   readonly requestBuffers: BufferBudget;
   /** Bodies of responses, and what callers have not read of them. */
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -121,7 +121,7 @@
       lastEventId !== undefined && state.possibleEndId === lastEventId;
     state.possibleEndId = lastEventId;
     if (isEmptyStream && !isEndOfEarlierRun) return false;
-    return context.endConfirmation.confirm(endpoint, {
+    return context.endpointCheck.confirmEnd(endpoint, {
       hasEngine: service.engine !== undefined,
       healthPath: service.healthPath,
       callId: call.id,
@@ -163,6 +163,12 @@
     isCongested: response.isCongested,
     onDrained: response.onDrained,
     confirmEnd: ({ isEmptyStream }) => confirmEnd(isEmptyStream),
+    mayHaveCrashed: async () =>
+      !hasSurvived &&
+      context.endpointCheck.mayHaveCrashed(endpoint, {
+        hasEngine: service.engine !== undefined,
+        callId: call.id,
+      }),
     findSendObstacle: () => findSendObstacle(context, choice, permit),
     onSilence() {
       if (!canRetry || isQueued()) return;
--- a/src/gateway/start_gateway.ts
+++ b/src/gateway/start_gateway.ts
@@ -48,8 +48,8 @@
 import { createPerService } from "./create_per_service.ts";
 import { startDirectoryExchange } from "./directory_exchange.ts";
 import type { DirectoryExchange } from "./directory_exchange.ts";
-import { createEndConfirmation } from "./end_confirmation.ts";
-import type { CheckIncarnation, ReadStartTime } from "./end_confirmation.ts";
+import { createEndpointCheck } from "./endpoint_check.ts";
+import type { CheckIncarnation, ReadStartTime } from "./endpoint_check.ts";
 import { createEndpointAvailability } from "./endpoint_availability.ts";
 import { createEndpointConnections } from "./endpoint_connections.ts";
 import { createCallerServer } from "./caller_server.ts";
@@ -229,7 +229,7 @@
     rateLimits,
     candidates,
     connections,
-    endConfirmation: createEndConfirmation({
+    endpointCheck: createEndpointCheck({
       readStartTime: options.readStartTime,
       checkIncarnation: options.checkIncarnation,
       readListedStart: (id) => directory.endpoint(id)?.startedAtMs,
--- a/src/gateway/testing/mod.ts
+++ b/src/gateway/testing/mod.ts
@@ -143,6 +143,8 @@
   readonly maxBufferedBytes?: number;
   /** False if an endpoint is found to be gone after a response without length. */
   readonly isEndConfirmed?: (endpointId: string) => boolean;
+  /** False if an endpoint is found to run on after it closed a connection. */
+  readonly mayHaveCrashed?: (endpointId: string) => boolean;
   /** Hosts of the entries that share request limits with this one. */
   readonly otherEntries?: readonly string[];
 }
@@ -226,9 +228,11 @@
       registry,
       purpose: "response",
     }),
-    endConfirmation: {
-      confirm: ({ id }) =>
+    endpointCheck: {
+      confirmEnd: ({ id }) =>
         Promise.resolve(options.isEndConfirmed?.(id) ?? true),
+      mayHaveCrashed: ({ id }) =>
+        Promise.resolve(options.mayHaveCrashed?.(id) ?? true),
     },
     codec: TEST_CODEC,
     bounds: {
--- a/src/sidecar/endpoint_api.ts
+++ b/src/sidecar/endpoint_api.ts
@@ -23,7 +23,12 @@
 
 /** Only a request with a condition can be `not_sent`. */
 export type EndpointFailure =
-  "timeout" | "connection" | "refused" | "too_large" | "not_sent";
+  | "timeout"
+  | "connection"
+  | "not_listening"
+  | "refused"
+  | "too_large"
+  | "not_sent";
 
 export interface OrderOptions {
   /**
@@ -62,7 +67,13 @@
 }
 
 export type OriginFailure =
-  "timeout" | "connection" | "refused" | "malformed" | "aborted" | "too_large";
+  | "timeout"
+  | "connection"
+  | "not_listening"
+  | "refused"
+  | "malformed"
+  | "aborted"
+  | "too_large";
 
 export interface WeightOrigin {
   /** SHA-256 of each chunk, hexadecimal. */
