Ask a silent endpoint only once whether it has crashed

Cause: a connection that is reset by a cut link, not by a crash, leaves an endpoint that does not answer the check for a crash. Three tries of 300 ms would keep the call from another endpoint for more than a second.

Change: after a try without a response the loss counts as a crash. The check of the end of a response without length is repeated as before. The failures of the check are a type now, so that they are compared safely.

Result: "an endpoint that does not answer the check is asked only once" fails on the former code, which asks again.

--- a/src/gateway/endpoint_check.ts
+++ b/src/gateway/endpoint_check.ts
@@ -14,8 +14,15 @@
 const MAX_TRIES = 3;
 const RETRY_INTERVAL_MS = 100;
 
-/** Failure of a check if nothing listens at the address any more. */
-export const NOT_LISTENING = "not_listening";
+/** Why an endpoint has not stated its start. */
+export type StartTimeFailure =
+  | "timeout"
+  /** Nothing listens at the address any more. */
+  | "not_listening"
+  | "connection"
+  | "refused"
+  | "too_large"
+  | "aborted";
 
 /**
  * Returns the wall-clock start of the endpoint at an address, or undefined if
@@ -23,7 +30,7 @@
  */
 export type ReadStartTime = (
   address: string,
-) => Promise<Result<number | undefined, string>>;
+) => Promise<Result<number | undefined, StartTimeFailure>>;
 
 /** False if another endpoint, or a later incarnation, has the address now. */
 export type CheckIncarnation = (
@@ -57,7 +64,12 @@
 }
 
 type EndpointState =
-  "running" | "unknown_start" | "restarted" | "unreachable" | "not_listening";
+  | "running"
+  | "unknown_start"
+  | "restarted"
+  | "unreachable"
+  | "silent"
+  | "not_listening";
 
 /** A start that is not known tells nothing. */
 function compareStarts(
@@ -92,7 +104,8 @@
   }: Incarnation): Promise<EndpointState> {
     const found = await readStartTime(address);
     if (found.isOk()) return compareStarts(found.value, startedAtMs);
-    return found.error === NOT_LISTENING ? "not_listening" : "unreachable";
+    if (found.error === "not_listening") return "not_listening";
+    return found.error === "timeout" ? "silent" : "unreachable";
   }
 
   /** One that starts again has another id, or else the list has its start. */
@@ -112,10 +125,13 @@
       : "restarted";
   }
 
-  async function checkRepeatedly(check: () => Promise<EndpointState>) {
+  async function checkRepeatedly(
+    check: () => Promise<EndpointState>,
+    isRepeatedAfter: (state: EndpointState) => boolean,
+  ) {
     let state = await check();
     let tries = 1;
-    while (state === "unreachable" && tries < MAX_TRIES) {
+    while (isRepeatedAfter(state) && tries < MAX_TRIES) {
       await new Promise((resolve) => setTimeout(resolve, RETRY_INTERVAL_MS));
       state = await check();
       tries += 1;
@@ -131,7 +147,11 @@
     const key = createIncarnationKey(endpoint);
     await new Promise((resolve) => setImmediate(resolve));
     pendingCrashChecks.delete(key);
-    const result = await checkRepeatedly(() => checkEngine(endpoint));
+    // The call waits for the result, so a silent endpoint is asked only once.
+    const result = await checkRepeatedly(
+      () => checkEngine(endpoint),
+      (state) => state === "unreachable",
+    );
     logger.info(
       { id: callId, endpoint: id, address, ...result },
       "checked an endpoint that closed connections without a response",
@@ -142,8 +162,10 @@
   return {
     async confirmEnd(endpoint, { hasEngine, healthPath, callId }) {
       const { id, address } = endpoint;
-      const result = await checkRepeatedly(() =>
-        hasEngine ? checkEngine(endpoint) : checkPlain(endpoint, healthPath),
+      const result = await checkRepeatedly(
+        () =>
+          hasEngine ? checkEngine(endpoint) : checkPlain(endpoint, healthPath),
+        (state) => state === "unreachable" || state === "silent",
       );
       logger.info(
         { id: callId, endpoint: id, address, ...result },
--- a/src/gateway/endpoint_check_test.ts
+++ b/src/gateway/endpoint_check_test.ts
@@ -2,9 +2,10 @@
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
 import { SILENT_LOGGER } from "../directory/testing/mod.ts";
-import { createEndpointCheck, NOT_LISTENING } from "./endpoint_check.ts";
+import { createEndpointCheck } from "./endpoint_check.ts";
+import type { StartTimeFailure } from "./endpoint_check.ts";
 
-type StartTime = Result<number | undefined, string>;
+type StartTime = Result<number | undefined, StartTimeFailure>;
 
 const ENDPOINT = {
   id: "e1",
@@ -12,8 +13,8 @@
   address: "127.0.0.1:1",
   startedAtMs: 1_000,
 };
-const UNREACHABLE = err("connection");
-const GONE = err(NOT_LISTENING);
+const UNREACHABLE = err("connection" as const);
+const GONE = err("not_listening" as const);
 
 /** Checks an engine with these results, in turn, and counts them. */
 function createEngineCheck(results: readonly StartTime[]) {
@@ -148,6 +149,21 @@
   expect(countLeft()).toBe(1);
 });
 
+// Guards against a call that waits for more than a second for the check before it
+// is sent elsewhere.
+test("an endpoint that does not answer the check is asked only once", async () => {
+  const { mayHaveCrashed, countLeft } = createEngineCheck([
+    err("timeout"),
+    ok(1_000),
+  ]);
+  expect(await mayHaveCrashed()).toBe(true);
+  expect(countLeft()).toBe(1);
+});
+
+test("the end is confirmed by an endpoint that answers the second check", async () => {
+  expect(await confirm([err("timeout"), ok(1_000)])).toBe(true);
+});
+
 // Guards against a burst of checks after a crash that breaks off many requests.
 test("connections that are closed at the same time lead to one check", async () => {
   const { mayHaveCrashed, countLeft } = createEngineCheck([
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -9,7 +9,6 @@
 } from "./call.ts";
 export { chooseEndpoint } from "../scheduling/mod.ts";
 export type { Choice, ChoiceOptions, EndpointView } from "../scheduling/mod.ts";
-export { NOT_LISTENING } from "./endpoint_check.ts";
 export type { CheckIncarnation, ReadStartTime } from "./endpoint_check.ts";
 export { forecastFirstEventMs } from "../scheduling/mod.ts";
 export type { GatewayBounds } from "./gateway_context.ts";
