Count only event streams as evidence of a possible end

Cause: any response without length noted the last event that the caller has as the possible end of its stream, an error too. A caller that resumed a stream could get an error from one endpoint and a run without events from another, and be told that its stream was complete.

Result: "a stream that a caller resumes does not end after an error and a run without events" fails on the former code. Found by rereading; not seen in a run.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -83,10 +83,7 @@
    * Called when a response without length ends with its connection; false if it
    * may have been cut off.
    */
-  readonly confirmEnd: (end: {
-    /** True for an event stream that ends after its head. */
-    readonly isEmptyStream: boolean;
-  }) => Promise<boolean>;
+  readonly confirmEnd: (end: ResponseEnd) => Promise<boolean>;
   /**
    * Called when the endpoint closes the connection before the response is
    * complete; false if the endpoint runs on.
@@ -105,6 +102,12 @@
   readonly onStart: () => void;
 }
 
+export interface ResponseEnd {
+  readonly isEventStream: boolean;
+  /** True if the response ended after its head. */
+  readonly isEmpty: boolean;
+}
+
 export interface StreamHead {
   readonly status: number;
   readonly headers: HttpHeaders;
@@ -260,7 +263,7 @@
     if (!isCloseDelimited) return complete(head, true);
     clearTimers();
     void options
-      .confirmEnd({ isEmptyStream: isEventStream && receivedBytes === 0 })
+      .confirmEnd({ isEventStream, isEmpty: receivedBytes === 0 })
       .then((isConfirmed) =>
         isConfirmed ? complete(head!, false) : onClosedEarly(CUT_OFF_REASON),
       );
--- a/src/gateway/possible_end_test.ts
+++ b/src/gateway/possible_end_test.ts
@@ -15,10 +15,14 @@
 
 const HEAD =
   "HTTP/1.1 200 OK\r\nx-attempt: a1\r\ncontent-type: text/event-stream\r\n\r\n";
+const ERROR_HEAD =
+  "HTTP/1.1 500 Error\r\nx-attempt: a1\r\ncontent-type: text/plain\r\n\r\n";
 const NO_EVENTS = "";
 const FIRST_TWO = [1, 2].map(createEvent).join("");
 
 interface Run {
+  readonly head?: string;
+  /** The body. */
   readonly events: string;
   /** True if the endpoint no longer runs after it has closed the connection. */
   readonly isGone?: boolean;
@@ -34,9 +38,9 @@
   const endpoints = await Promise.all(
     runs.map((_, index) =>
       startRawEndpoint(({ socket }) => {
-        const { events, isGone } = left.shift()!;
+        const { head = HEAD, events, isGone } = left.shift()!;
         if (isGone === true) gone.add(`e${index}`);
-        socket.end(HEAD + events);
+        socket.end(head + events);
       }),
     ),
   );
@@ -110,3 +114,10 @@
     isComplete: true,
   });
 });
+
+// Guards against an error without length that counts as the end of a stream.
+test("a stream that a caller resumes does not end after an error and a run without events", async () => {
+  const runs = [{ head: ERROR_HEAD, events: "error" }, { events: NO_EVENTS }];
+  const response = await callFleet(runs, { "x-last": "4" });
+  expect(response.status === 200 && response.isComplete).toBe(false);
+});
--- a/src/gateway/send_attempt.ts
+++ b/src/gateway/send_attempt.ts
@@ -7,7 +7,7 @@
 import type { EndpointView } from "../scheduling/mod.ts";
 import { ABORT_DELAY_MS, isLikelyQueued } from "../scheduling/mod.ts";
 import { startAttempt } from "./attempt.ts";
-import type { Attempt, AttemptOptions } from "./attempt.ts";
+import type { Attempt, AttemptOptions, ResponseEnd } from "./attempt.ts";
 import type { Call, ResponseHeaders } from "./call.ts";
 import { isRetryable, PAUSED_REASON } from "./call_state.ts";
 import type { ChosenEndpoint, PendingCall } from "./call_state.ts";
@@ -115,12 +115,17 @@
    * that has nothing to add after the same event tells them apart. A clean close
    * right after the head of a stream proves nothing else.
    */
-  async function confirmEnd(isEmptyStream: boolean): Promise<boolean> {
-    const lastEventId = sentEventIds.lastId();
-    const isEndOfEarlierRun =
-      lastEventId !== undefined && state.possibleEndId === lastEventId;
-    state.possibleEndId = lastEventId;
-    if (isEmptyStream && !isEndOfEarlierRun) return false;
+  async function confirmEnd({
+    isEventStream,
+    isEmpty,
+  }: ResponseEnd): Promise<boolean> {
+    if (isEventStream) {
+      const lastEventId = sentEventIds.lastId();
+      const isEndOfEarlierRun =
+        lastEventId !== undefined && state.possibleEndId === lastEventId;
+      state.possibleEndId = lastEventId;
+      if (isEmpty && !isEndOfEarlierRun) return false;
+    }
     return context.endpointCheck.confirmEnd(endpoint, {
       hasEngine: service.engine !== undefined,
       healthPath: service.healthPath,
@@ -162,7 +167,7 @@
     buffers: context.responseBuffers,
     isCongested: response.isCongested,
     onDrained: response.onDrained,
-    confirmEnd: ({ isEmptyStream }) => confirmEnd(isEmptyStream),
+    confirmEnd,
     mayHaveCrashed: async () =>
       !hasSurvived &&
       context.endpointCheck.mayHaveCrashed(endpoint, {
