Wait for the stream, not for 100 ms, before the configuration is emptied

Cause: the test took a call to be in progress 100 ms after it began. As one of the first suites beside seven others, the call was not sent by then, so it was rejected with "no_endpoint", which the test shows.

Change: the configuration is emptied once the endpoint has begun to answer. The check is the same.

--- a/src/gateway/config_change_test.ts
+++ b/src/gateway/config_change_test.ts
@@ -45,14 +45,17 @@
 // a former version of the configuration.
 
 test("a stream in progress is completed when a new configuration has no trace of it", async () => {
+  let isInProgress = false;
   const { gateway, publishEmpty } = await start(async (_, response) => {
+    isInProgress = true;
     response.writeHead(200, { "content-type": "text/event-stream" });
     response.write(createEvent(1));
     await wait(200);
     response.end([2, 3, 4].map(createEvent).join(""));
   });
   const response = call(gateway.url);
-  await wait(100);
+  while (!isInProgress) await wait(5);
+  await wait(50);
   publishEmpty();
   expect(await response).toMatchObject({
     body: COMPLETE_STREAM,
